--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build run test fmt lint unit race fuzz clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/hickorystage ./cmd/standin
+
+# run sets up a three-region deployment on loopback, sends a plain chat, a
+# streamed chat, a booking and its repeat, and stays up until interrupted.
+run: build
+	@exec bash scripts/run.sh
+
+fmt:
+	$(GO) tool gofumpt -w cmd internal
+
+lint:
+	@out="$$($(GO) tool gofumpt -l cmd internal)"; if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+race:
+	$(GO) test -race -timeout 15m ./...
+
+test: lint race fuzz
+
+FUZZ_RUNS := 2000x
+
+fuzz:
+	@for pkg in $$($(GO) list ./internal/...); do \
+	  for target in $$($(GO) test -list '^Fuzz' $$pkg 2>/dev/null | grep '^Fuzz'); do \
+	    echo "fuzz $$pkg $$target"; \
+	    $(GO) test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_RUNS) $$pkg || exit 1; \
+	  done; done
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/blackboard/blackboard.go
@@ -0,0 +1,149 @@
+package blackboard
+
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/intent"
+)
+
+// IntentState is the revision in force at this gateway. Revision 0 means none.
+type IntentState struct {
+	Revision uint64
+	// Digest is the hex SHA-256 of the head that names the revision's files.
+	Digest string
+	// Snapshot is the revision in the form that peers exchange.
+	Snapshot []byte
+	Intent   *intent.Intent
+	Since    time.Time
+}
+
+// LoadReport is what an endpoint says of its load. It lags.
+type LoadReport struct {
+	// At is when the report was taken, by this gateway's clock.
+	At time.Time `json:"-"`
+	// AgeMillis is the report's age when it was sent on to a peer.
+	AgeMillis int64 `json:"age_ms"`
+	// Running and Waiting count the requests in the batch and in the queue.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// QueuedPrefillTokens is the prompt tokens that wait for prefill.
+	QueuedPrefillTokens int `json:"queued_prefill_tokens"`
+	// PrefillRate and DecodeRate are in tokens a second; DecodeRate is for
+	// one stream.
+	PrefillRate float64 `json:"prefill_rate"`
+	DecodeRate  float64 `json:"decode_rate"`
+	// MaxBatch is the number of requests the endpoint runs at once.
+	MaxBatch int `json:"max_batch"`
+	// KVUsed is the used share of the cache memory, 0 to 1.
+	KVUsed  float64 `json:"kv_used"`
+	Leaving bool    `json:"leaving"`
+}
+
+// EndpointState is what this gateway knows of one endpoint of its own region.
+type EndpointState struct {
+	ID          string
+	Incarnation string
+	Group       string
+	Region      string
+	DataCentre  string
+	Address     string
+	// Leaving is set by the first sign of leaving, from whatever source, and
+	// lifted only by a newer incarnation.
+	Leaving bool
+	// LeavingSince is when this gateway saw the first sign.
+	LeavingSince time.Time
+	// Listed is when the instance list last named the endpoint.
+	Listed time.Time
+	Report LoadReport
+	// HasReport says that Report has been filled at least once.
+	HasReport bool
+}
+
+// PeerState is what this gateway knows of another gateway.
+type PeerState struct {
+	ID          string
+	Incarnation string
+	Region      string
+	// Address is host:port of the peer listener; CallerAddress that of the
+	// caller listener.
+	Address       string
+	CallerAddress string
+	Leaving       bool
+	// Ready says that the peer holds an intent and serves.
+	Ready bool
+	// Revision is the newest revision the peer is known to hold.
+	Revision uint64
+	// Heard is when this gateway last had a direct or relayed sign of life.
+	Heard time.Time
+	// Beat is the peer's own counter, which orders signs of life.
+	Beat uint64
+}
+
+// RegionSummary is what one region tells the others about itself.
+type RegionSummary struct {
+	Region string `json:"region"`
+	// From and Seq order the summaries of one sender.
+	From string `json:"from"`
+	Seq  uint64 `json:"seq"`
+	// Heard is when this gateway received it.
+	Heard  time.Time               `json:"-"`
+	Groups map[string]GroupSummary `json:"groups"`
+	// Gateways lists some peer addresses that take forwarded requests.
+	Gateways []string `json:"gateways"`
+	Revision uint64   `json:"revision"`
+	// Holding counts the region's gateways per revision held.
+	Holding map[uint64]int `json:"holding"`
+}
+
+// GroupSummary sums up the load of a group of endpoints in one region.
+type GroupSummary struct {
+	Endpoints           int     `json:"endpoints"`
+	Running             int     `json:"running"`
+	Waiting             int     `json:"waiting"`
+	QueuedPrefillTokens int     `json:"queued_prefill_tokens"`
+	PrefillRate         float64 `json:"prefill_rate"`
+	FreeSlots           int     `json:"free_slots"`
+}
+
+// Lifecycle is the state of this gateway.
+type Lifecycle string
+
+// The lifecycle states in their order.
+const (
+	Starting Lifecycle = "starting"
+	Serving  Lifecycle = "serving"
+	Draining Lifecycle = "draining"
+	Stopped  Lifecycle = "stopped"
+)
+
+// Self identifies this gateway; it does not change.
+type Self struct {
+	ID            string
+	Incarnation   string
+	Region        string
+	DataCentre    string
+	PeerAddress   string
+	CallerAddress string
+}
+
+// Board holds every section.
+type Board struct {
+	Self      Self
+	Lifecycle *Value[Lifecycle]
+	Intent    *Value[IntentState]
+	Endpoints *Section[EndpointState]
+	Peers     *Section[PeerState]
+	Regions   *Section[RegionSummary]
+}
+
+// New returns an empty board for the given gateway.
+func New(self Self) *Board {
+	return &Board{
+		Self:      self,
+		Lifecycle: NewValue(Starting),
+		Intent:    NewValue(IntentState{}),
+		Endpoints: NewSection[EndpointState](),
+		Peers:     NewSection[PeerState](),
+		Regions:   NewSection[RegionSummary](),
+	}
+}
--- /dev/null
+++ b/internal/blackboard/section.go
@@ -0,0 +1,110 @@
+// Package blackboard is where controllers and the request path meet. Each
+// section is typed; controllers write sections and never call each other.
+package blackboard
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// shardCount is the number of shards of a Section.
+const shardCount = 16
+
+// Section is a map split into shards, each under its own lock.
+// Values are stored by value; a stored value must not be mutated afterwards.
+type Section[V any] struct {
+	shards [shardCount]shard[V]
+}
+
+type shard[V any] struct {
+	mu    sync.RWMutex
+	items map[string]V
+}
+
+// NewSection returns an empty section.
+func NewSection[V any]() *Section[V] {
+	s := &Section[V]{}
+	for i := range s.shards {
+		s.shards[i].items = make(map[string]V)
+	}
+	return s
+}
+
+func (s *Section[V]) shardOf(key string) *shard[V] {
+	return &s.shards[xxhash.Sum64String(key)%shardCount]
+}
+
+// Get returns the value of key.
+func (s *Section[V]) Get(key string) (V, bool) {
+	sh := s.shardOf(key)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	v, ok := sh.items[key]
+	return v, ok
+}
+
+// Set stores the value of key.
+func (s *Section[V]) Set(key string, v V) {
+	sh := s.shardOf(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.items[key] = v
+}
+
+// Delete removes key.
+func (s *Section[V]) Delete(key string) {
+	sh := s.shardOf(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	delete(sh.items, key)
+}
+
+// Update changes the value of key under the shard's lock. fn gets the current
+// value and whether there is one; it returns the new value and whether to keep
+// it (false removes the key). fn must not call the section.
+func (s *Section[V]) Update(key string, fn func(v V, ok bool) (V, bool)) {
+	sh := s.shardOf(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	old, ok := sh.items[key]
+	v, keep := fn(old, ok)
+	if keep {
+		sh.items[key] = v
+		return
+	}
+	delete(sh.items, key)
+}
+
+// Range calls fn for each item until it returns false. It holds one shard's
+// read lock at a time, so the view is whole for a shard only; fn must not
+// write to the section.
+func (s *Section[V]) Range(fn func(key string, v V) bool) {
+	for i := range s.shards {
+		if !s.shards[i].each(fn) {
+			return
+		}
+	}
+}
+
+func (sh *shard[V]) each(fn func(key string, v V) bool) bool {
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	for k, v := range sh.items {
+		if !fn(k, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// Len returns the number of items.
+func (s *Section[V]) Len() int {
+	n := 0
+	for i := range s.shards {
+		s.shards[i].mu.RLock()
+		n += len(s.shards[i].items)
+		s.shards[i].mu.RUnlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,38 @@
+package platform
+
+import "fmt"
+
+// NotFoundError says that a key does not exist.
+type NotFoundError struct{ Key string }
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("key %q not found", e.Key) }
+
+// ConflictError says that a compare-and-swap found another version; nothing
+// was written. Actual is the version found, 0 when the key does not exist.
+type ConflictError struct {
+	Key    string
+	Actual uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q has version %d", e.Key, e.Actual)
+}
+
+// UnavailableError says that a call got no usable answer.
+type UnavailableError struct {
+	// Op is the call that failed.
+	Op string
+	// MaybeApplied is true when the call is a write that may have taken effect.
+	MaybeApplied bool
+	Cause        error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("%s: platform unavailable (maybe applied: %t): %v", e.Op, e.MaybeApplied, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
