Add the HTTP clients of the store, the directory and the instance list

Change: internal/platform gets HTTPStore, HTTPDirectory and HTTPInstanceList. A call has a limit on silence; the connection that exceeds it is closed along with its idle siblings; a read is tried once more on a new connection, a write is sent once and gives UnavailableError{MaybeApplied: true} unless no connection was made.

Ruled out: a body that can't be rewound. Go's transport sends a request again by itself when no byte of it was written, or when it is a GET or carries an Idempotency-Key; a PUT without that header is never sent again once a byte may have left, so the rewindable body costs nothing.

--- /dev/null
+++ b/internal/platform/directory.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// The paths of the directory and the instance list.
+const (
+	directoryPath = "/v1/directory"
+	instancesPath = "/v1/instances"
+)
+
+// maxDirectoryBytes bounds the answers of the directory and the instance list.
+const maxDirectoryBytes = 8 << 20
+
+var (
+	directoryCalls = telemetry.NewCounter("directory_calls", "calls", "calls on the directory for callers")
+	listCalls      = telemetry.NewCounter("instance_list_calls", "calls", "reads of the instance list")
+)
+
+// HTTPDirectory is the HTTP client of the directory for callers.
+type HTTPDirectory struct{ caller *caller }
+
+// NewHTTPDirectory returns a client of the directory at baseURL.
+func NewHTTPDirectory(baseURL string, o Options) *HTTPDirectory {
+	return &HTTPDirectory{caller: newCaller(baseURL, o)}
+}
+
+// Register implements Directory.
+func (d *HTTPDirectory) Register(ctx context.Context, r Registration, ttl time.Duration) error {
+	directoryCalls.Inc()
+	body, err := json.Marshal(r)
+	if err != nil {
+		return &UnavailableError{Op: "directory register", Cause: err}
+	}
+	return d.caller.do(ctx, call{
+		op:       "directory register",
+		method:   http.MethodPut,
+		path:     directoryPath + "/" + escape(r.Instance),
+		query:    url.Values{"ttl_ms": {millis(ttl)}},
+		body:     body,
+		write:    true,
+		limit:    d.caller.opts.AnswerTimeout,
+		maxBytes: maxDirectoryBytes,
+	}, nil)
+}
+
+// Deregister implements Directory.
+func (d *HTTPDirectory) Deregister(ctx context.Context, instance string) error {
+	directoryCalls.Inc()
+	return d.caller.do(ctx, call{
+		op:       "directory deregister",
+		method:   http.MethodDelete,
+		path:     directoryPath + "/" + escape(instance),
+		write:    true,
+		limit:    d.caller.opts.AnswerTimeout,
+		maxBytes: maxDirectoryBytes,
+	}, nil)
+}
+
+// Lookup implements Directory.
+func (d *HTTPDirectory) Lookup(ctx context.Context) ([]Registration, error) {
+	directoryCalls.Inc()
+	var out []Registration
+	err := d.caller.do(ctx, call{
+		op:       "directory lookup",
+		method:   http.MethodGet,
+		path:     directoryPath,
+		limit:    d.caller.opts.AnswerTimeout,
+		maxBytes: maxDirectoryBytes,
+	}, &out)
+	return out, err
+}
+
+// HTTPInstanceList is the HTTP client of the instance list.
+type HTTPInstanceList struct{ caller *caller }
+
+// NewHTTPInstanceList returns a client of the instance list at baseURL.
+func NewHTTPInstanceList(baseURL string, o Options) *HTTPInstanceList {
+	return &HTTPInstanceList{caller: newCaller(baseURL, o)}
+}
+
+// Instances implements InstanceList.
+func (l *HTTPInstanceList) Instances(ctx context.Context, region string) ([]Instance, error) {
+	listCalls.Inc()
+	query := url.Values{}
+	if region != "" {
+		query.Set("region", region)
+	}
+	var out []Instance
+	err := l.caller.do(ctx, call{
+		op:       "instance list",
+		method:   http.MethodGet,
+		path:     instancesPath,
+		query:    query,
+		limit:    l.caller.opts.AnswerTimeout,
+		maxBytes: maxDirectoryBytes,
+	}, &out)
+	return out, err
+}
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,190 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// The paths of the key-value service.
+const (
+	kvPath    = "/v1/kv/"
+	listPath  = "/v1/kv"
+	watchPath = "/v1/watch/"
+	leasePath = "/v1/leases/"
+	grantPath = "/v1/leases"
+)
+
+// Limits of what the key-value service may answer.
+const (
+	maxEntryBytes = 2 << 20
+	maxListBytes  = 32 << 20
+)
+
+var (
+	storeGets    = telemetry.NewCounter("store_get_calls", "calls", "reads of one key")
+	storePuts    = telemetry.NewCounter("store_put_calls", "calls", "writes of one key")
+	storeDeletes = telemetry.NewCounter("store_delete_calls", "calls", "removals of one key")
+	storeLists   = telemetry.NewCounter("store_list_calls", "calls", "reads of the keys under a prefix")
+	storeWatches = telemetry.NewCounter("store_watch_calls", "calls", "watches opened; a waiting watch is one call")
+	storeLeases  = telemetry.NewCounter("store_lease_calls", "calls", "leases granted, renewed and revoked")
+)
+
+// HTTPStore is the HTTP client of the key-value service.
+type HTTPStore struct{ caller *caller }
+
+// NewHTTPStore returns a client of the service at baseURL ("http://host:port").
+func NewHTTPStore(baseURL string, o Options) *HTTPStore {
+	return &HTTPStore{caller: newCaller(baseURL, o)}
+}
+
+// Get implements Store.
+func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
+	storeGets.Inc()
+	var e Entry
+	err := s.caller.do(ctx, call{
+		op:       "store get",
+		method:   http.MethodGet,
+		path:     kvPath + escape(key),
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxEntryBytes,
+	}, &e)
+	return e, err
+}
+
+// Put implements Store. It is sent once: a lost answer is an *UnavailableError
+// with MaybeApplied set.
+func (s *HTTPStore) Put(ctx context.Context, key string, value []byte, opts PutOptions) (Entry, error) {
+	storePuts.Inc()
+	query := ifVersionQuery(opts.IfVersion)
+	if opts.Lease != "" {
+		query.Set("lease", string(opts.Lease))
+	}
+	var e Entry
+	err := s.caller.do(ctx, call{
+		op:       "store put",
+		method:   http.MethodPut,
+		path:     kvPath + escape(key),
+		query:    query,
+		body:     value,
+		write:    true,
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxEntryBytes,
+	}, &e)
+	return e, err
+}
+
+// Delete implements Store. It is sent once.
+func (s *HTTPStore) Delete(ctx context.Context, key string, ifVersion *uint64) error {
+	storeDeletes.Inc()
+	return s.caller.do(ctx, call{
+		op:       "store delete",
+		method:   http.MethodDelete,
+		path:     kvPath + escape(key),
+		query:    ifVersionQuery(ifVersion),
+		write:    true,
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxEntryBytes,
+	}, nil)
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context, prefix string) ([]Entry, error) {
+	storeLists.Inc()
+	var entries []Entry
+	err := s.caller.do(ctx, call{
+		op:       "store list",
+		method:   http.MethodGet,
+		path:     listPath,
+		query:    url.Values{"prefix": {prefix}},
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxListBytes,
+	}, &entries)
+	return entries, err
+}
+
+// Watch implements Store. A connection that stays silent for longer than the
+// wait and the slack is closed, and the watch is opened again on a new one.
+func (s *HTTPStore) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
+	storeWatches.Inc()
+	var e Entry
+	err := s.caller.do(ctx, call{
+		op:     "store watch",
+		method: http.MethodGet,
+		path:   watchPath + escape(key),
+		query: url.Values{
+			"after":   {strconv.FormatUint(after, 10)},
+			"wait_ms": {millis(wait)},
+		},
+		limit:    wait + s.caller.opts.WatchSlack,
+		maxBytes: maxEntryBytes,
+	}, &e)
+	return e, err
+}
+
+// grantBody is the answer to a new lease.
+type grantBody struct {
+	Lease LeaseID `json:"lease"`
+}
+
+// Grant implements Store.
+func (s *HTTPStore) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	storeLeases.Inc()
+	var g grantBody
+	err := s.caller.do(ctx, call{
+		op:       "store grant",
+		method:   http.MethodPost,
+		path:     grantPath,
+		query:    url.Values{"ttl_ms": {millis(ttl)}},
+		write:    true,
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxEntryBytes,
+	}, &g)
+	return g.Lease, err
+}
+
+// KeepAlive implements Store.
+func (s *HTTPStore) KeepAlive(ctx context.Context, id LeaseID) error {
+	return s.lease(ctx, "store keep alive", http.MethodPut, id)
+}
+
+// Revoke implements Store.
+func (s *HTTPStore) Revoke(ctx context.Context, id LeaseID) error {
+	return s.lease(ctx, "store revoke", http.MethodDelete, id)
+}
+
+func (s *HTTPStore) lease(ctx context.Context, op, method string, id LeaseID) error {
+	storeLeases.Inc()
+	return s.caller.do(ctx, call{
+		op:       op,
+		method:   method,
+		path:     leasePath + escape(string(id)),
+		write:    true,
+		limit:    s.caller.opts.AnswerTimeout,
+		maxBytes: maxEntryBytes,
+	}, nil)
+}
+
+// escape escapes each segment of a key, which may contain slashes.
+func escape(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return strings.Join(segments, "/")
+}
+
+func ifVersionQuery(v *uint64) url.Values {
+	query := url.Values{}
+	if v != nil {
+		query.Set("if_version", strconv.FormatUint(*v, 10))
+	}
+	return query
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/internal/standin/memnet/memnet.go
@@ -0,0 +1,63 @@
+// Package memnet is a network in memory, for tests in virtual time.
+package memnet
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Listener accepts connections that Dial makes in this process. It refuses
+// dials after Close.
+type Listener struct {
+	name  string
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Listen returns a listener whose address is name.
+func Listen(name string) *Listener {
+	return &Listener{name: name, conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+// Dial makes a connection. The network and the address are ignored.
+func (l *Listener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.done:
+		return nil, l.opError("dial", net.ErrClosed)
+	case <-ctx.Done():
+		return nil, l.opError("dial", ctx.Err())
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, l.opError("accept", net.ErrClosed)
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return addr(l.name) }
+
+func (l *Listener) opError(op string, err error) error {
+	return &net.OpError{Op: op, Net: "memory", Addr: addr(l.name), Err: err}
+}
+
+type addr string
+
+func (addr) Network() string  { return "memory" }
+func (a addr) String() string { return string(a) }
