--- a/internal/intent/revision/revision.go
+++ b/internal/intent/revision/revision.go
@@ -137,15 +137,50 @@
 }
 
 // ParseSnapshot decodes and verifies a snapshot from a peer.
-func ParseSnapshot(raw []byte) (*Verified, error) {
-	if len(raw) > MaxSnapshotBytes {
-		return nil, invalid("snapshot of %d bytes exceeds %d", len(raw), MaxSnapshotBytes)
+func ParseSnapshot(raw []byte) (*Verified, error) { return ParseReduced(raw, nil) }
+
+// ParseReduced decodes and verifies a snapshot from a peer. A file that Reduce
+// emptied is filled from known, which holds contents by their digest.
+func ParseReduced(raw []byte, known map[string][]byte) (*Verified, error) {
+	s, err := decodeSnapshot(raw)
+	if err != nil {
+		return nil, err
+	}
+	for i, f := range s.Files {
+		if content, ok := known[f.SHA256]; ok && len(f.Content) == 0 {
+			s.Files[i].Content = content
+		}
+	}
+	return Verify(s.Head, s.Files)
+}
+
+// Reduce returns the snapshot without the contents whose digests are in have.
+func Reduce(raw []byte, have []string) ([]byte, error) {
+	s, err := decodeSnapshot(raw)
+	if err != nil {
+		return nil, err
+	}
+	held := make(map[string]bool, len(have))
+	for _, digest := range have {
+		held[digest] = true
+	}
+	for i, f := range s.Files {
+		if held[f.SHA256] {
+			s.Files[i].Content = nil
+		}
 	}
+	return json.Marshal(s)
+}
+
+func decodeSnapshot(raw []byte) (Snapshot, error) {
 	var s Snapshot
+	if len(raw) > MaxSnapshotBytes {
+		return s, invalid("snapshot of %d bytes exceeds %d", len(raw), MaxSnapshotBytes)
+	}
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return nil, invalid("snapshot is not JSON: %v", err)
+		return s, invalid("snapshot is not JSON: %v", err)
 	}
-	return Verify(s.Head, s.Files)
+	return s, nil
 }
 
 // Verify checks that files are exactly those that the head names and that each
