--- a/internal/controller/configsync/adopt.go
+++ b/internal/controller/configsync/adopt.go
@@ -18,9 +18,10 @@
 
 // candidate is a whole and valid revision that may be adopted.
 type candidate struct {
-	state blackboard.IntentState
-	files []revision.File
-	from  source
+	state  blackboard.IntentState
+	files  []revision.File
+	parent string
+	from   source
 }
 
 // ContentError says that a revision's content is not acceptable.
@@ -50,9 +51,10 @@
 		return &ContentError{Revision: v.Head.Revision, Digest: v.Digest, Cause: err}
 	}
 	next := &candidate{
-		state: blackboard.IntentState{Revision: v.Head.Revision, Digest: v.Digest, Snapshot: snapshot, Intent: in},
-		files: v.Files,
-		from:  from,
+		state:  blackboard.IntentState{Revision: v.Head.Revision, Digest: v.Digest, Snapshot: snapshot, Intent: in},
+		files:  v.Files,
+		parent: v.Head.Parent,
+		from:   from,
 	}
 	if c.holding() == 0 {
 		c.keepPending(next)
@@ -103,6 +105,7 @@
 		return
 	}
 	c.retain(next.files)
+	c.remember(next.state.Digest, next.parent)
 	revisionInForce.Set(int64(next.state.Revision))
 	if next.from == fromPeer {
 		adoptedFromPeers.Inc()
--- a/internal/controller/configsync/configsync.go
+++ b/internal/controller/configsync/configsync.go
@@ -95,7 +95,7 @@
 		RemoteWait:     time.Second,
 		LiveWindow:     5 * time.Second,
 		StartGrace:     time.Second,
-		StartLimit:     9 * time.Second,
+		StartLimit:     6 * time.Second,
 		BadRetry:       10 * time.Second,
 	}
 }
@@ -114,7 +114,10 @@
 	// after retryAt.
 	rejected string
 	retryAt  time.Time
-	rand     *rand.Rand
+	// ancestors holds the digests of the heads that were in force and of
+	// their parents, the newest last.
+	ancestors []string
+	rand      *rand.Rand
 }
 
 // New returns a controller.
--- a/internal/controller/configsync/counters.go
+++ b/internal/controller/configsync/counters.go
@@ -12,5 +12,7 @@
 	badContent       = telemetry.NewCounter("config_bad_content", "revisions", "revisions refused because a digest does not match or the files are not valid")
 	storeBehind      = telemetry.NewCounter("config_store_behind", "reads", "reads of a head lower than the revision in force")
 	digestConflicts  = telemetry.NewCounter("config_digest_conflicts", "reads", "heads with the revision in force but another digest")
+	repairs          = telemetry.NewCounter("config_store_repairs", "repairs", "revisions in force written back into a store that had lost them")
+	repairFailures   = telemetry.NewCounter("config_store_repair_failures", "repairs", "tries to write the revision in force back that failed or came second")
 	watchHeld        = telemetry.NewCounter("config_watch_held", "gateways", "1 while this gateway holds a watch of the head")
 )
--- a/internal/controller/configsync/head.go
+++ b/internal/controller/configsync/head.go
@@ -23,6 +23,13 @@
 		c.reject(&ContentError{Digest: digest, Cause: err})
 		return nil
 	}
+	if head.Revision < c.holding() {
+		storeBehind.Inc()
+		if c.descendsFrom(digest) {
+			c.repair(ctx, e.Version)
+		}
+		return nil
+	}
 	if !c.wanted(head, digest) {
 		return nil
 	}
@@ -39,14 +46,10 @@
 // known to be bad.
 func (c *Controller) wanted(head revision.Head, digest string) bool {
 	own := c.Board.Intent.Get()
-	if head.Revision < own.Revision {
-		storeBehind.Inc()
-		return false
+	if head.Revision == own.Revision && digest != own.Digest {
+		digestConflicts.Inc()
 	}
-	if head.Revision == own.Revision {
-		if digest != own.Digest {
-			digestConflicts.Inc()
-		}
+	if head.Revision <= own.Revision {
 		return false
 	}
 	c.mu.Lock()
--- a/internal/controller/configsync/watch.go
+++ b/internal/controller/configsync/watch.go
@@ -41,6 +41,7 @@
 	e, err := c.Store.Watch(ctx, revision.HeadKey, after, c.Timing.WatchWait)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
+		c.takeMissing(ctx)
 		return 0, nil
 	}
 	if err != nil {
@@ -53,6 +54,14 @@
 	return e.Version, nil
 }
 
+// takeMissing handles a store without a head.
+func (c *Controller) takeMissing(ctx context.Context) {
+	if c.holding() > 0 {
+		storeBehind.Inc()
+		c.repair(ctx, 0)
+	}
+}
+
 // pollLoop reads the head now and then, as the net under the watches.
 func (c *Controller) pollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -67,6 +76,7 @@
 	e, err := c.Store.Get(ctx, revision.HeadKey)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
+		c.takeMissing(ctx)
 		return
 	}
 	if err != nil {
--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -105,29 +105,29 @@
 func (s *Switches) cross(w http.ResponseWriter, r *http.Request, next http.Handler) {
 	own := newRecorder()
 	next.ServeHTTP(own, r)
-	if first := s.unpark(); first != nil {
+	first, mine := s.meet(own)
+	if first != nil {
 		first.other <- own
 		first.own.copyTo(w)
 		return
 	}
-	s.park(own).copyTo(w)
+	s.await(mine).copyTo(w)
 }
 
-// unpark takes the waiting answer, if there is one.
-func (s *Switches) unpark() *crossed {
+// meet takes the waiting answer, or leaves own to wait for another one.
+func (s *Switches) meet(own *recorder) (first, mine *crossed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := s.parked
-	s.parked = nil
-	return first
+	if s.parked != nil {
+		first, s.parked = s.parked, nil
+		return first, nil
+	}
+	s.parked = &crossed{own: own, other: make(chan *recorder, 1)}
+	return nil, s.parked
 }
 
-// park waits for another answer and returns it, or own when none comes.
-func (s *Switches) park(own *recorder) *recorder {
-	mine := &crossed{own: own, other: make(chan *recorder, 1)}
-	s.mu.Lock()
-	s.parked = mine
-	s.mu.Unlock()
+// await waits for another answer and returns it, or the own one when none comes.
+func (s *Switches) await(mine *crossed) *recorder {
 	timer := time.NewTimer(crossWait)
 	defer timer.Stop()
 	select {
@@ -136,7 +136,7 @@
 	case <-timer.C:
 	}
 	if s.withdraw(mine) {
-		return own
+		return mine.own
 	}
 	return <-mine.other
 }
