relay: carry a chat to endpoints and its answer back

Cause: the gateway needs one place that sends a request to an endpoint, checks that the answer is its own and whole, and goes on elsewhere when it is not. Change: internal/relay with Chat (always streamed towards the engine, so that a broken plain answer can be resumed as well) and Call for repeatable calls; a stream reader with bounded lines; a limit on silence for the dial, the header, the first token and each next token; pooled connections to each endpoint beside fresh ones; cancel orders; a span for each attempt; the parser of chat requests. Ruled out: net/http's own retries (the body can't be rewound), HTTP/2 towards engines (one silent connection would hold every stream on it).

--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// maxErrorBody bounds what is read of an endpoint's failure message, in bytes.
+const maxErrorBody = 2 << 10
+
+// exchange is one HTTP request to one target: what all kinds of attempts
+// have in common.
+type exchange struct {
+	r      *Relay
+	info   Attempt
+	fresh  bool
+	pool   *pool
+	parent context.Context
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	dog    *watchdog
+	span   trace.Span
+	// connected is set once a connection was at hand; until then, nothing
+	// can have been sent.
+	connected atomic.Bool
+	reused    atomic.Bool
+	answered  bool
+	status    int
+	tokens    uint64
+}
+
+func (r *Relay) newExchange(ctx context.Context, info Attempt, fresh bool) *exchange {
+	x := &exchange{r: r, info: info, fresh: fresh, parent: ctx, pool: r.pools.get(info.Target.Address)}
+	ctx, x.span = r.settings.Tracer.Start(ctx, "relay.attempt",
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("request.id", info.RequestID),
+			attribute.String("attempt.id", info.ID),
+			attribute.Int("attempt.number", info.Number),
+			attribute.Int64("attempt.next_seq", int64(info.NextSeq)),
+			attribute.String("endpoint.id", info.Target.ID),
+			attribute.String("endpoint.region", info.Target.Region),
+		))
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	attemptsSent.Inc()
+	r.settings.Observer.Sent(info)
+	return x
+}
+
+// send sends the request and returns the answer once its header has come and
+// carries the attempt's id.
+func (x *exchange) send(method, path string, header http.Header, body []byte) (*http.Response, error) {
+	s := &x.r.settings
+	x.dog = newWatchdog(x.cancel, PhaseDial, s.DialTimeout+s.HeaderTimeout)
+	hooks := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		x.connected.Store(true)
+		x.reused.Store(info.Reused)
+		x.dog.arm(PhaseHeader, s.HeaderTimeout)
+	}}
+	ctx := httptrace.WithClientTrace(x.ctx, hooks)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+x.info.Target.Address+path, onceReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	addHeader(req.Header, header)
+	addHeader(req.Header, x.info.Target.Header)
+	req.Header.Set(HeaderRequestID, x.info.RequestID)
+	req.Header.Set(HeaderAttemptID, x.info.ID)
+	propagation.TraceContext{}.Inject(x.ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := x.pool.transport(x.fresh).RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	x.dog.disarm()
+	x.answered = true
+	x.status = resp.StatusCode
+	return resp, x.checkHeader(resp)
+}
+
+// checkHeader returns an error if the answer belongs to another attempt. A
+// failure that names no attempt may come from in front of the endpoint.
+func (x *exchange) checkHeader(resp *http.Response) error {
+	got := resp.Header.Get(HeaderAttemptID)
+	if got == x.info.ID {
+		return nil
+	}
+	if got == "" && resp.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Status: http.StatusBadGateway, Message: "answer " + resp.Status + " without an attempt id"}
+	}
+	return &CrossedError{Want: x.info.ID, Got: got}
+}
+
+// statusError returns the endpoint's refusal with the beginning of its text.
+func (x *exchange) statusError(resp *http.Response) error {
+	x.dog.arm(PhaseBody, x.r.settings.HeaderTimeout)
+	message, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	x.dog.disarm()
+	return &StatusError{Status: resp.StatusCode, Message: string(message)}
+}
+
+// finish ends the exchange, and returns and reports its result.
+func (x *exchange) finish(err error) Result {
+	kind := x.classify(err)
+	if x.dog != nil {
+		x.dog.disarm()
+	}
+	x.cancel(nil)
+	if kind == ResultConnSilent || kind == ResultSilent {
+		x.pool.closeIdle()
+	}
+	if x.workLeft(kind) {
+		x.r.cancels.cancel(x.info.Target, x.info.ID)
+	}
+	res := Result{Kind: kind, Status: x.status, Tokens: x.tokens, Duration: now().Sub(x.info.Start), Err: err}
+	resultCounters[kind].Inc()
+	x.endSpan(res)
+	x.r.settings.Observer.Done(x.info, res)
+	return res
+}
+
+func (x *exchange) endSpan(res Result) {
+	x.span.SetAttributes(attribute.String("attempt.result", string(res.Kind)), attribute.Int64("attempt.tokens", int64(res.Tokens)))
+	if res.Err != nil {
+		x.span.SetStatus(codes.Error, res.Err.Error())
+	}
+	x.span.End()
+}
+
+// mayHaveRun returns whether the target may have begun the work.
+func (x *exchange) mayHaveRun(kind ResultKind) bool {
+	return x.connected.Load() && kind != ResultBusy && kind != ResultRejected
+}
+
+// workLeft returns whether the target may still be at work.
+func (x *exchange) workLeft(kind ResultKind) bool {
+	return kind != ResultOK && kind != ResultBadStatus && x.mayHaveRun(kind)
+}
+
+// cause returns the reason for err: the watchdog's, where it fired.
+func (x *exchange) cause(err error) error {
+	var silent *SilentError
+	if errors.As(context.Cause(x.ctx), &silent) {
+		return silent
+	}
+	return err
+}
+
+// classify names the result that err stands for.
+func (x *exchange) classify(err error) ResultKind {
+	if err == nil {
+		return ResultOK
+	}
+	var gone *CallerGoneError
+	var silent *SilentError
+	switch {
+	case errors.As(err, &gone):
+		return ResultCallerGone
+	case errors.Is(x.parent.Err(), context.DeadlineExceeded):
+		return ResultDeadline
+	case x.parent.Err() != nil:
+		return ResultCallerGone
+	case !x.connected.Load():
+		return ResultDialFailed
+	case errors.As(err, &silent):
+		return x.classifySilence()
+	default:
+		return x.classifyAnswer(err)
+	}
+}
+
+// classifySilence blames the endpoint only when a new connection was silent
+// from its beginning.
+func (x *exchange) classifySilence() ResultKind {
+	if x.fresh || (!x.reused.Load() && !x.answered) {
+		return ResultSilent
+	}
+	return ResultConnSilent
+}
+
+func (x *exchange) classifyAnswer(err error) ResultKind {
+	var crossed *CrossedError
+	var missing *MissingChunkError
+	var malformed *MalformedError
+	var status *StatusError
+	switch {
+	case errors.As(err, &crossed):
+		return ResultCrossed
+	case errors.As(err, &missing):
+		return ResultMissing
+	case errors.As(err, &malformed):
+		return ResultMalformed
+	case errors.As(err, &status):
+		return classifyStatus(status.Status)
+	case !x.answered && x.reused.Load():
+		return ResultConnLost
+	default:
+		return ResultTruncated
+	}
+}
+
+func classifyStatus(status int) ResultKind {
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return ResultBusy
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return ResultRejected
+	default:
+		return ResultBadStatus
+	}
+}
+
+// onceReader returns body as a reader that net/http can't rewind, so that it
+// never sends a request again by itself.
+func onceReader(body []byte) io.Reader {
+	if len(body) == 0 {
+		return http.NoBody
+	}
+	return struct{ io.Reader }{bytes.NewReader(body)}
+}
+
+// priorityHeader returns the header of a chat.
+func priorityHeader(priority int) http.Header {
+	return http.Header{
+		"Content-Type": {"application/json"},
+		"Accept":       {"text/event-stream"},
+		HeaderPriority: {strconv.Itoa(priority)},
+	}
+}
--- /dev/null
+++ b/internal/relay/chunk.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"unsafe"
+
+	"github.com/tidwall/gjson"
+)
+
+// Chunk is one part of a streamed answer. It is valid only during the call
+// that it is passed to.
+type Chunk struct {
+	// Seq counts the chunks of the whole answer from 0.
+	Seq uint64
+	// Raw is the chunk's JSON as the endpoint sent it.
+	Raw []byte
+	// Content is the text that the chunk adds.
+	Content string
+	// FinishReason is set in the last chunk only.
+	FinishReason string
+	Usage        Usage
+
+	id string
+	// idStart and idEnd bound the value of "id" in Raw, quotes included.
+	idStart, idEnd int
+	hasSeq         bool
+	// opaque says that the chunk adds something else than text, which a
+	// resumed answer could not go on from.
+	opaque bool
+}
+
+// view returns b as a string without a copy; b must not change while the
+// string is in use.
+func view(b []byte) string { return unsafe.String(unsafe.SliceData(b), len(b)) }
+
+// parseChunk fills c from one chunk's JSON. c refers to raw afterwards.
+func parseChunk(c *Chunk, raw []byte) error {
+	*c = Chunk{Raw: raw}
+	if !gjson.ValidBytes(raw) {
+		return &MalformedError{Reason: "chunk is not valid JSON"}
+	}
+	root := gjson.Parse(view(raw))
+	if !root.IsObject() {
+		return &MalformedError{Reason: "chunk is not an object"}
+	}
+	if !c.readFields(root) {
+		return &MalformedError{Reason: "a field stands twice or has a wrong type"}
+	}
+	if c.idEnd == 0 || !c.hasSeq {
+		return &MalformedError{Reason: "chunk has no id or no seq"}
+	}
+	return nil
+}
+
+func (c *Chunk) readFields(root gjson.Result) bool {
+	ok := true
+	choices := false
+	root.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id":
+			ok = c.idEnd == 0 && value.Type == gjson.String
+			c.id = value.Str
+			c.idStart = value.Index
+			c.idEnd = value.Index + len(value.Raw)
+		case "seq":
+			ok = !c.hasSeq && value.Type == gjson.Number && value.Num >= 0
+			c.Seq = value.Uint()
+			c.hasSeq = true
+		case "choices":
+			ok = !choices && c.readChoices(value)
+			choices = true
+		case "usage":
+			c.Usage = readUsage(value)
+		}
+		return ok
+	})
+	return ok
+}
+
+func (c *Chunk) readChoices(choices gjson.Result) bool {
+	if !choices.IsArray() {
+		return false
+	}
+	n := 0
+	choices.ForEach(func(_, choice gjson.Result) bool {
+		n++
+		c.readChoice(choice)
+		return true
+	})
+	return n <= 1
+}
+
+func (c *Chunk) readChoice(choice gjson.Result) {
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "finish_reason":
+			c.FinishReason = value.String()
+		case "delta":
+			c.readDelta(value)
+		}
+		return true
+	})
+}
+
+func (c *Chunk) readDelta(delta gjson.Result) {
+	delta.ForEach(func(key, value gjson.Result) bool {
+		switch {
+		case key.Str == "content":
+			c.Content = value.String()
+		case key.Str != "role" && value.Type != gjson.Null:
+			c.opaque = true
+		}
+		return true
+	})
+}
+
+func readUsage(v gjson.Result) Usage {
+	var u Usage
+	v.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "prompt_tokens":
+			u.PromptTokens = int(value.Int())
+		case "completion_tokens":
+			u.CompletionTokens = int(value.Int())
+		case "total_tokens":
+			u.TotalTokens = int(value.Int())
+		}
+		return true
+	})
+	return u
+}
+
+// appendWithID appends the chunk's JSON to dst with its id replaced by the
+// JSON string quotedID.
+func (c *Chunk) appendWithID(dst, quotedID []byte) []byte {
+	dst = append(dst, c.Raw[:c.idStart]...)
+	dst = append(dst, quotedID...)
+	return append(dst, c.Raw[c.idEnd:]...)
+}
--- /dev/null
+++ b/internal/relay/parse.go
@@ -0,0 +1,236 @@
+package relay
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// Names of the fields of a chat request that the gateway reads.
+const (
+	fieldModel     = "model"
+	fieldStream    = "stream"
+	fieldMessages  = "messages"
+	fieldMaxTokens = "max_tokens"
+	fieldMaxNew    = "max_completion_tokens"
+	fieldPriority  = "priority"
+	fieldResume    = "resume"
+	fieldN         = "n"
+	fieldTools     = "tools"
+	fieldFunctions = "functions"
+	fieldLogprobs  = "logprobs"
+)
+
+// Limits of a chat request.
+const (
+	// MaxBodyBytes bounds the body of a chat request.
+	MaxBodyBytes = 8 << 20
+	// MaxModelBytes bounds a model's name.
+	MaxModelBytes = 256
+	// MaxOutputTokens bounds max_tokens.
+	MaxOutputTokens = 1 << 20
+	// MaxPriority is the highest priority.
+	MaxPriority = 9
+)
+
+// Chat is what the gateway needs to know of a chat request.
+type Chat struct {
+	Model  string
+	Stream bool
+	// Priority is the caller's wish, nil if it has none.
+	Priority *int
+	// MaxTokens bounds the answer, 0 if the caller sets no bound.
+	MaxTokens int
+	// Prompt is the text of all messages, each as role, newline, text,
+	// newline; equal beginnings of conversations give equal prefixes.
+	Prompt []byte
+	// Resume is set when the rest of an answer is asked for.
+	Resume *Resume
+}
+
+// ParseChat reads a chat request. The error is a *failure.Refusal with the
+// outcome not_run. Whether the sender may ask to resume an answer is for the
+// caller of ParseChat to check.
+func ParseChat(body []byte) (Chat, error) {
+	if len(body) > MaxBodyBytes {
+		return Chat{}, failure.Refuse(failure.CodeBodyTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
+	}
+	if !json.Valid(body) {
+		return Chat{}, badRequest("the body is not valid JSON")
+	}
+	root := gjson.Parse(view(body))
+	if !root.IsObject() {
+		return Chat{}, badRequest("the body is not a JSON object")
+	}
+	p := chatParser{seen: make(map[string]bool)}
+	root.ForEach(p.field)
+	if p.err != nil {
+		return Chat{}, p.err
+	}
+	return p.check()
+}
+
+func badRequest(format string, args ...any) *failure.Refusal {
+	return failure.Refuse(failure.CodeBadRequest, format, args...)
+}
+
+type chatParser struct {
+	chat Chat
+	seen map[string]bool
+	// plainOnly names a field whose answer can only be streamed.
+	streamOnly string
+	err        *failure.Refusal
+}
+
+// field reads one top-level field. Names that differ from another one in case
+// only are refused, since endpoints may read them as the same.
+func (p *chatParser) field(key, value gjson.Result) bool {
+	name := strings.ToLower(key.Str)
+	if p.seen[name] {
+		p.err = badRequest("the field %q stands twice", name)
+		return false
+	}
+	p.seen[name] = true
+	if name != key.Str && known(name) {
+		p.err = badRequest("the field %q must be written %q", key.Str, name)
+		return false
+	}
+	p.err = p.read(name, value)
+	return p.err == nil
+}
+
+func known(name string) bool {
+	switch name {
+	case fieldModel, fieldStream, fieldMessages, fieldMaxTokens, fieldMaxNew, fieldPriority,
+		fieldResume, fieldN, fieldTools, fieldFunctions, fieldLogprobs:
+		return true
+	}
+	return false
+}
+
+func (p *chatParser) read(name string, v gjson.Result) *failure.Refusal {
+	switch name {
+	case fieldModel:
+		return p.readModel(v)
+	case fieldStream:
+		return p.readStream(v)
+	case fieldMessages:
+		return p.readMessages(v)
+	case fieldMaxTokens, fieldMaxNew:
+		return p.readInt(name, v, 1, MaxOutputTokens, func(n int) { p.chat.MaxTokens = n })
+	case fieldPriority:
+		return p.readInt(name, v, 0, MaxPriority, func(n int) { p.chat.Priority = &n })
+	case fieldN:
+		return p.readInt(name, v, 1, 1, func(int) {})
+	case fieldResume:
+		return p.readResume(v)
+	case fieldTools, fieldFunctions, fieldLogprobs:
+		if v.Type != gjson.Null && v.Type != gjson.False {
+			p.streamOnly = name
+		}
+	}
+	return nil
+}
+
+func (p *chatParser) readModel(v gjson.Result) *failure.Refusal {
+	if v.Type != gjson.String || v.Str == "" || len(v.Str) > MaxModelBytes {
+		return badRequest("%q must be a name of at most %d bytes", fieldModel, MaxModelBytes)
+	}
+	p.chat.Model = strings.Clone(v.Str)
+	return nil
+}
+
+func (p *chatParser) readStream(v gjson.Result) *failure.Refusal {
+	if v.Type == gjson.Null {
+		return nil
+	}
+	if !v.IsBool() {
+		return badRequest("%q must be true or false", fieldStream)
+	}
+	p.chat.Stream = v.Bool()
+	return nil
+}
+
+func (p *chatParser) readInt(name string, v gjson.Result, low, high int, set func(int)) *failure.Refusal {
+	if v.Type == gjson.Null {
+		return nil
+	}
+	n := int(v.Num)
+	if v.Type != gjson.Number || float64(n) != v.Num || n < low || n > high {
+		return badRequest("%q must be a whole number from %d to %d", name, low, high)
+	}
+	set(n)
+	return nil
+}
+
+func (p *chatParser) readResume(v gjson.Result) *failure.Refusal {
+	var r Resume
+	if err := json.Unmarshal([]byte(v.Raw), &r); err != nil {
+		return badRequest("%q must hold next_seq and text", fieldResume).WithCause(err)
+	}
+	p.chat.Resume = &r
+	return nil
+}
+
+func (p *chatParser) readMessages(v gjson.Result) *failure.Refusal {
+	if !v.IsArray() {
+		return badRequest("%q must be a list", fieldMessages)
+	}
+	count := 0
+	ok := true
+	v.ForEach(func(_, m gjson.Result) bool {
+		count++
+		ok = p.readMessage(m)
+		return ok
+	})
+	if !ok || count == 0 {
+		return badRequest("%q must be a list of messages, each with a role and a text", fieldMessages)
+	}
+	return nil
+}
+
+func (p *chatParser) readMessage(m gjson.Result) bool {
+	role := m.Get("role")
+	content := m.Get("content")
+	if !m.IsObject() || role.Type != gjson.String || role.Str == "" {
+		return false
+	}
+	p.chat.Prompt = append(p.chat.Prompt, role.Str...)
+	p.chat.Prompt = append(p.chat.Prompt, '\n')
+	ok := p.readContent(content)
+	p.chat.Prompt = append(p.chat.Prompt, '\n')
+	return ok
+}
+
+// readContent takes a text, a list of parts with texts, or nothing.
+func (p *chatParser) readContent(v gjson.Result) bool {
+	switch {
+	case v.Type == gjson.String:
+		p.chat.Prompt = append(p.chat.Prompt, v.Str...)
+		return true
+	case v.Type == gjson.Null:
+		return true
+	case !v.IsArray():
+		return false
+	}
+	v.ForEach(func(_, part gjson.Result) bool {
+		p.chat.Prompt = append(p.chat.Prompt, part.Get("text").Str...)
+		return true
+	})
+	return true
+}
+
+func (p *chatParser) check() (Chat, error) {
+	switch {
+	case p.chat.Model == "":
+		return Chat{}, badRequest("%q is missing", fieldModel)
+	case !p.seen[fieldMessages]:
+		return Chat{}, badRequest("%q is missing", fieldMessages)
+	case p.streamOnly != "" && !p.chat.Stream:
+		return Chat{}, badRequest("%q is only supported with \"stream\": true", p.streamOnly)
+	}
+	return p.chat, nil
+}
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// poolShards is the number of shards of the pools' map.
+const poolShards = 16
+
+// pools holds the connections to every endpoint, one pool for each address.
+type pools struct {
+	settings *Settings
+	shards   [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the connections to one endpoint. kept reuses idle connections;
+// fresh makes a new one for each request and keeps none.
+type pool struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+func newPools(s *Settings) *pools {
+	p := &pools{settings: s}
+	for i := range p.shards {
+		p.shards[i].pools = make(map[string]*pool)
+	}
+	return p
+}
+
+func (p *pools) shard(address string) *poolShard {
+	return &p.shards[xxhash.Sum64String(address)%poolShards]
+}
+
+func (p *pools) get(address string) *pool {
+	sh := p.shard(address)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if c, ok := sh.pools[address]; ok {
+		return c
+	}
+	c := newPool(p.settings)
+	sh.pools[address] = c
+	return c
+}
+
+// forget closes the idle connections to address and drops its pool.
+func (p *pools) forget(address string) {
+	sh := p.shard(address)
+	sh.mu.Lock()
+	c, ok := sh.pools[address]
+	delete(sh.pools, address)
+	sh.mu.Unlock()
+	if ok {
+		c.closeIdle()
+	}
+}
+
+func (p *pools) close() {
+	for i := range p.shards {
+		sh := &p.shards[i]
+		sh.mu.Lock()
+		for _, c := range sh.pools {
+			c.closeIdle()
+		}
+		sh.mu.Unlock()
+	}
+}
+
+func newPool(s *Settings) *pool {
+	kept := newTransport(s)
+	kept.MaxIdleConnsPerHost = s.MaxIdle
+	kept.IdleConnTimeout = s.IdleTimeout
+	fresh := newTransport(s)
+	fresh.DisableKeepAlives = true
+	return &pool{kept: kept, fresh: fresh}
+}
+
+// newTransport returns a transport that speaks HTTP/1.1 only, so that each
+// stream has a connection of its own.
+func newTransport(s *Settings) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
+			defer cancel()
+			return s.Dial(ctx, network, address)
+		},
+		DisableCompression: true,
+		Protocols:          &protocols,
+	}
+}
+
+func (c *pool) transport(fresh bool) *http.Transport {
+	if fresh {
+		return c.fresh
+	}
+	return c.kept
+}
+
+// closeIdle closes every idle connection to the endpoint.
+func (c *pool) closeIdle() { c.kept.CloseIdleConnections() }
--- /dev/null
+++ b/internal/relay/sink.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// Sink is how an answer leaves. Every method is called on the request's own
+// goroutine; an error means that the caller can't be reached any more.
+type Sink interface {
+	// Start is called once, before the first chunk.
+	Start() error
+	// Chunk delivers one chunk; more says that another one follows at once,
+	// so that this one needn't be flushed.
+	Chunk(c *Chunk, more bool) error
+	// Complete ends a whole answer.
+	Complete(s Summary) error
+	// Fail ends an answer that has been started and can't be completed. It is
+	// not called for one that hasn't been started.
+	Fail(r *failure.Refusal) error
+	// Started returns whether anything has been sent to the caller.
+	Started() bool
+}
+
+// DefaultWriteTimeout bounds one write to a caller.
+const DefaultWriteTimeout = 10 * time.Second
+
+// SSEOptions are the settings of an SSESink.
+type SSEOptions struct {
+	// ChunkID replaces the id of each chunk: the request id for callers, the
+	// sender's attempt id for gateways.
+	ChunkID string
+	// RequestID goes into the error event.
+	RequestID string
+	// WriteTimeout bounds each write; 0 means DefaultWriteTimeout.
+	WriteTimeout time.Duration
+}
+
+// SSESink sends an answer as server-sent events.
+type SSESink struct {
+	w    http.ResponseWriter
+	rc   *http.ResponseController
+	opts SSEOptions
+	id   []byte
+	buf  []byte
+
+	started bool
+}
+
+// NewSSESink returns a sink that writes to w.
+func NewSSESink(w http.ResponseWriter, opts SSEOptions) *SSESink {
+	if opts.WriteTimeout == 0 {
+		opts.WriteTimeout = DefaultWriteTimeout
+	}
+	id, _ := json.Marshal(opts.ChunkID)
+	return &SSESink{w: w, rc: http.NewResponseController(w), opts: opts, id: id}
+}
+
+// Start implements Sink.
+func (s *SSESink) Start() error {
+	s.started = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set("X-Accel-Buffering", "no")
+	s.w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+// Started implements Sink.
+func (s *SSESink) Started() bool { return s.started }
+
+// Chunk implements Sink.
+func (s *SSESink) Chunk(c *Chunk, more bool) error {
+	s.buf = append(s.buf[:0], "data: "...)
+	s.buf = c.appendWithID(s.buf, s.id)
+	s.buf = append(s.buf, "\n\n"...)
+	return s.write(!more)
+}
+
+// Complete implements Sink.
+func (s *SSESink) Complete(Summary) error {
+	s.buf = append(s.buf[:0], "data: [DONE]\n\n"...)
+	return s.write(true)
+}
+
+// Fail implements Sink.
+func (s *SSESink) Fail(r *failure.Refusal) error {
+	body, err := json.Marshal(errorBody{Error: newErrorDetail(r, s.opts.RequestID)})
+	if err != nil {
+		return errors.Wrap(err, "encode error event")
+	}
+	s.buf = append(s.buf[:0], "event: error\ndata: "...)
+	s.buf = append(s.buf, body...)
+	s.buf = append(s.buf, "\n\n"...)
+	return s.write(true)
+}
+
+func (s *SSESink) write(flush bool) error {
+	err := s.rc.SetWriteDeadline(time.Now().Add(s.opts.WriteTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	if _, err := s.w.Write(s.buf); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return s.rc.Flush()
+}
+
+// errorBody is the JSON shape of a failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type      failure.Code    `json:"type"`
+	Code      failure.Code    `json:"code"`
+	Message   string          `json:"message"`
+	Outcome   failure.Outcome `json:"outcome"`
+	RequestID string          `json:"request_id"`
+}
+
+func newErrorDetail(r *failure.Refusal, requestID string) errorDetail {
+	return errorDetail{Type: r.Code, Code: r.Code, Message: r.Message, Outcome: r.Outcome, RequestID: requestID}
+}
+
+// PlainSink collects an answer and sends it as one JSON document once it is
+// whole. Nothing is written before.
+type PlainSink struct {
+	w         http.ResponseWriter
+	requestID string
+	model     string
+	created   time.Time
+	content   bytes.Buffer
+	finish    string
+	started   bool
+}
+
+// NewPlainSink returns a sink that writes to w.
+func NewPlainSink(w http.ResponseWriter, requestID, model string, created time.Time) *PlainSink {
+	return &PlainSink{w: w, requestID: requestID, model: model, created: created}
+}
+
+// Start implements Sink.
+func (s *PlainSink) Start() error { return nil }
+
+// Chunk implements Sink.
+func (s *PlainSink) Chunk(c *Chunk, _ bool) error {
+	s.content.WriteString(c.Content)
+	if c.FinishReason != "" {
+		s.finish = c.FinishReason
+	}
+	return nil
+}
+
+// Complete implements Sink.
+func (s *PlainSink) Complete(sum Summary) error {
+	body, err := json.Marshal(completion{
+		ID:      s.requestID,
+		Object:  "chat.completion",
+		Created: s.created.Unix(),
+		Model:   s.model,
+		Choices: []choice{{
+			Message:      message{Role: "assistant", Content: s.content.String()},
+			FinishReason: s.finish,
+		}},
+		Usage: sum.Usage,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode answer")
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", "application/json")
+	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.w.WriteHeader(http.StatusOK)
+	_, err = s.w.Write(body)
+	return err
+}
+
+// Fail implements Sink. The refusal itself is left to the caller of Chat,
+// since nothing has been written.
+func (s *PlainSink) Fail(*failure.Refusal) error { return nil }
+
+// Started implements Sink.
+func (s *PlainSink) Started() bool { return s.started }
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Message      message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
--- /dev/null
+++ b/internal/relay/watchdog.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// watchdog cancels an attempt that is silent for longer than the limit of its
+// present phase.
+type watchdog struct {
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+
+	mu    sync.Mutex
+	armed bool
+	phase Phase
+	limit time.Duration
+}
+
+func newWatchdog(cancel context.CancelCauseFunc, phase Phase, limit time.Duration) *watchdog {
+	w := &watchdog{cancel: cancel, armed: true, phase: phase, limit: limit}
+	w.timer = time.AfterFunc(limit, w.fire)
+	return w
+}
+
+// arm starts the wait of a phase anew.
+func (w *watchdog) arm(phase Phase, limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = true
+	w.phase = phase
+	w.limit = limit
+	w.timer.Reset(limit)
+}
+
+// disarm ends the wait.
+func (w *watchdog) disarm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = false
+	w.timer.Stop()
+}
+
+func (w *watchdog) fire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.armed {
+		w.cancel(&SilentError{Phase: w.phase, Limit: w.limit})
+	}
+}
