Add settings, peer messages, membership and the exchange of soft state

Cause: gateways of a region need one another's load, leaving marks and revision numbers without any agreement service. Change: settings from flags and variables, every fault named at once; signed JSON messages between gateways; a merge that marks incarnations as retired instead of ordering them, so a late live sign can't lift a leaving mark; a controller with a steady bounded exchange and an immediate one for leaving marks, revisions and lifecycle changes. Ruled out: ordering incarnations by clock time (instances share no clock).

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -85,9 +85,11 @@
 	// From and Seq order the summaries of one sender.
 	From string `json:"from"`
 	Seq  uint64 `json:"seq"`
-	// Heard is when this gateway received it.
-	Heard  time.Time               `json:"-"`
-	Groups map[string]GroupSummary `json:"groups"`
+	// Heard is when this gateway received it, less its age at that time.
+	Heard time.Time `json:"-"`
+	// AgeMillis is the summary's age when it was sent on.
+	AgeMillis int64                   `json:"age_ms,omitempty"`
+	Groups    map[string]GroupSummary `json:"groups"`
 	// Gateways lists some peer addresses that take forwarded requests.
 	Gateways []string `json:"gateways"`
 	Revision uint64   `json:"revision"`
@@ -134,8 +136,21 @@
 	Endpoints *Section[EndpointState]
 	Peers     *Section[PeerState]
 	Regions   *Section[RegionSummary]
+	// Retired holds the incarnations of endpoints and peers that have left or
+	// have been replaced, by RetiredKey. A live sign of one is ignored.
+	Retired *Section[RetiredIncarnation]
 }
 
+// RetiredIncarnation is a mark that an incarnation takes no new work.
+type RetiredIncarnation struct {
+	ID          string
+	Incarnation string
+	Since       time.Time
+}
+
+// RetiredKey is the key of an incarnation in Board.Retired.
+func RetiredKey(id, incarnation string) string { return id + "/" + incarnation }
+
 // New returns an empty board for the given gateway.
 func New(self Self) *Board {
 	return &Board{
@@ -145,5 +160,6 @@
 		Endpoints: NewSection[EndpointState](),
 		Peers:     NewSection[PeerState](),
 		Regions:   NewSection[RegionSummary](),
+		Retired:   NewSection[RetiredIncarnation](),
 	}
 }
--- /dev/null
+++ b/internal/controller/members/members.go
@@ -0,0 +1,172 @@
+// Package members is the controller that exchanges soft state with the peers
+// of this region at a steady, bounded rate, tells them at once of changes that
+// can't wait, and swaps region summaries with the other regions.
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// Times of the controller.
+const (
+	regionInterval = 2 * time.Second
+	seedInterval   = 5 * time.Second
+)
+
+// urgentSends bounds the exchanges under way for one urgent change.
+const urgentSends = 8
+
+var (
+	exchanges      = telemetry.NewCounter("peer_exchanges", "exchanges", "soft-state exchanges begun with peers")
+	exchangeErrors = telemetry.NewCounter("peer_exchange_errors", "exchanges", "soft-state exchanges without an answer")
+	urgentTold     = telemetry.NewCounter("peer_urgent_sends", "exchanges", "exchanges begun at once for a change that can't wait")
+)
+
+// Exchanger sends one exchange to a peer.
+type Exchanger interface {
+	Exchange(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, error)
+}
+
+// Controller exchanges soft state with peers.
+type Controller struct {
+	board    *blackboard.Board
+	view     *membership.View
+	client   Exchanger
+	interval time.Duration
+	seeds    []string
+	logger   *log.Logger
+
+	beat atomic.Uint64
+	seq  atomic.Uint64
+
+	mu sync.Mutex
+	// rng picks peers; its seed differs between instances.
+	rng *rand.Rand
+	// urgent is closed when peers are to be told at once.
+	urgent chan struct{}
+}
+
+// New returns the controller. seeds are peer addresses tried while no peer of
+// the region is known.
+func New(board *blackboard.Board, client Exchanger, interval time.Duration, seeds []string, seed uint64, logger *log.Logger) *Controller {
+	return &Controller{
+		board:    board,
+		view:     membership.New(board),
+		client:   client,
+		interval: interval,
+		seeds:    seeds,
+		logger:   logger,
+		rng:      rand.New(rand.NewPCG(seed, seed)),
+		urgent:   make(chan struct{}, 1),
+	}
+}
+
+// Name implements controller.Controller.
+func (c *Controller) Name() string { return "members" }
+
+// Run implements controller.Controller.
+func (c *Controller) Run(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	t.Go(func() error { return c.runUrgent(ctx, t) })
+	t.Go(func() error { return c.runRegions(ctx, t) })
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+			c.exchangeOnce(ctx)
+			c.view.Expire(time.Now())
+		}
+	}
+}
+
+// Self returns what this gateway says of itself, with a new beat.
+func (c *Controller) Self() peer.Member {
+	self := c.board.Self
+	state := c.board.Lifecycle.Get()
+	return peer.Member{
+		ID:            self.ID,
+		Incarnation:   self.Incarnation,
+		Region:        self.Region,
+		Address:       self.PeerAddress,
+		CallerAddress: self.CallerAddress,
+		Leaving:       state == blackboard.Draining || state == blackboard.Stopped,
+		Ready:         state == blackboard.Serving,
+		Revision:      c.board.Intent.Get().Revision,
+		Beat:          c.beat.Add(1),
+	}
+}
+
+// HandleExchange takes in a peer's exchange and returns this gateway's answer.
+func (c *Controller) HandleExchange(msg peer.Exchange) peer.Exchange {
+	now := time.Now()
+	before := c.board.Retired.Len()
+	c.view.Absorb(msg, now)
+	if c.board.Retired.Len() > before {
+		c.TellPeers()
+	}
+	if msg.From.Region != c.board.Self.Region {
+		return c.regional(now)
+	}
+	return c.view.Compose(c.Self(), now)
+}
+
+// TellPeers asks for exchanges with all peers of the region at once.
+func (c *Controller) TellPeers() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) exchangeOnce(ctx context.Context) {
+	address, ok := c.pickPeer(time.Now())
+	if !ok {
+		return
+	}
+	c.exchange(ctx, address)
+}
+
+func (c *Controller) exchange(ctx context.Context, address string) {
+	exchanges.Inc()
+	reply, err := c.client.Exchange(ctx, address, c.view.Compose(c.Self(), time.Now()))
+	if err != nil {
+		exchangeErrors.Inc()
+		return
+	}
+	c.view.Absorb(reply, time.Now())
+}
+
+// pickPeer returns a random peer of the region, or a seed while none is known.
+func (c *Controller) pickPeer(now time.Time) (string, bool) {
+	var addresses []string
+	c.board.Peers.Range(func(_ string, p blackboard.PeerState) bool {
+		if p.Region == c.board.Self.Region && now.Sub(p.Heard) < membership.ForgetAfter {
+			addresses = append(addresses, p.Address)
+		}
+		return true
+	})
+	if len(addresses) == 0 {
+		addresses = c.seeds
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return addresses[c.rng.IntN(len(addresses))], true
+}
--- /dev/null
+++ b/internal/membership/summary.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+)
+
+// maxSummaryGateways bounds the gateways named in a region's summary.
+const maxSummaryGateways = 8
+
+// Summary sums up this gateway's own region for the others.
+func (v *View) Summary(seq uint64, now time.Time) blackboard.RegionSummary {
+	self := v.board.Self
+	s := blackboard.RegionSummary{
+		Region:   self.Region,
+		From:     self.ID + "/" + self.Incarnation,
+		Seq:      seq,
+		Heard:    now,
+		Groups:   v.groups(),
+		Revision: v.board.Intent.Get().Revision,
+		Holding:  map[uint64]int{},
+	}
+	s.Holding[s.Revision]++
+	if v.board.Lifecycle.Get() == blackboard.Serving {
+		s.Gateways = append(s.Gateways, self.PeerAddress)
+	}
+	for _, p := range v.Peers(self.Region, now) {
+		s.Holding[p.Revision]++
+		if p.Ready && len(s.Gateways) < maxSummaryGateways {
+			s.Gateways = append(s.Gateways, p.Address)
+		}
+	}
+	return s
+}
+
+func (v *View) groups() map[string]blackboard.GroupSummary {
+	groups := make(map[string]blackboard.GroupSummary)
+	v.board.Endpoints.Range(func(_ string, e blackboard.EndpointState) bool {
+		if e.Leaving {
+			return true
+		}
+		g := groups[e.Group]
+		g.Endpoints++
+		g.Running += e.Report.Running
+		g.Waiting += e.Report.Waiting
+		g.QueuedPrefillTokens += e.Report.QueuedPrefillTokens
+		g.PrefillRate += e.Report.PrefillRate
+		if free := e.Report.MaxBatch - e.Report.Running - e.Report.Waiting; free > 0 {
+			g.FreeSlots += free
+		}
+		groups[e.Group] = g
+		return true
+	})
+	return groups
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,214 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// Times of calls between gateways.
+const (
+	dialTimeout     = 1 * time.Second
+	exchangeTimeout = 2 * time.Second
+	snapshotTimeout = 5 * time.Second
+	handoverTimeout = 3 * time.Second
+	idleTimeout     = 30 * time.Second
+	idlePerPeer     = 4
+)
+
+// NotSentError says that nothing of a call reached the peer.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (e *NotSentError) Error() string { return fmt.Sprintf("not sent to peer: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// LostError says that a call may have reached the peer and its answer is lost.
+type LostError struct{ Cause error }
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("answer of peer lost: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// StatusError says that a peer refused a call.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("peer answered with status %d", e.Status) }
+
+// Client calls other gateways.
+type Client struct {
+	signer *Signer
+	pooled *http.Client
+	// single opens a connection for each call: for calls that must not be
+	// sent twice by the transport.
+	single *http.Client
+}
+
+// NewClient returns a client that signs with signer.
+func NewClient(signer *Signer) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	pooled := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     idleTimeout,
+	}
+	single := &http.Transport{
+		DialContext:       dialer.DialContext,
+		DisableKeepAlives: true,
+	}
+	return &Client{
+		signer: signer,
+		pooled: &http.Client{Transport: pooled},
+		single: &http.Client{Transport: single},
+	}
+}
+
+// CloseIdle closes the pooled connections that are idle.
+func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
+
+// Exchange sends msg to the peer at address and returns its answer. A call
+// that times out closes the idle connections, as they may be silent as well.
+func (c *Client) Exchange(ctx context.Context, address string, msg Exchange) (Exchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var reply Exchange
+	err := c.postJSON(ctx, address, PathExchange, msg, &reply, MaxExchangeBytes)
+	if ctx.Err() != nil {
+		c.CloseIdle()
+	}
+	return reply, err
+}
+
+// FetchSnapshot returns the configuration that the peer holds, if its revision
+// is at least minRevision.
+func (c *Client) FetchSnapshot(ctx context.Context, address string, minRevision uint64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	path := PathSnapshot + "?min=" + strconv.FormatUint(minRevision, 10)
+	req, err := c.request(ctx, http.MethodGet, address, path, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	body, err := c.roundTrip(c.pooled, req, MaxSnapshotBytes)
+	if ctx.Err() != nil {
+		c.CloseIdle()
+	}
+	return body, err
+}
+
+// Handover sends sealed records, as JSON, to the peer at address.
+func (c *Client) Handover(ctx context.Context, address string, records any) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	return c.postJSON(ctx, address, PathHandover, records, nil, MaxExchangeBytes)
+}
+
+// Forward sends a caller's request on to the peer at address and returns the
+// answer as it comes. The call goes out on a connection of its own, so that
+// the transport never sends it twice.
+func (c *Client) Forward(ctx context.Context, address, method, path string, header http.Header, fwd Forward, body []byte) (*http.Response, error) {
+	encoded, err := json.Marshal(fwd)
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	h := header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(HeaderForward, string(encoded))
+	req, err := c.request(ctx, method, address, PathForward+path, h, body)
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	return c.send(c.single, req)
+}
+
+func (c *Client) postJSON(ctx context.Context, address, path string, in, out any, limit int64) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return &NotSentError{Cause: err}
+	}
+	req, err := c.request(ctx, http.MethodPost, address, path, nil, body)
+	if err != nil {
+		return err
+	}
+	answer, err := c.roundTrip(c.pooled, req, limit)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return &LostError{Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, method, address, path string, header http.Header, body []byte) (*http.Request, error) {
+	target, err := url.Parse("http://" + address + path)
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	c.signer.Sign(req, body)
+	return req, nil
+}
+
+// send performs req and tells a failed dial from a lost answer.
+func (c *Client) send(client *http.Client, req *http.Request) (*http.Response, error) {
+	sent := &sentTrace{}
+	resp, err := client.Do(req.WithContext(sent.with(req.Context())))
+	if err == nil {
+		return resp, nil
+	}
+	if !sent.connected() {
+		return nil, &NotSentError{Cause: err}
+	}
+	return nil, &LostError{Cause: err}
+}
+
+func (c *Client) roundTrip(client *http.Client, req *http.Request, limit int64) ([]byte, error) {
+	resp, err := c.send(client, req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: resp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, &LostError{Cause: err}
+	}
+	if int64(len(body)) > limit {
+		return nil, &LostError{Cause: &TooLargeError{Limit: limit}}
+	}
+	return body, nil
+}
+
+// TooLargeError says that a body is larger than its limit, in bytes.
+type TooLargeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLargeError) Error() string { return fmt.Sprintf("body larger than %d bytes", e.Limit) }
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,104 @@
+// Package peer carries what gateways say to each other: HTTP with JSON, each
+// request signed with a secret that all gateways share.
+package peer
+
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+)
+
+// Paths of the peer listener.
+const (
+	PathExchange = "/peer/v1/exchange"
+	PathSnapshot = "/peer/v1/snapshot"
+	PathHandover = "/peer/v1/handover"
+	// PathForward precedes the path of a forwarded caller's request.
+	PathForward = "/peer/v1/forward"
+)
+
+// Member is what one gateway says of a gateway.
+type Member struct {
+	ID            string `json:"id"`
+	Incarnation   string `json:"inc"`
+	Region        string `json:"region"`
+	Address       string `json:"addr"`
+	CallerAddress string `json:"caller"`
+	Leaving       bool   `json:"leaving,omitempty"`
+	Ready         bool   `json:"ready,omitempty"`
+	Revision      uint64 `json:"rev"`
+	// Beat grows with each sign of life of this incarnation.
+	Beat uint64 `json:"beat"`
+	// AgeMillis is the time since the sender heard it.
+	AgeMillis int64 `json:"age_ms,omitempty"`
+}
+
+// Load is one endpoint's load as its poller saw it.
+type Load struct {
+	ID          string                `json:"id"`
+	Incarnation string                `json:"inc"`
+	Report      blackboard.LoadReport `json:"report"`
+}
+
+// Retired marks an incarnation of an endpoint or gateway that takes no new work.
+type Retired struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"inc"`
+	AgeMillis   int64  `json:"age_ms"`
+}
+
+// Exchange is the soft state that two gateways tell each other. Its size is
+// bounded by MaxRows of each kind; nothing in it is agreed on.
+type Exchange struct {
+	From    Member                     `json:"from"`
+	Members []Member                   `json:"members,omitempty"`
+	Loads   []Load                     `json:"loads,omitempty"`
+	Retired []Retired                  `json:"retired,omitempty"`
+	Regions []blackboard.RegionSummary `json:"regions,omitempty"`
+}
+
+// Limits on one exchange.
+const (
+	// MaxRows bounds the rows of each kind in one exchange.
+	MaxRows = 32
+	// MaxExchangeBytes bounds the body of one exchange.
+	MaxExchangeBytes = 64 << 10
+	// MaxSnapshotBytes bounds the snapshot of a configuration.
+	MaxSnapshotBytes = 8 << 20
+	// MaxForwardBytes bounds the body of a forwarded request.
+	MaxForwardBytes = 4 << 20
+)
+
+// Forward describes a forwarded request. It travels in a signed header.
+type Forward struct {
+	RequestID string `json:"id"`
+	Customer  string `json:"customer"`
+	// Visited names the instances the request has been at, in order.
+	Visited []string `json:"visited"`
+	// RegionMoves and OwnerMoves are the moves left to another region and to
+	// the owner of a ticket.
+	RegionMoves int `json:"region_moves"`
+	OwnerMoves  int `json:"owner_moves"`
+	// RemainingMillis is the time left until the caller's deadline.
+	RemainingMillis int64 `json:"remaining_ms"`
+	// Revision is the configuration the sender decided under.
+	Revision uint64 `json:"rev"`
+	Priority int    `json:"priority"`
+	// Permitted lists the regions that the sender's configuration permits.
+	Permitted []string `json:"permitted"`
+}
+
+// Remaining returns the time left until the caller's deadline.
+func (f Forward) Remaining() time.Duration {
+	return time.Duration(f.RemainingMillis) * time.Millisecond
+}
+
+// HasVisited says whether the request has been at the instance.
+func (f Forward) HasVisited(id string) bool {
+	for _, v := range f.Visited {
+		if v == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,49 @@
+// Package rendezvous picks owners of a key among members by highest random
+// weight, so that all who know the same members pick the same owners and the
+// loss of one member moves only its own keys.
+package rendezvous
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight is the weight of member for key.
+func Weight(key, member string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// Top returns the k members of the greatest weight for key, the greatest
+// first. It returns all members, ordered, when there are no more than k.
+func Top(key string, members []string, k int) []string {
+	ranked := append([]string(nil), members...)
+	sort.Slice(ranked, func(i, j int) bool {
+		wi, wj := Weight(key, ranked[i]), Weight(key, ranked[j])
+		if wi != wj {
+			return wi > wj
+		}
+		return ranked[i] < ranked[j]
+	})
+	if len(ranked) > k {
+		ranked = ranked[:k]
+	}
+	return ranked
+}
+
+// Owns says whether member is among the k owners of key.
+func Owns(key, member string, members []string, k int) bool {
+	own := Weight(key, member)
+	ahead := 0
+	for _, m := range members {
+		w := Weight(key, m)
+		if w > own || w == own && m < member {
+			ahead++
+		}
+	}
+	return ahead < k
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// minSecretLen is the shortest accepted secret or token, in bytes.
+const minSecretLen = 16
+
+// Fault is one wrong setting.
+type Fault struct {
+	Setting string
+	Value   string
+	// Want says what would be right.
+	Want string
+}
+
+// Faults is the error that lists every wrong setting.
+type Faults struct{ List []Fault }
+
+func (f *Faults) add(setting, value, want string) {
+	f.List = append(f.List, Fault{Setting: setting, Value: value, Want: want})
+}
+
+func (f *Faults) any() bool { return len(f.List) > 0 }
+
+// Error implements error, with a line for each fault.
+func (f *Faults) Error() string {
+	lines := make([]string, 0, len(f.List))
+	for _, x := range f.List {
+		lines = append(lines, fmt.Sprintf("%s: %q: want %s", x.Setting, x.Value, x.Want))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (g *Gateway) check(f *Faults) {
+	checkName(f, "--id", g.ID)
+	checkName(f, "--region", g.Region)
+	checkName(f, "--data-centre", g.DataCentre)
+	checkAddress(f, "--listen", g.Listen)
+	checkAddress(f, "--peer-listen", g.PeerListen)
+	checkAddress(f, "--admin-listen", g.AdminListen)
+	checkAddress(f, "--advertise", g.Advertise)
+	checkAddress(f, "--peer-advertise", g.PeerAdvertise)
+	checkURL(f, "--store-url", g.StoreURL)
+	checkURL(f, "--directory-url", g.DirectoryURL)
+	checkURL(f, "--instances-url", g.InstancesURL)
+	for _, p := range g.Peers {
+		checkAddress(f, "--peers", p)
+	}
+	g.checkSecrets(f)
+	switch g.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		f.add("--log-level", g.LogLevel, "debug, info, warn or error")
+	}
+}
+
+func (g *Gateway) checkSecrets(f *Faults) {
+	if len(g.PeerSecrets) == 0 {
+		f.add("--peer-secrets", "", "at least one secret")
+	}
+	want := fmt.Sprintf("at least %d bytes", minSecretLen)
+	for _, s := range g.PeerSecrets {
+		if len(s) < minSecretLen {
+			f.add("--peer-secrets", "(hidden)", want)
+		}
+	}
+	if len(g.AdminToken) < minSecretLen {
+		f.add("--admin-token", "(hidden)", want)
+	}
+}
+
+func checkName(f *Faults, setting, value string) {
+	if value == "" {
+		f.add(setting, value, "a name")
+		return
+	}
+	for _, r := range value {
+		if !isNameRune(r) {
+			f.add(setting, value, "lower-case letters, digits, '-' and '.' only")
+			return
+		}
+	}
+}
+
+func isNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '.'
+}
+
+// checkAddress wants an IP number and a port: no name service is assumed.
+func checkAddress(f *Faults, setting, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		f.add(setting, value, "IP:port, such as 10.0.0.7:8080")
+		return
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		f.add(setting, value, "a port from 1 to 65535")
+	}
+}
+
+func checkURL(f *Faults, setting, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		f.add(setting, value, "a URL such as http://10.0.0.2:7100")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,51 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func noEnv(string) (string, bool) { return "", false }
+
+func validArgs() []string {
+	return []string{
+		"--id", "gw1", "--region", "svealand", "--data-centre", "sve1",
+		"--store-url", "http://127.0.0.1:7100", "--directory-url", "http://127.0.0.1:7200",
+		"--peer-secrets", "0123456789abcdef", "--admin-token", "0123456789abcdef",
+	}
+}
+
+func TestLoadFillsDefaultsAndEnvironment(t *testing.T) {
+	env := func(name string) (string, bool) {
+		switch name {
+		case "HICKORYSTAGE_LISTEN":
+			return "127.0.0.1:9000", true
+		case "HICKORYSTAGE_REGION":
+			return "norrland", true
+		}
+		return "", false
+	}
+	g, err := Load(validArgs(), env)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9000", g.Advertise, "advertised address follows the listen address")
+	require.Equal(t, "svealand", g.Region, "a flag goes before its variable")
+	require.Equal(t, g.DirectoryURL, g.InstancesURL)
+}
+
+func TestLoadNamesEveryFault(t *testing.T) {
+	args := []string{"--id", "GW 1", "--listen", "localhost:80", "--chunk-timeout", "soon", "--store-url", "x"}
+	_, err := Load(args, noEnv)
+	var faults *Faults
+	require.True(t, errors.As(err, &faults))
+	var named []string
+	for _, f := range faults.List {
+		named = append(named, f.Setting)
+	}
+	require.Subset(t, named, []string{
+		"--id", "--region", "--data-centre", "--listen", "--chunk-timeout",
+		"--store-url", "--directory-url", "--peer-secrets", "--admin-token",
+	})
+	require.NotContains(t, err.Error(), "0123456789abcdef")
+}
