--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -90,13 +90,20 @@
 	// AgeMillis is the summary's age when it was sent on.
 	AgeMillis int64                   `json:"age_ms,omitempty"`
 	Groups    map[string]GroupSummary `json:"groups"`
-	// Gateways lists some peer addresses that take forwarded requests.
-	Gateways []string `json:"gateways"`
+	// Gateways lists some gateways that take callers' and forwarded requests.
+	Gateways []GatewayAddress `json:"gateways"`
 	Revision uint64   `json:"revision"`
 	// Holding counts the region's gateways per revision held.
 	Holding map[uint64]int `json:"holding"`
 }
 
+// GatewayAddress is where a gateway is reached, as host:port.
+type GatewayAddress struct {
+	ID     string `json:"id"`
+	Peer   string `json:"peer"`
+	Caller string `json:"caller"`
+}
+
 // GroupSummary sums up the load of a group of endpoints in one region.
 type GroupSummary struct {
 	Endpoints           int     `json:"endpoints"`
--- a/internal/controller/members/regions.go
+++ b/internal/controller/members/regions.go
@@ -69,8 +69,8 @@
 		return true
 	})
 	c.board.Regions.Range(func(region string, s blackboard.RegionSummary) bool {
-		for _, address := range s.Gateways {
-			add(region, address)
+		for _, g := range s.Gateways {
+			add(region, g.Peer)
 		}
 		return true
 	})
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -23,12 +23,20 @@
 	}
 	s.Holding[s.Revision]++
 	if v.board.Lifecycle.Get() == blackboard.Serving {
-		s.Gateways = append(s.Gateways, self.PeerAddress)
+		s.Gateways = append(s.Gateways, blackboard.GatewayAddress{
+			ID:     self.ID,
+			Peer:   self.PeerAddress,
+			Caller: self.CallerAddress,
+		})
 	}
 	for _, p := range v.Peers(self.Region, now) {
 		s.Holding[p.Revision]++
 		if p.Ready && len(s.Gateways) < maxSummaryGateways {
-			s.Gateways = append(s.Gateways, p.Address)
+			s.Gateways = append(s.Gateways, blackboard.GatewayAddress{
+				ID:     p.ID,
+				Peer:   p.Address,
+				Caller: p.CallerAddress,
+			})
 		}
 	}
 	return s
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+const testSecret = "a-secret-of-gateways"
+
+func startServer(t *testing.T, secrets ...string) (*httptest.Server, *[]Forward) {
+	t.Helper()
+	var got []Forward
+	server := httptest.NewUnstartedServer(nil)
+	address := server.Listener.Addr().String()
+	server.Config.Handler = NewServer(NewSigner("server", secrets), address, Handlers{
+		Exchange: func(m Exchange) Exchange { return Exchange{From: Member{ID: "server", Beat: m.From.Beat + 1}} },
+		Snapshot: func() ([]byte, uint64) { return []byte("whole"), 7 },
+		Handover: func([]byte) error { return nil },
+		Forward: func(w http.ResponseWriter, r *http.Request, fwd Forward, _ string, body []byte) {
+			got = append(got, fwd)
+			_, _ = w.Write(append([]byte(r.URL.Path+" "), body...))
+		},
+	}).Handler()
+	server.Start()
+	t.Cleanup(server.Close)
+	return server, &got
+}
+
+func TestExchangeAndSnapshotNeedASharedSecret(t *testing.T) {
+	server, _ := startServer(t, testSecret, "the-secret-before-it")
+	address := server.Listener.Addr().String()
+	ctx := context.Background()
+	for name, c := range map[string]struct {
+		secret string
+		ok     bool
+	}{
+		"current":  {testSecret, true},
+		"previous": {"the-secret-before-it", true},
+		"foreign":  {"some-other-secret", false},
+	} {
+		client := NewClient(NewSigner("client", []string{c.secret}))
+		reply, err := client.Exchange(ctx, address, Exchange{From: Member{ID: "client", Beat: 4}})
+		if !c.ok {
+			var status *StatusError
+			require.True(t, errors.As(err, &status), name)
+			require.Equal(t, http.StatusUnauthorized, status.Status, name)
+			continue
+		}
+		require.NoError(t, err, name)
+		require.Equal(t, uint64(5), reply.From.Beat, name)
+		body, err := client.FetchSnapshot(ctx, address, 7)
+		require.NoError(t, err, name)
+		require.Equal(t, "whole", string(body), name)
+		_, err = client.FetchSnapshot(ctx, address, 8)
+		require.Error(t, err, "a lower revision is not handed out")
+	}
+}
+
+func TestForgedForwardHeaderIsRefused(t *testing.T) {
+	server, got := startServer(t, testSecret)
+	address := server.Listener.Addr().String()
+	signer := NewSigner("client", []string{testSecret})
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+PathForward+"/v1/models", strings.NewReader("{}"))
+	require.NoError(t, err)
+	req.Header.Set(HeaderForward, `{"customer":"a"}`)
+	signer.Sign(req, []byte("{}"))
+	req.Header.Set(HeaderForward, `{"customer":"b"}`)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	require.Empty(t, *got)
+
+	client := NewClient(signer)
+	resp, err = client.Forward(context.Background(), address, http.MethodPost, "/v1/x", nil, Forward{Customer: "a"}, []byte("{}"))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, []Forward{{Customer: "a"}}, *got)
+}
+
+func TestForwardTellsNotSentFromLost(t *testing.T) {
+	client := NewClient(NewSigner("client", []string{testSecret}))
+	_, err := client.Forward(context.Background(), "127.0.0.1:1", http.MethodPost, "/v1/x", nil, Forward{}, nil)
+	var notSent *NotSentError
+	require.True(t, errors.As(err, &notSent))
+
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	_, err = client.Forward(context.Background(), cut.Listener.Addr().String(), http.MethodPost, "/v1/x", nil, Forward{}, nil)
+	var lost *LostError
+	require.True(t, errors.As(err, &lost))
+}
