--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,162 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// queue is a bounded priority queue: the highest priority first, then the
+// first to come.
+type queue struct {
+	max   int
+	items itemHeap
+	// rate is the smoothed number of requests that leave in a second.
+	rate    float64
+	lastPop time.Time
+}
+
+func newQueue(limit int) *queue { return &queue{max: limit} }
+
+func (q *queue) len() int { return len(q.items) }
+
+func (q *queue) head() Item { return q.items[0] }
+
+// push adds an item, sheds a less important one for it, or refuses it.
+func (q *queue) push(item Item, estimate time.Duration, now time.Time) Verdict {
+	item.Queued = now
+	wait := q.waitFor(item)
+	if !item.Deadline.IsZero() && now.Add(wait+estimate).After(item.Deadline) {
+		return refuse(failure.CodeDeadline, "the queue is too long for the deadline", wait)
+	}
+	if q.len() < q.max {
+		q.insert(item)
+		return Verdict{Kind: Queue}
+	}
+	least := q.least()
+	if !before(item, q.items[least]) || q.items[least].Priority == item.Priority {
+		return refuse(failure.CodeOverloaded, "the queue is full", q.drain())
+	}
+	shed := q.items[least]
+	heap.Remove(&q.items, least)
+	q.insert(item)
+	return Verdict{Kind: Queue, Shed: &shed}
+}
+
+func (q *queue) insert(item Item) { heap.Push(&q.items, item) }
+
+// pop takes the head and learns the rate of leaving.
+func (q *queue) pop(now time.Time) (Item, bool) {
+	if q.len() == 0 {
+		return Item{}, false
+	}
+	item := heap.Pop(&q.items).(Item)
+	q.learn(now)
+	return item, true
+}
+
+// rateWeight is the weight of a new sample in the smoothed rate.
+const rateWeight = 0.1
+
+// maxRate bounds a sample of the rate, in requests a second.
+const maxRate = 1000
+
+func (q *queue) learn(now time.Time) {
+	if !q.lastPop.IsZero() {
+		dt := max(now.Sub(q.lastPop).Seconds(), 1.0/maxRate)
+		q.rate += rateWeight * (1/dt - q.rate)
+	}
+	q.lastPop = now
+}
+
+// waitFor estimates how long item would wait behind those before it.
+func (q *queue) waitFor(item Item) time.Duration {
+	if q.rate <= 0 {
+		return 0
+	}
+	n := 0
+	for _, other := range q.items {
+		if !before(item, other) {
+			n++
+		}
+	}
+	return time.Duration(float64(n) / q.rate * float64(time.Second))
+}
+
+// minRetryAfter is the least time that a caller is told to wait.
+const minRetryAfter = time.Second
+
+// drain estimates how long the whole queue takes.
+func (q *queue) drain() time.Duration {
+	if q.rate <= 0 {
+		return minRetryAfter
+	}
+	return max(minRetryAfter, time.Duration(float64(q.len())/q.rate*float64(time.Second)))
+}
+
+// least returns the place of the last item in order.
+func (q *queue) least() int {
+	worst := 0
+	for i := range q.items {
+		if before(q.items[worst], q.items[i]) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// expire takes out the items whose deadline has passed.
+func (q *queue) expire(now time.Time) []Item {
+	var out []Item
+	kept := q.items[:0]
+	for _, item := range q.items {
+		if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
+			out = append(out, item)
+			continue
+		}
+		kept = append(kept, item)
+	}
+	q.items = kept
+	heap.Init(&q.items)
+	return out
+}
+
+func (q *queue) remove(id string) bool {
+	for i := range q.items {
+		if q.items[i].ID == id {
+			heap.Remove(&q.items, i)
+			return true
+		}
+	}
+	return false
+}
+
+// before says that a leaves the queue before b.
+func before(a, b Item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if !a.Queued.Equal(b.Queued) {
+		return a.Queued.Before(b.Queued)
+	}
+	return a.ID < b.ID
+}
+
+// itemHeap implements heap.Interface.
+type itemHeap []Item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return before(h[i], h[j]) }
+func (h itemHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) { *h = append(*h, x.(Item)) }
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/sched/datastore/datastore.go
@@ -0,0 +1,228 @@
+// Package datastore keeps what a gateway knows of its region's endpoints and
+// of other regions, and gives the scheduler a view of it. State is in shards,
+// each under its own lock; now is an argument everywhere.
+package datastore
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/sched"
+)
+
+const shardCount = 16
+
+// Options configure a Store.
+type Options struct {
+	Region string
+	Health HealthOptions
+}
+
+// Store is the data layer of one gateway. It is safe for concurrent use.
+type Store struct {
+	opts   Options
+	shards [shardCount]shard
+	cache  *index
+	layout layout
+	away   away
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+// New returns an empty store.
+func New(opts Options) *Store {
+	s := &Store{opts: opts, cache: newIndex()}
+	for i := range s.shards {
+		s.shards[i].entries = make(map[string]*entry)
+	}
+	s.layout.init()
+	s.away.init()
+	return s
+}
+
+func (s *Store) shardOf(id string) *shard {
+	return &s.shards[xxhash.Sum64String(id)%shardCount]
+}
+
+// with runs fn on the entry of id, if there is one, and publishes the result.
+func (s *Store) with(id string, fn func(e *entry)) {
+	sh := s.shardOf(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, ok := sh.entries[id]
+	if !ok {
+		return
+	}
+	fn(e)
+	e.publish(&s.opts.Health)
+}
+
+// Member is what the endpoint watch says of an endpoint.
+type Member struct {
+	ID          string
+	Incarnation string
+	Group       string
+	Region      string
+	Leaving     bool
+	RTT         time.Duration
+}
+
+// Upsert adds an endpoint or changes what is fixed about it. A leaving mark is
+// lifted only by another incarnation, which also starts with an empty cache
+// and no history.
+func (s *Store) Upsert(m Member, now time.Time) {
+	if s.update(m) {
+		return
+	}
+	i := s.layout.takeIndex()
+	e := &entry{inFlight: make(map[string]sent), biasAt: now, incarnation: m.Incarnation}
+	e.cur = sched.Endpoint{ID: m.ID, Group: m.Group, Region: m.Region, Leaving: m.Leaving, RTT: m.RTT, Index: i, BacklogAt: now}
+	e.cur.MaxConcurrent = s.layout.maxConcurrent(m.Group)
+	e.slot = sched.NewSlot(nil)
+	e.publish(&s.opts.Health)
+	sh := s.shardOf(m.ID)
+	sh.mu.Lock()
+	sh.entries[m.ID] = e
+	sh.mu.Unlock()
+	s.layout.add(m.Group, m.ID, e.slot)
+}
+
+// update changes a known endpoint. It returns false when there is none, or
+// when it has to be added afresh.
+func (s *Store) update(m Member) bool {
+	found, fresh := false, false
+	s.with(m.ID, func(e *entry) {
+		found = true
+		fresh = e.cur.Group != m.Group || e.incarnation != m.Incarnation
+		e.cur.Leaving = e.cur.Leaving || m.Leaving
+		e.cur.RTT, e.cur.Region = m.RTT, m.Region
+	})
+	if fresh {
+		s.Remove(m.ID)
+		return false
+	}
+	return found
+}
+
+// Remove forgets an endpoint.
+func (s *Store) Remove(id string) {
+	sh := s.shardOf(id)
+	sh.mu.Lock()
+	e, ok := sh.entries[id]
+	delete(sh.entries, id)
+	sh.mu.Unlock()
+	if !ok {
+		return
+	}
+	s.layout.remove(e.cur.Group, id)
+	s.cache.removeAll(e.cur.Index)
+	s.layout.freeIndex(e.cur.Index)
+}
+
+// MarkLeaving notes that an endpoint is leaving: it gets no new work.
+func (s *Store) MarkLeaving(id string) {
+	s.with(id, func(e *entry) { e.cur.Leaving = true })
+}
+
+// Apply takes in an endpoint's load report. r.At must be set, by this
+// gateway's clock. An older report than the last is ignored.
+func (s *Store) Apply(id string, r blackboard.LoadReport, now time.Time) {
+	s.with(id, func(e *entry) {
+		e.health.advance(&s.opts.Health, now)
+		e.decayBias(now)
+		e.apply(r)
+	})
+}
+
+// Sent notes that a request goes to an endpoint. The prompt's blocks count as
+// cached there from now on. It is called with the request just decided.
+func (s *Store) Sent(id, requestID string, promptTokens int, prefix []uint64, now time.Time) {
+	s.SentEstimated(id, requestID, promptTokens, prefix, 0, now)
+}
+
+// SentEstimated is Sent with the decision's estimate of the time to first
+// token, which the first token's time is compared with; 0 means none.
+func (s *Store) SentEstimated(id, requestID string, promptTokens int, prefix []uint64, estimate time.Duration, now time.Time) {
+	s.with(id, func(e *entry) {
+		uncached := max(promptTokens-s.cachedTokens(prefix, e.cur.Index), 1)
+		e.send(requestID, uncached, estimate.Seconds(), now)
+		s.cache.insert(prefix, e.cur.Index)
+	})
+}
+
+func (s *Store) cachedTokens(prefix []uint64, i int) int {
+	depth := make([]int, i+1)
+	s.cache.Match(prefix, depth)
+	return depth[i] * sched.BlockTokens
+}
+
+// FirstToken notes the first token of a request's answer.
+func (s *Store) FirstToken(id, requestID string, now time.Time) {
+	s.with(id, func(e *entry) { e.firstToken(&s.opts.Health, requestID, now) })
+}
+
+// Done notes the end of a request at an endpoint.
+func (s *Store) Done(id, requestID string, r Result, now time.Time) {
+	s.with(id, func(e *entry) { e.end(&s.opts.Health, requestID, r, now) })
+}
+
+// CacheEvents takes in an endpoint's cache events, in order. After a gap the
+// endpoint's blocks are kept: the engine forgets by itself, and a wrong guess
+// costs one prefill.
+func (s *Store) CacheEvents(id string, events []CacheEvent, _ time.Time) {
+	s.with(id, func(e *entry) {
+		for _, ev := range events {
+			if ev.Seq <= e.lastSeq {
+				continue
+			}
+			e.lastSeq = ev.Seq
+			s.cacheEvent(ev, e.cur.Index)
+		}
+	})
+}
+
+func (s *Store) cacheEvent(ev CacheEvent, i int) {
+	switch ev.Op {
+	case Stored:
+		s.cache.add(ev.Block, i)
+	case Removed:
+		s.cache.remove(ev.Block, i)
+	case Cleared:
+		s.cache.removeAll(i)
+	}
+}
+
+// Tick moves health states on as time passes. Call it about once a second.
+func (s *Store) Tick(now time.Time) {
+	for i := range s.shards {
+		s.tickShard(&s.shards[i], now)
+	}
+}
+
+func (s *Store) tickShard(sh *shard, now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for _, e := range sh.entries {
+		if e.health.advance(&s.opts.Health, now) {
+			e.publish(&s.opts.Health)
+		}
+	}
+}
+
+// View returns what a decision at now sees. Endpoint states in it are the
+// newest at the time they are read; the rest is fixed.
+func (s *Store) View(now time.Time) *sched.View {
+	l := s.layout.load()
+	v := &sched.View{
+		Now: now, Region: s.opts.Region, Groups: l.groups, Knobs: l.knobs,
+		Cache: s.cache, IndexSize: l.indexSize, Gateways: l.gateways,
+	}
+	s.away.fill(v, l, now)
+	return v
+}
--- /dev/null
+++ b/internal/sched/datastore/layout.go
@@ -0,0 +1,148 @@
+package datastore
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/sched"
+)
+
+// layout is what changes rarely: members, knobs, links. Readers load an
+// immutable snapshot; writers replace it under the lock.
+type layout struct {
+	mu      sync.Mutex
+	members map[string]map[string]*sched.Slot
+	free    []int
+	next    int
+	intent  *intent.Intent
+	count   int
+	cur     atomic.Pointer[layoutSnapshot]
+}
+
+type layoutSnapshot struct {
+	groups    map[string]*sched.GroupView
+	knobs     sched.Knobs
+	links     map[string]intent.Link
+	costs     map[string]float64
+	gateways  int
+	indexSize int
+}
+
+func (l *layout) init() {
+	l.members = make(map[string]map[string]*sched.Slot)
+	l.intent = &intent.Intent{}
+	l.count = 1
+	l.rebuild()
+}
+
+func (l *layout) load() *layoutSnapshot { return l.cur.Load() }
+
+// rebuild replaces the snapshot; the caller holds mu or is init.
+func (l *layout) rebuild() {
+	r := l.intent.Routing
+	s := &layoutSnapshot{
+		groups:    make(map[string]*sched.GroupView, len(l.members)),
+		links:     l.intent.Links,
+		costs:     make(map[string]float64, len(l.intent.Groups)),
+		gateways:  l.count,
+		indexSize: l.next,
+		knobs: sched.Knobs{
+			TailLatency: r.Weights.TailLatency, AwayShare: r.Weights.AwayShare, Cost: r.Weights.Cost,
+			AwayMargin: r.AwayMargin.D(), MaxAwayShare: r.MaxAwayShare, MaxLinkShare: r.MaxLinkShare,
+			TTFTTarget: r.TTFTTarget.D(),
+		},
+	}
+	for name, g := range l.intent.Groups {
+		s.costs[name] = g.CostPerMillionTokens
+	}
+	for name, members := range l.members {
+		s.groups[name] = &sched.GroupView{Slots: sortedSlots(members), CostPerMillionTokens: s.costs[name]}
+	}
+	l.cur.Store(s)
+}
+
+// sortedSlots orders the members by id, so that a decision is repeatable.
+func sortedSlots(members map[string]*sched.Slot) []*sched.Slot {
+	ids := make([]string, 0, len(members))
+	for id := range members {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	out := make([]*sched.Slot, len(ids))
+	for i, id := range ids {
+		out[i] = members[id]
+	}
+	return out
+}
+
+func (l *layout) add(group, id string, slot *sched.Slot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.members[group] == nil {
+		l.members[group] = make(map[string]*sched.Slot)
+	}
+	l.members[group][id] = slot
+	l.rebuild()
+}
+
+func (l *layout) remove(group, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.members[group], id)
+	l.rebuild()
+}
+
+// takeIndex reserves a place in the prefix index.
+func (l *layout) takeIndex() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := len(l.free); n > 0 {
+		i := l.free[n-1]
+		l.free = l.free[:n-1]
+		return i
+	}
+	l.next++
+	return l.next - 1
+}
+
+func (l *layout) freeIndex(i int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.free = append(l.free, i)
+}
+
+func (l *layout) maxConcurrent(group string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.intent.Groups[group].MaxConcurrent
+}
+
+// Configure takes the knobs, links and groups of an intent.
+func (s *Store) Configure(in *intent.Intent) {
+	s.layout.mu.Lock()
+	s.layout.intent = in
+	s.layout.rebuild()
+	s.layout.mu.Unlock()
+	for i := range s.shards {
+		s.reconfigure(&s.shards[i], in)
+	}
+}
+
+func (s *Store) reconfigure(sh *shard, in *intent.Intent) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for _, e := range sh.entries {
+		e.cur.MaxConcurrent = in.Groups[e.cur.Group].MaxConcurrent
+		e.publish(&s.opts.Health)
+	}
+}
+
+// SetGateways tells how many live gateways share the region's endpoints.
+func (s *Store) SetGateways(n int) {
+	s.layout.mu.Lock()
+	defer s.layout.mu.Unlock()
+	s.layout.count = max(n, 1)
+	s.layout.rebuild()
+}
--- /dev/null
+++ b/internal/sched/filter.go
@@ -0,0 +1,57 @@
+package sched
+
+// candidate is an endpoint that may serve a request, with its estimate.
+type candidate struct {
+	e      *Endpoint
+	cached int
+	// ttft is the estimated time to first token in seconds.
+	ttft float64
+	// score is what the picker compares; lower is better.
+	score float64
+	cost  float64
+}
+
+// filter says whether an endpoint may take a request.
+type filter func(req *Request, e *Endpoint, rnd uint64) bool
+
+func notLeaving(_ *Request, e *Endpoint, _ uint64) bool { return !e.Leaving }
+
+func notExcluded(req *Request, e *Endpoint, _ uint64) bool { return !req.Exclude[e.ID] }
+
+func notEjected(_ *Request, e *Endpoint, _ uint64) bool { return e.Health != Ejected }
+
+// withinReturn lets a returning endpoint take only its share.
+func withinReturn(_ *Request, e *Endpoint, rnd uint64) bool {
+	if e.Health != Returning {
+		return true
+	}
+	draw := mix(rnd, uint64(e.Index)+1)
+	return float64(draw>>11)/(1<<53) < e.ReturnShare
+}
+
+func withinConcurrency(_ *Request, e *Endpoint, _ uint64) bool {
+	return e.MaxConcurrent <= 0 || occupancy(e) < e.MaxConcurrent
+}
+
+// fixedFilters hold whatever else is the case.
+var fixedFilters = []filter{notLeaving, notExcluded}
+
+// healthFilters hold while they leave an endpoint to choose.
+var healthFilters = []filter{notEjected, withinReturn}
+
+func passes(fs []filter, req *Request, e *Endpoint, rnd uint64) bool {
+	for _, f := range fs {
+		if !f(req, e, rnd) {
+			return false
+		}
+	}
+	return true
+}
+
+// mix is a 64-bit finalizer over two words (splitmix64).
+func mix(a, b uint64) uint64 {
+	x := a + b*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/sched/scheduler.go
@@ -0,0 +1,163 @@
+package sched
+
+import "time"
+
+// Options switch parts of the scheduler, so that versions can be compared.
+type Options struct {
+	// LagCorrection uses the corrected backlog instead of the report's.
+	LagCorrection bool
+	// BiasCorrection adds what was observed beyond the estimate.
+	BiasCorrection bool
+	// PrefixAffinity counts cached prefixes in the estimate.
+	PrefixAffinity bool
+	// SpreadTies breaks ties by rendezvous and two random choices instead of
+	// taking the best.
+	SpreadTies bool
+	// Hysteresis lowers the margin for a region in use.
+	Hysteresis bool
+}
+
+// DefaultOptions are the options in production.
+func DefaultOptions() Options {
+	return Options{
+		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
+		SpreadTies: true, Hysteresis: true,
+	}
+}
+
+// Scheduler decides where a request runs. It is safe for concurrent use and
+// holds no state.
+type Scheduler struct{ opts Options }
+
+// New returns a scheduler with the given options.
+func New(opts Options) *Scheduler { return &Scheduler{opts: opts} }
+
+// Decide chooses an endpoint or a region for req, or says to wait or to
+// refuse. rnd is a uniform draw that breaks ties.
+func (s *Scheduler) Decide(req *Request, v *View, rnd uint64) Decision {
+	local, full := s.bestLocal(req, v, rnd)
+	if local != nil {
+		return s.localOrAway(req, v, local, rnd)
+	}
+	if !full || withinAwayShare(v) {
+		if d, ok := s.awayOnly(req, v, rnd); ok {
+			return d
+		}
+	}
+	return s.noChoice(req, v, full)
+}
+
+// bestLocal returns the picked endpoint of this region. full says that there
+// are endpoints but all are at their bound.
+func (s *Scheduler) bestLocal(req *Request, v *View, rnd uint64) (best *candidate, full bool) {
+	if !req.PermittedRegions[v.Region] {
+		return nil, false
+	}
+	cs, full := s.candidates(req, v, rnd)
+	return pick(&s.opts, req, cs, rnd), full
+}
+
+// candidates returns the endpoints that pass the filters, with estimates. When
+// no endpoint passes the health filters, ejected ones count as usable: the
+// last endpoint of a group is never ejected.
+func (s *Scheduler) candidates(req *Request, v *View, rnd uint64) (cs []candidate, full bool) {
+	depth := s.depths(req, v)
+	for _, healthy := range []bool{true, false} {
+		for _, group := range req.Groups {
+			gv, ok := v.Groups[group]
+			if !ok {
+				continue
+			}
+			for _, slot := range gv.Slots {
+				e := slot.Load()
+				if !passes(fixedFilters, req, e, rnd) || healthy && !passes(healthFilters, req, e, rnd) {
+					continue
+				}
+				if !withinConcurrency(req, e, rnd) {
+					full = true
+					continue
+				}
+				cs = append(cs, s.score(req, v, gv, e, depth))
+			}
+		}
+		if len(cs) > 0 || full {
+			break
+		}
+	}
+	return cs, full
+}
+
+func (s *Scheduler) depths(req *Request, v *View) []int {
+	if !s.opts.PrefixAffinity || v.Cache == nil || len(req.Prefix) == 0 {
+		return nil
+	}
+	depth := make([]int, v.IndexSize)
+	v.Cache.Match(req.Prefix, depth)
+	return depth
+}
+
+func (s *Scheduler) score(req *Request, v *View, gv *GroupView, e *Endpoint, depth []int) candidate {
+	cached := 0
+	if e.Index < len(depth) {
+		cached = depth[e.Index] * BlockTokens
+	}
+	t := estimateLocal(&s.opts, req, e, v.Now, cached)
+	return candidate{e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens, score: t + costSeconds(v, req, gv.CostPerMillionTokens)}
+}
+
+// costSeconds converts a request's cost into seconds by the operators' weights.
+func costSeconds(v *View, req *Request, perMillion float64) float64 {
+	if v.Knobs.Cost <= 0 || v.Knobs.TailLatency <= 0 {
+		return 0
+	}
+	cost := perMillion * float64(req.PromptTokens+req.OutputTokens) / 1e6
+	return cost * v.Knobs.Cost / v.Knobs.TailLatency
+}
+
+func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, rnd uint64) Decision {
+	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), Reason: ReasonBest}
+	if req.MovesLeft > 0 {
+		away := bestAway(req, v, rnd)
+		gain := local.score - away.ttft - costSeconds(v, req, away.cost)
+		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
+			if withinAwayShare(v) {
+				return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonAway}
+			}
+			serve.Reason = ReasonAwayBudget
+		}
+	}
+	if late(req, serve.EstimatedTTFT) {
+		return Decision{Kind: Refuse, EstimatedTTFT: serve.EstimatedTTFT, Reason: ReasonDeadline}
+	}
+	return serve
+}
+
+// awayOnly chooses a region when this one has no place for req. With no
+// endpoint here at all the share budget doesn't hold, since the alternative is
+// a refusal.
+func (s *Scheduler) awayOnly(req *Request, v *View, rnd uint64) (Decision, bool) {
+	if req.MovesLeft <= 0 {
+		return Decision{}, false
+	}
+	away := bestAway(req, v, rnd)
+	if away.region == "" || late(req, seconds(away.ttft)) {
+		return Decision{}, false
+	}
+	return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonNoLocal}, true
+}
+
+func (s *Scheduler) noChoice(req *Request, v *View, full bool) Decision {
+	if full {
+		return Decision{Kind: Wait, Reason: ReasonSaturated}
+	}
+	if !req.PermittedRegions[v.Region] {
+		return Decision{Kind: Refuse, Reason: ReasonResidency}
+	}
+	return Decision{Kind: Refuse, Reason: ReasonNoEndpoint}
+}
+
+// late says that an answer whose first token takes d can't meet the deadline.
+// A request without a deadline is never late.
+func late(req *Request, d time.Duration) bool {
+	return req.Remaining > 0 && d > req.Remaining
+}
