--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -92,7 +92,7 @@
 	Groups    map[string]GroupSummary `json:"groups"`
 	// Gateways lists some gateways that take callers' and forwarded requests.
 	Gateways []GatewayAddress `json:"gateways"`
-	Revision uint64   `json:"revision"`
+	Revision uint64           `json:"revision"`
 	// Holding counts the region's gateways per revision held.
 	Holding map[uint64]int `json:"holding"`
 }
