Parse the operators' files: merge, typed findings, indexes

Ruled out: yaml.Unmarshal into the structs (stops at the first fault, loses the place, lets typos in null fields pass); a JSON schema library (no places in merged files, no references). Change: YAML nodes become a small tree with positions; each file is checked against the types by itself, so faults in overridden values show too; trees are merged by RFC 7396; defaults and bounds are struct tags; a validator checks names, references and rules between fields; indexes for the request path are built once. A call that isn't repeatable with GET or HEAD is a fault, since net/http and programs on the way send these again.

--- /dev/null
+++ b/internal/intent/decode.go
@@ -0,0 +1,276 @@
+package intent
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+)
+
+// The struct tags of the types that the decoder reads beside "yaml".
+const (
+	// tagDefault is the value of a field that no file sets.
+	tagDefault = "default"
+	// tagMin and tagMax bound a number or a duration, both ends included.
+	tagMin = "min"
+	tagMax = "max"
+)
+
+var durationType = reflect.TypeFor[Duration]()
+
+// decoder fills typed values from nodes. It reports unknown fields, wrong
+// types and values out of range, and keeps where each value came from.
+type decoder struct {
+	diags Diagnostics
+	// places maps paths to positions.
+	places map[string]Position
+}
+
+func newDecoder() *decoder {
+	return &decoder{places: make(map[string]Position)}
+}
+
+func (d *decoder) fault(n *node, path, problem, want string) {
+	d.diags = append(d.diags, Diagnostic{
+		Severity: Fault,
+		Position: n.pos,
+		Path:     path,
+		Problem:  problem,
+		Want:     want,
+	})
+}
+
+// value fills v from n. Null is accepted in a mapping and leaves v unset.
+func (d *decoder) value(n *node, v reflect.Value, path string, tag reflect.StructTag) {
+	d.places[path] = n.pos
+	switch {
+	case v.Type() == durationType:
+		d.duration(n, v, path, tag)
+	case v.Kind() == reflect.Struct:
+		d.structure(n, v, path)
+	case v.Kind() == reflect.Map:
+		d.namedValues(n, v, path)
+	case v.Kind() == reflect.Slice:
+		d.list(n, v, path)
+	default:
+		d.scalar(n, v, path, tag)
+	}
+}
+
+func (d *decoder) expect(n *node, path string, want nodeKind) bool {
+	if n.kind == want {
+		return true
+	}
+	d.fault(n, path, "is "+describe(n), want.String())
+	return false
+}
+
+func describe(n *node) string {
+	if n.kind == kindScalar {
+		return strconv.Quote(clip(n.text))
+	}
+	return n.kind.String()
+}
+
+// maxShown is the number of bytes of a value that a finding shows.
+const maxShown = 60
+
+func clip(s string) string {
+	if len(s) <= maxShown {
+		return s
+	}
+	return s[:maxShown] + "..."
+}
+
+func (d *decoder) structure(n *node, v reflect.Value, path string) {
+	d.defaults(v)
+	if !d.expect(n, path, kindMapping) {
+		return
+	}
+	names := fieldNames(v.Type())
+	for _, key := range n.keys {
+		child := n.fields[key]
+		childPath := joinPath(path, key)
+		i, ok := names[key]
+		if !ok {
+			d.fault(child, childPath, "unknown field", wantOneOf(key, keysOf(names)))
+			continue
+		}
+		if child.kind == kindNull {
+			continue
+		}
+		d.value(child, v.Field(i), childPath, v.Type().Field(i).Tag)
+	}
+}
+
+// defaults sets the fields of v that have a default tag, nested ones too.
+func (d *decoder) defaults(v reflect.Value) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		if !field.IsExported() {
+			continue
+		}
+		if field.Type.Kind() == reflect.Struct {
+			d.defaults(v.Field(i))
+		}
+		text, ok := field.Tag.Lookup(tagDefault)
+		if ok {
+			d.setText(v.Field(i), text)
+		}
+	}
+}
+
+func (d *decoder) setText(v reflect.Value, text string) bool {
+	if v.Type() == durationType {
+		parsed, err := ParseDuration(text)
+		v.SetInt(int64(parsed))
+		return err == nil
+	}
+	switch v.Kind() {
+	case reflect.Int:
+		i, err := strconv.Atoi(text)
+		v.SetInt(int64(i))
+		return err == nil
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(text, 64)
+		v.SetFloat(f)
+		return err == nil && !math.IsNaN(f) && !math.IsInf(f, 0)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		v.SetBool(b)
+		return err == nil
+	case reflect.String:
+		v.SetString(text)
+		return true
+	}
+	return false
+}
+
+// fieldNames maps the YAML names of a struct type to field indexes.
+func fieldNames(t reflect.Type) map[string]int {
+	names := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		if name := t.Field(i).Tag.Get("yaml"); name != "" {
+			names[name] = i
+		}
+	}
+	return names
+}
+
+func keysOf[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+func (d *decoder) namedValues(n *node, v reflect.Value, path string) {
+	if !d.expect(n, path, kindMapping) {
+		return
+	}
+	v.Set(reflect.MakeMapWithSize(v.Type(), len(n.keys)))
+	for _, key := range n.keys {
+		child := n.fields[key]
+		if child.kind == kindNull {
+			continue
+		}
+		item := reflect.New(v.Type().Elem()).Elem()
+		d.value(child, item, joinPath(path, key), "")
+		v.SetMapIndex(reflect.ValueOf(key), item)
+	}
+}
+
+func (d *decoder) list(n *node, v reflect.Value, path string) {
+	if !d.expect(n, path, kindList) {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.items), len(n.items)))
+	for i, item := range n.items {
+		d.value(item, v.Index(i), joinIndex(path, i), "")
+	}
+}
+
+func (d *decoder) duration(n *node, v reflect.Value, path string, tag reflect.StructTag) {
+	if n.kind != kindScalar || !d.setText(v, n.text) {
+		v.SetInt(0)
+		d.fault(n, path, describe(n)+" is not a duration with a unit", "a duration such as 250ms or 2s")
+		return
+	}
+	low, _ := ParseDuration(tag.Get(tagMin))
+	high, err := ParseDuration(tag.Get(tagMax))
+	if err != nil {
+		high = math.MaxInt64
+	}
+	got := Duration(v.Int())
+	if got < low || got > high {
+		d.fault(n, path, describe(n)+" is out of range", rangeText(tag))
+	}
+}
+
+// wantOf names what a scalar of a Go kind is called in a finding.
+var wantOf = map[reflect.Kind]string{
+	reflect.Int:     "a whole number",
+	reflect.Float64: "a number",
+	reflect.Bool:    "true or false",
+	reflect.String:  "text",
+}
+
+// tagsOf lists the YAML tags that each Go kind accepts.
+var tagsOf = map[reflect.Kind][]string{
+	reflect.Int:     {"!!int"},
+	reflect.Float64: {"!!int", "!!float"},
+	reflect.Bool:    {"!!bool"},
+	reflect.String:  {"!!str"},
+}
+
+func (d *decoder) scalar(n *node, v reflect.Value, path string, tag reflect.StructTag) {
+	if !d.accepts(n, v) {
+		v.SetZero()
+		d.fault(n, path, "is "+describe(n), wantOf[v.Kind()])
+		return
+	}
+	if !inRange(v, tag) {
+		d.fault(n, path, describe(n)+" is out of range", rangeText(tag))
+	}
+}
+
+func (d *decoder) accepts(n *node, v reflect.Value) bool {
+	if n.kind != kindScalar {
+		return false
+	}
+	for _, t := range tagsOf[v.Kind()] {
+		if n.tag == t {
+			return d.setText(v, n.text)
+		}
+	}
+	return false
+}
+
+func inRange(v reflect.Value, tag reflect.StructTag) bool {
+	var got float64
+	switch v.Kind() {
+	case reflect.Int:
+		got = float64(v.Int())
+	case reflect.Float64:
+		got = v.Float()
+	default:
+		return true
+	}
+	if low, err := strconv.ParseFloat(tag.Get(tagMin), 64); err == nil && got < low {
+		return false
+	}
+	high, err := strconv.ParseFloat(tag.Get(tagMax), 64)
+	return err != nil || got <= high
+}
+
+func rangeText(tag reflect.StructTag) string {
+	low, high := tag.Get(tagMin), tag.Get(tagMax)
+	switch {
+	case high == "":
+		return fmt.Sprintf("%s or more", low)
+	case low == "":
+		return fmt.Sprintf("%s or less", high)
+	}
+	return fmt.Sprintf("%s to %s", low, high)
+}
--- /dev/null
+++ b/internal/intent/index.go
@@ -0,0 +1,128 @@
+package intent
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// MaxKeyLength is the longest API key that is looked up, in bytes.
+const MaxKeyLength = 512
+
+// index holds what the request path looks up, worked out once after a parse.
+type index struct {
+	// keys maps the first eight bytes of a key's hash to its candidates.
+	keys map[uint64][]keyEntry
+	// permitted maps customers to the regions that their data may be in.
+	permitted map[string]map[string]bool
+	links     map[regionPair]Link
+}
+
+type keyEntry struct {
+	hash     [sha256.Size]byte
+	name     string
+	customer *Customer
+}
+
+type regionPair struct{ a, b string }
+
+func newIndex(in *Intent) *index {
+	x := &index{
+		keys:      make(map[uint64][]keyEntry),
+		permitted: make(map[string]map[string]bool, len(in.Customers)),
+		links:     make(map[regionPair]Link),
+	}
+	for name, c := range in.Customers {
+		x.addCustomer(name, &c)
+	}
+	for a := range in.Regions {
+		for b := range in.Regions {
+			if a < b {
+				x.links[regionPair{a, b}] = in.linkOf(a, b)
+			}
+		}
+	}
+	return x
+}
+
+func (x *index) addCustomer(name string, c *Customer) {
+	for _, text := range c.KeyHashes {
+		e := keyEntry{name: name, customer: c}
+		if _, err := hex.Decode(e.hash[:], []byte(text)); err != nil {
+			continue
+		}
+		bucket := binary.BigEndian.Uint64(e.hash[:])
+		x.keys[bucket] = append(x.keys[bucket], e)
+	}
+	set := make(map[string]bool, len(c.Residency)+1)
+	for _, region := range c.Residency {
+		set[region] = true
+	}
+	set[c.Home] = true
+	x.permitted[name] = set
+}
+
+// linkOf returns the declared link of two regions, given in order.
+func (in *Intent) linkOf(a, b string) Link {
+	if l, ok := in.Links[LinkName(a, b)]; ok {
+		return l
+	}
+	return in.Links[DefaultLink]
+}
+
+// DefaultLink is the key in Intent.Links of the link that holds for each pair
+// of regions without one of its own.
+const DefaultLink = "*"
+
+// LinkName returns the key in Intent.Links of two regions.
+func LinkName(a, b string) string {
+	if b < a {
+		a, b = b, a
+	}
+	return a + "-" + b
+}
+
+// CustomerByKey returns the customer that the API key belongs to. The hashes
+// are compared in constant time.
+func (in *Intent) CustomerByKey(key string) (name string, c *Customer, ok bool) {
+	if in.index == nil || key == "" || len(key) > MaxKeyLength {
+		return "", nil, false
+	}
+	hash := sha256.Sum256([]byte(key))
+	bucket := in.index.keys[binary.BigEndian.Uint64(hash[:])]
+	for i := range bucket {
+		e := &bucket[i]
+		if subtle.ConstantTimeCompare(e.hash[:], hash[:]) == 1 {
+			return e.name, e.customer, true
+		}
+	}
+	return "", nil, false
+}
+
+// PermittedRegions returns the regions in which the customer's data may be
+// processed. It is nil for an unknown customer and must not be changed.
+func (in *Intent) PermittedRegions(customer string) map[string]bool {
+	if in.index == nil {
+		return nil
+	}
+	return in.index.permitted[customer]
+}
+
+// LinkBetween returns the link of two regions, in either order. It is zero
+// within a region and for regions that the intent does not name.
+func (in *Intent) LinkBetween(a, b string) Link {
+	if in.index == nil {
+		return Link{}
+	}
+	if b < a {
+		a, b = b, a
+	}
+	return in.index.links[regionPair{a, b}]
+}
+
+// HashKey returns the hex SHA-256 hash of an API key, as key_hashes holds it.
+func HashKey(key string) string {
+	hash := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(hash[:])
+}
--- /dev/null
+++ b/internal/intent/merge.go
@@ -0,0 +1,38 @@
+package intent
+
+// merger applies files one after another as RFC 7396 merge patches.
+type merger struct {
+	diags Diagnostics
+}
+
+// apply returns target refined by patch. Mappings merge, null removes, and
+// anything else replaces. It may reuse target; it leaves patch unchanged.
+func (m *merger) apply(target, patch *node, path string) *node {
+	if patch.kind != kindMapping {
+		return patch
+	}
+	if target == nil || target.kind != kindMapping {
+		target = newMapping(patch.pos)
+	}
+	for _, key := range patch.keys {
+		m.field(target, patch.fields[key], key, joinPath(path, key))
+	}
+	return target
+}
+
+func (m *merger) field(target, value *node, key, path string) {
+	old := target.fields[key]
+	if value.kind != kindNull {
+		target.set(key, m.apply(old, value, path))
+		return
+	}
+	if old == nil {
+		m.diags = append(m.diags, Diagnostic{
+			Severity: Warning,
+			Position: value.pos,
+			Path:     path,
+			Problem:  "null removes nothing: no earlier file sets this field",
+		})
+	}
+	target.remove(key)
+}
--- /dev/null
+++ b/internal/intent/parse.go
@@ -0,0 +1,127 @@
+package intent
+
+import (
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// File is one file of the operators' folder.
+type File struct {
+	Name    string
+	Content []byte
+}
+
+// fileName matches the names that a file may have.
+var fileName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,120}\.ya?ml$`)
+
+// IsFileName tells whether a file of this name belongs to a configuration.
+func IsFileName(name string) bool { return fileName.MatchString(name) }
+
+// Parse merges the files in the order of their names, applies the defaults and
+// checks the result. The intent is nil if and only if a finding is a fault.
+// Parse finds every fault at once, in overridden values too.
+func Parse(files []File) (*Intent, Diagnostics) {
+	p := &parser{}
+	merged, complete := p.merge(files)
+	in, places := p.decode(merged)
+	if complete {
+		p.diags = append(p.diags, validate(in, places, p.diags)...)
+	}
+	p.diags.sort()
+	if p.diags.HasFaults() {
+		return nil, p.diags
+	}
+	in.index = newIndex(in)
+	return in, p.diags
+}
+
+type parser struct {
+	diags Diagnostics
+}
+
+// merge returns the merged tree and whether every file could be read.
+func (p *parser) merge(files []File) (*node, bool) {
+	merged := newMapping(Position{})
+	if !p.checkSizes(files) {
+		return merged, false
+	}
+	sorted := slices.Clone(files)
+	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	complete := true
+	m := &merger{}
+	for i, f := range sorted {
+		if !p.checkName(f, i > 0 && sorted[i-1].Name == f.Name) {
+			complete = false
+			continue
+		}
+		tree, diags := readTree(f)
+		p.diags = append(p.diags, diags...)
+		if tree == nil {
+			complete = false
+			continue
+		}
+		p.checkShape(tree)
+		merged = m.apply(merged, tree, "")
+	}
+	p.diags = append(p.diags, m.diags...)
+	return merged, complete
+}
+
+func (p *parser) checkSizes(files []File) bool {
+	if len(files) > MaxFiles {
+		p.fileFault("", fmt.Sprintf("%d files", len(files)), fmt.Sprintf("at most %d", MaxFiles))
+		return false
+	}
+	total := 0
+	for _, f := range files {
+		total += len(f.Content)
+	}
+	if total > MaxTotalSize {
+		p.fileFault("", fmt.Sprintf("%d bytes in all files", total), fmt.Sprintf("at most %d", MaxTotalSize))
+		return false
+	}
+	return true
+}
+
+func (p *parser) checkName(f File, repeated bool) bool {
+	switch {
+	case !IsFileName(f.Name):
+		p.fileFault(f.Name, "not a valid file name", "letters, digits, '.', '_' and '-', ending in .yaml")
+	case repeated:
+		p.fileFault(f.Name, "given twice", "each file once")
+	case len(f.Content) > MaxFileSize:
+		p.fileFault(f.Name, fmt.Sprintf("%d bytes", len(f.Content)), fmt.Sprintf("at most %d", MaxFileSize))
+	default:
+		return true
+	}
+	return false
+}
+
+func (p *parser) fileFault(name, problem, want string) {
+	p.diags = append(p.diags, Diagnostic{
+		Severity: Fault,
+		Position: Position{File: name},
+		Problem:  problem,
+		Want:     want,
+	})
+}
+
+// checkShape reports unknown fields and bad values of one file, also those
+// that a later file overrides.
+func (p *parser) checkShape(tree *node) {
+	d := newDecoder()
+	d.value(tree, reflect.ValueOf(&Intent{}).Elem(), "", "")
+	p.diags = append(p.diags, d.diags...)
+}
+
+// decode fills an intent from the merged tree. Its findings are those of
+// checkShape again, so they are dropped.
+func (p *parser) decode(merged *node) (*Intent, map[string]Position) {
+	d := newDecoder()
+	in := &Intent{}
+	d.value(merged, reflect.ValueOf(in).Elem(), "", "")
+	return in, d.places
+}
--- /dev/null
+++ b/internal/intent/tree.go
@@ -0,0 +1,247 @@
+package intent
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Limits of the operators' files.
+const (
+	// MaxFileSize is in bytes; it is the largest value the store holds.
+	MaxFileSize = 1 << 20
+	// MaxTotalSize is in bytes, over all files.
+	MaxTotalSize = 8 << 20
+	// MaxFiles is the number of files of one configuration.
+	MaxFiles = 1000
+	// MaxDepth is the nesting depth of mappings and lists in a file.
+	MaxDepth = 16
+)
+
+// nodeKind is the kind of a node.
+type nodeKind int
+
+const (
+	kindNull nodeKind = iota
+	kindScalar
+	kindList
+	kindMapping
+)
+
+func (k nodeKind) String() string {
+	return [...]string{"null", "a value", "a list", "a mapping"}[k]
+}
+
+// node is one value of an operator's file, or of the merge of several.
+type node struct {
+	kind nodeKind
+	// pos is the place of the value; for a field of a mapping, of its key.
+	pos Position
+	// tag and text are those of a scalar.
+	tag, text string
+	items     []*node
+	// keys holds the order of the fields.
+	keys   []string
+	fields map[string]*node
+}
+
+func newMapping(pos Position) *node {
+	return &node{kind: kindMapping, pos: pos, fields: make(map[string]*node)}
+}
+
+func (n *node) set(key string, v *node) {
+	if _, ok := n.fields[key]; !ok {
+		n.keys = append(n.keys, key)
+	}
+	n.fields[key] = v
+}
+
+func (n *node) remove(key string) {
+	if _, ok := n.fields[key]; !ok {
+		return
+	}
+	delete(n.fields, key)
+	for i, k := range n.keys {
+		if k == key {
+			n.keys = append(n.keys[:i:i], n.keys[i+1:]...)
+			return
+		}
+	}
+}
+
+// treeReader turns one file into a node and collects its findings.
+type treeReader struct {
+	file  string
+	diags Diagnostics
+}
+
+// readTree returns the file's mapping, or nil when the file can't be read.
+func readTree(f File) (*node, Diagnostics) {
+	r := &treeReader{file: f.Name}
+	root := r.document(f.Content)
+	return root, r.diags
+}
+
+func (r *treeReader) document(content []byte) *node {
+	dec := yaml.NewDecoder(bytes.NewReader(content))
+	var doc yaml.Node
+	err := dec.Decode(&doc)
+	if errors.Is(err, io.EOF) {
+		return newMapping(Position{File: r.file})
+	}
+	if err != nil {
+		r.syntax(err)
+		return nil
+	}
+	var second yaml.Node
+	err = dec.Decode(&second)
+	if err == nil {
+		r.fault(&second, "", "the file holds more than one document", "one document a file")
+		return nil
+	}
+	if !errors.Is(err, io.EOF) {
+		r.syntax(err)
+		return nil
+	}
+	return r.root(&doc)
+}
+
+func (r *treeReader) root(doc *yaml.Node) *node {
+	if len(doc.Content) == 0 {
+		return newMapping(Position{File: r.file})
+	}
+	before := len(r.diags)
+	n := r.value(doc.Content[0], "", 0)
+	if len(r.diags) > before {
+		return nil
+	}
+	switch n.kind {
+	case kindMapping:
+		return n
+	case kindNull:
+		return newMapping(n.pos)
+	}
+	r.fault(doc.Content[0], "", "the file is "+n.kind.String(), "a mapping")
+	return nil
+}
+
+// syntaxLine finds the line in the YAML library's message.
+var syntaxLine = regexp.MustCompile(`line (\d+)`)
+
+func (r *treeReader) syntax(err error) {
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	pos := Position{File: r.file}
+	if m := syntaxLine.FindStringSubmatch(text); m != nil {
+		pos.Line, _ = strconv.Atoi(m[1])
+		pos.Column = 1
+	}
+	r.diags = append(r.diags, Diagnostic{
+		Severity: Fault,
+		Position: pos,
+		Problem:  "not valid YAML: " + text,
+		Want:     "a YAML mapping",
+	})
+}
+
+func (r *treeReader) fault(n *yaml.Node, path, problem, want string) {
+	r.diags = append(r.diags, Diagnostic{
+		Severity: Fault,
+		Position: r.pos(n),
+		Path:     path,
+		Problem:  problem,
+		Want:     want,
+	})
+}
+
+func (r *treeReader) pos(n *yaml.Node) Position {
+	return Position{File: r.file, Line: n.Line, Column: n.Column}
+}
+
+// value converts y. It always returns a node; findings are in r.diags.
+func (r *treeReader) value(y *yaml.Node, path string, depth int) *node {
+	n := &node{pos: r.pos(y)}
+	if y.Kind == yaml.AliasNode || y.Anchor != "" {
+		r.fault(y, path, "anchors and aliases are not supported", "the value written out")
+		return n
+	}
+	if depth > MaxDepth {
+		r.fault(y, path, "nested too deeply", fmt.Sprintf("at most %d levels", MaxDepth))
+		return n
+	}
+	switch y.Kind {
+	case yaml.MappingNode:
+		r.mapping(n, y, path, depth)
+	case yaml.SequenceNode:
+		n.kind = kindList
+		for i, item := range y.Content {
+			n.items = append(n.items, r.value(item, joinIndex(path, i), depth+1))
+		}
+	default:
+		r.scalar(n, y)
+	}
+	return n
+}
+
+func (r *treeReader) scalar(n *node, y *yaml.Node) {
+	n.tag = y.ShortTag()
+	n.text = y.Value
+	if n.tag != "!!null" {
+		n.kind = kindScalar
+	}
+}
+
+func (r *treeReader) mapping(n *node, y *yaml.Node, path string, depth int) {
+	n.kind = kindMapping
+	n.fields = make(map[string]*node, len(y.Content)/2)
+	for i := 0; i+1 < len(y.Content); i += 2 {
+		key := y.Content[i]
+		if !r.checkKey(n, key, path) {
+			continue
+		}
+		child := r.value(y.Content[i+1], joinPath(path, key.Value), depth+1)
+		child.pos = r.pos(key)
+		n.set(key.Value, child)
+	}
+}
+
+func (r *treeReader) checkKey(n *node, key *yaml.Node, path string) bool {
+	switch {
+	case key.Kind != yaml.ScalarNode || key.Anchor != "":
+		r.fault(key, path, "a field name must be plain text", "a name")
+		return false
+	case key.ShortTag() == "!!merge":
+		r.fault(key, path, "merge keys are not supported", "the value written out")
+		return false
+	}
+	first, ok := n.fields[key.Value]
+	if ok {
+		r.fault(key, joinPath(path, key.Value),
+			fmt.Sprintf("set twice in this file, first on line %d", first.pos.Line), "one of the two")
+	}
+	return !ok
+}
+
+// plainName matches the names that a path shows without quotes.
+var plainName = regexp.MustCompile(`^[A-Za-z0-9_*-]+$`)
+
+// joinPath adds a field to a path.
+func joinPath(path, field string) string {
+	if !plainName.MatchString(field) {
+		return path + "[" + strconv.Quote(field) + "]"
+	}
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
+
+// joinIndex adds a list index to a path.
+func joinIndex(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
--- a/internal/intent/types.go
+++ b/internal/intent/types.go
@@ -2,9 +2,11 @@
 // configuration, the merge of a folder's files, and its validation.
 package intent
 
-import "time"
-
-// Intent is one whole, valid configuration. It is immutable once published.
+// Intent is one whole, valid configuration. It is immutable once published:
+// Parse makes it together with the indexes that the request path reads.
+//
+// The struct tags default, min and max are read by the decoder: the value of a
+// field that no file sets, and the bounds of a number or duration.
 type Intent struct {
 	Regions   map[string]Region   `yaml:"regions" json:"regions"`
 	Links     map[string]Link     `yaml:"links" json:"links,omitempty"`
@@ -13,6 +15,8 @@
 	Services  map[string]Service  `yaml:"services" json:"services,omitempty"`
 	Groups    map[string]Group    `yaml:"groups" json:"groups"`
 	Routing   Routing             `yaml:"routing" json:"routing"`
+
+	index *index
 }
 
 // Region is a set of data centres that are close to each other.
@@ -24,9 +28,9 @@
 // the two region names in order, joined by "-"; the key "*" is the default.
 type Link struct {
 	// OneWay is the one-way delay.
-	OneWay Duration `yaml:"one_way" json:"one_way"`
+	OneWay Duration `yaml:"one_way" json:"one_way" default:"55ms" min:"0s" max:"10s"`
 	// MegabitsPerSecond is the capacity each way.
-	MegabitsPerSecond float64 `yaml:"megabits_per_second" json:"megabits_per_second"`
+	MegabitsPerSecond float64 `yaml:"megabits_per_second" json:"megabits_per_second" default:"1000" min:"0.001"`
 }
 
 // Customer is one account whose programs call the gateway.
@@ -39,24 +43,24 @@
 	// processed. Empty means the home region only.
 	Residency []string `yaml:"residency" json:"residency"`
 	// Priority of the customer's requests, 0 (lowest) to 9. A caller may lower it.
-	Priority int `yaml:"priority" json:"priority"`
+	Priority int `yaml:"priority" json:"priority" default:"5" min:"0" max:"9"`
 	// Deadline is the total time for a request. A caller may lower it.
-	Deadline Duration `yaml:"deadline" json:"deadline"`
+	Deadline Duration `yaml:"deadline" json:"deadline" default:"60s" min:"1ms" max:"1h"`
 	Limits   Limits   `yaml:"limits" json:"limits"`
 }
 
 // Limits bound a customer's use over all gateways. Zero means no limit.
 type Limits struct {
-	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second"`
-	TokensPerSecond   float64 `yaml:"tokens_per_second" json:"tokens_per_second"`
-	Concurrent        int     `yaml:"concurrent" json:"concurrent"`
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second" min:"0"`
+	TokensPerSecond   float64 `yaml:"tokens_per_second" json:"tokens_per_second" min:"0"`
+	Concurrent        int     `yaml:"concurrent" json:"concurrent" min:"0"`
 }
 
 // Model is a name that callers ask for and the endpoint groups that serve it.
 type Model struct {
 	Groups          []string `yaml:"groups" json:"groups"`
-	MaxPromptTokens int      `yaml:"max_prompt_tokens" json:"max_prompt_tokens"`
-	MaxOutputTokens int      `yaml:"max_output_tokens" json:"max_output_tokens"`
+	MaxPromptTokens int      `yaml:"max_prompt_tokens" json:"max_prompt_tokens" min:"1"`
+	MaxOutputTokens int      `yaml:"max_output_tokens" json:"max_output_tokens" min:"1"`
 }
 
 // Service is a plain service beside the model engines.
@@ -67,12 +71,12 @@
 
 // Call is one call of a plain service.
 type Call struct {
-	Method string `yaml:"method" json:"method"`
+	Method string `yaml:"method" json:"method" default:"POST"`
 	Path   string `yaml:"path" json:"path"`
 	// Repeatable says that running the call twice does no harm. Calls that
 	// are not repeatable are only reached through /v1/actions.
 	Repeatable bool     `yaml:"repeatable" json:"repeatable"`
-	Timeout    Duration `yaml:"timeout" json:"timeout"`
+	Timeout    Duration `yaml:"timeout" json:"timeout" default:"10s" min:"1ms" max:"1h"`
 }
 
 // GroupKind tells model engines from plain services.
@@ -93,9 +97,9 @@
 	// fencing number.
 	ChecksFencing bool `yaml:"checks_fencing" json:"checks_fencing"`
 	// CostPerMillionTokens is in the operators' currency.
-	CostPerMillionTokens float64 `yaml:"cost_per_million_tokens" json:"cost_per_million_tokens"`
-	// MaxConcurrent bounds the requests in flight at one endpoint.
-	MaxConcurrent int `yaml:"max_concurrent" json:"max_concurrent"`
+	CostPerMillionTokens float64 `yaml:"cost_per_million_tokens" json:"cost_per_million_tokens" min:"0"`
+	// MaxConcurrent bounds the requests in flight at one endpoint; 0 means no bound.
+	MaxConcurrent int `yaml:"max_concurrent" json:"max_concurrent" min:"0"`
 }
 
 // Routing holds the knobs of the scheduler and of admission.
@@ -103,26 +107,20 @@
 	Weights Weights `yaml:"weights" json:"weights"`
 	// AwayMargin is the gain in time to first token that another region must
 	// promise before a request is sent there.
-	AwayMargin Duration `yaml:"away_margin" json:"away_margin"`
+	AwayMargin Duration `yaml:"away_margin" json:"away_margin" default:"200ms" min:"0s" max:"1h"`
 	// MaxAwayShare bounds the share of requests sent to other regions, 0 to 1.
-	MaxAwayShare float64 `yaml:"max_away_share" json:"max_away_share"`
+	MaxAwayShare float64 `yaml:"max_away_share" json:"max_away_share" default:"0.5" min:"0" max:"1"`
 	// MaxLinkShare bounds the share of a link that forwarded requests use, 0 to 1.
-	MaxLinkShare float64 `yaml:"max_link_share" json:"max_link_share"`
+	MaxLinkShare float64 `yaml:"max_link_share" json:"max_link_share" default:"0.5" min:"0" max:"1"`
 	// RetryRatio is the number of retries allowed for each success.
-	RetryRatio float64 `yaml:"retry_ratio" json:"retry_ratio"`
+	RetryRatio float64 `yaml:"retry_ratio" json:"retry_ratio" default:"0.1" min:"0" max:"1"`
 	// TTFTTarget is the time to first token aimed at for 95 in 100.
-	TTFTTarget Duration `yaml:"ttft_target" json:"ttft_target"`
+	TTFTTarget Duration `yaml:"ttft_target" json:"ttft_target" default:"620ms" min:"1ms" max:"1h"`
 }
 
 // Weights say what the operators care for; only their ratios matter.
 type Weights struct {
-	TailLatency float64 `yaml:"tail_latency" json:"tail_latency"`
-	AwayShare   float64 `yaml:"away_share" json:"away_share"`
-	Cost        float64 `yaml:"cost" json:"cost"`
+	TailLatency float64 `yaml:"tail_latency" json:"tail_latency" default:"1" min:"0"`
+	AwayShare   float64 `yaml:"away_share" json:"away_share" default:"1" min:"0"`
+	Cost        float64 `yaml:"cost" json:"cost" default:"0.1" min:"0"`
 }
-
-// Duration is a time.Duration written as "250ms" in files and JSON.
-type Duration time.Duration
-
-// D returns d as a time.Duration.
-func (d Duration) D() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/internal/intent/validate_customers.go
@@ -0,0 +1,84 @@
+package intent
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// keyHash matches a hex SHA-256 hash.
+var keyHash = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
+
+func (v *validator) customers() {
+	for _, name := range sortedKeys(v.in.Customers) {
+		c := v.in.Customers[name]
+		path := joinPath("customers", name)
+		v.name(entryName, path, name, wantEntryName)
+		v.keyHashes(path, c.KeyHashes)
+		c.Residency = v.residency(path, c)
+		v.in.Customers[name] = c
+		v.unservedModels(path, c)
+	}
+}
+
+func (v *validator) keyHashes(customer string, hashes []string) {
+	path := joinPath(customer, "key_hashes")
+	if len(hashes) == 0 {
+		v.report(Warning, path, "the customer has no API key, so nobody can call in its name", "at least one hash")
+	}
+	for i, hash := range hashes {
+		v.keyHash(joinIndex(path, i), hash)
+	}
+}
+
+func (v *validator) keyHash(path, hash string) {
+	if !keyHash.MatchString(hash) {
+		v.fault(path, "not a hex SHA-256 hash", "64 hex digits")
+		return
+	}
+	hash = strings.ToLower(hash)
+	if first, ok := v.keyOwner[hash]; ok {
+		v.fault(path, "the same key hash as "+first, "a key of its own")
+		return
+	}
+	v.keyOwner[hash] = path
+}
+
+// residency checks home and residency and returns the residency with its
+// default, the home region.
+func (v *validator) residency(path string, c Customer) []string {
+	home := joinPath(path, "home")
+	if c.Home == "" {
+		v.fault(home, "is missing", wantOneOf("", keysOf(v.in.Regions)))
+	} else {
+		reference(v, home, "region", c.Home, v.in.Regions)
+	}
+	if len(c.Residency) == 0 {
+		return []string{c.Home}
+	}
+	list := joinPath(path, "residency")
+	v.regionList(list, c.Residency)
+	if c.Home != "" && !slices.Contains(c.Residency, c.Home) {
+		v.fault(list, fmt.Sprintf("excludes the home region %q", clip(c.Home)), "a list with the home region in it")
+	}
+	return c.Residency
+}
+
+// unservedModels warns of models that no region of the residency serves.
+func (v *validator) unservedModels(path string, c Customer) {
+	for _, name := range sortedKeys(v.in.Models) {
+		if !v.servedIn(v.in.Models[name], c.Residency) {
+			v.report(Warning, joinPath(path, "residency"),
+				fmt.Sprintf("no region of the residency has a group of model %q", name), "")
+		}
+	}
+}
+
+func (v *validator) servedIn(m Model, regions []string) bool {
+	return slices.ContainsFunc(m.Groups, func(group string) bool {
+		return slices.ContainsFunc(v.in.Groups[group].Regions, func(r string) bool {
+			return slices.Contains(regions, r)
+		})
+	})
+}
--- /dev/null
+++ b/internal/intent/validate_serving.go
@@ -0,0 +1,161 @@
+package intent
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// callMethods are the HTTP methods that a call may have.
+var callMethods = []string{
+	http.MethodGet,
+	http.MethodHead,
+	http.MethodPost,
+	http.MethodPut,
+	http.MethodPatch,
+	http.MethodDelete,
+}
+
+// resentMethods are the methods that net/http sends again by itself when a
+// pooled connection turns out to be closed, and that caches and other
+// programs on the way take as safe to repeat.
+var resentMethods = []string{http.MethodGet, http.MethodHead}
+
+// groupKinds are the kinds that a group may have.
+var groupKinds = map[string]bool{string(KindEngine): true, string(KindService): true}
+
+func (v *validator) groups() {
+	for _, name := range sortedKeys(v.in.Groups) {
+		g := v.in.Groups[name]
+		path := joinPath("groups", name)
+		v.name(entryName, path, name, wantEntryName)
+		kind := joinPath(path, "kind")
+		if !v.has(kind) {
+			v.fault(kind, "no kind is set", "engine or service")
+		} else {
+			reference(v, kind, "kind", string(g.Kind), groupKinds)
+		}
+		v.regionList(joinPath(path, "regions"), g.Regions)
+		if g.Kind == KindService && g.CostPerMillionTokens != 0 {
+			v.fault(joinPath(path, "cost_per_million_tokens"), "a service group has no tokens", "no such field here")
+		}
+	}
+	if _, ok := v.in.Groups["gateway"]; ok {
+		v.fault("groups.gateway", "the name is reserved for the gateways themselves", "another name")
+	}
+}
+
+func (v *validator) regionList(path string, regions []string) {
+	if len(regions) == 0 {
+		v.fault(path, "no region is listed", "at least one region")
+	}
+	for i, r := range regions {
+		reference(v, joinIndex(path, i), "region", r, v.in.Regions)
+	}
+	v.noRepeats(path, regions)
+}
+
+// groupReference checks that a group is declared and of the wanted kind.
+func (v *validator) groupReference(path, name string, kind GroupKind) {
+	if !reference(v, path, "group", name, v.in.Groups) {
+		return
+	}
+	if got := v.in.Groups[name].Kind; got != kind && groupKinds[string(got)] {
+		v.fault(path, fmt.Sprintf("group %q is of kind %s", name, got), fmt.Sprintf("a group of kind %s", kind))
+	}
+}
+
+func (v *validator) models() {
+	for _, name := range sortedKeys(v.in.Models) {
+		m := v.in.Models[name]
+		path := joinPath("models", name)
+		v.name(modelName, path, name, wantModelName)
+		groups := joinPath(path, "groups")
+		if len(m.Groups) == 0 {
+			v.fault(groups, "no group is listed", "at least one group of kind engine")
+		}
+		for i, g := range m.Groups {
+			v.groupReference(joinIndex(groups, i), g, KindEngine)
+		}
+		v.noRepeats(groups, m.Groups)
+		v.required(joinPath(path, "max_prompt_tokens"), "a limit in tokens")
+		v.required(joinPath(path, "max_output_tokens"), "a limit in tokens")
+	}
+}
+
+func (v *validator) required(path, want string) {
+	if !v.has(path) {
+		v.fault(path, "is missing", want)
+	}
+}
+
+func (v *validator) services() {
+	for _, name := range sortedKeys(v.in.Services) {
+		s := v.in.Services[name]
+		path := joinPath("services", name)
+		v.name(entryName, path, name, wantEntryName)
+		group := joinPath(path, "group")
+		if s.Group == "" {
+			v.fault(group, "is missing", "a group of kind service")
+		} else {
+			v.groupReference(group, s.Group, KindService)
+		}
+		v.calls(joinPath(path, "calls"), s.Calls)
+	}
+}
+
+func (v *validator) calls(path string, calls map[string]Call) {
+	if len(calls) == 0 {
+		v.fault(path, "no call is declared", "at least one call")
+	}
+	routes := make(map[string]string, len(calls))
+	for _, name := range sortedKeys(calls) {
+		c := calls[name]
+		callPath := joinPath(path, name)
+		v.name(entryName, callPath, name, wantEntryName)
+		v.call(callPath, c)
+		route := c.Method + " " + c.Path
+		if first, ok := routes[route]; ok && c.Path != "" {
+			v.fault(joinPath(callPath, "path"),
+				fmt.Sprintf("the same method and path as call %q", first), "one call for each method and path")
+		}
+		routes[route] = name
+	}
+}
+
+func (v *validator) call(path string, c Call) {
+	method := joinPath(path, "method")
+	if !slices.Contains(callMethods, c.Method) {
+		v.fault(method, fmt.Sprintf("unknown method %q", clip(c.Method)), wantOneOf(c.Method, callMethods))
+	}
+	if !c.Repeatable && slices.Contains(resentMethods, c.Method) {
+		v.fault(method, c.Method+" may be sent twice by any program on the way, but the call is not repeatable",
+			"method POST, or repeatable: true")
+	}
+	route := joinPath(path, "path")
+	if !isCallPath(c.Path) {
+		v.fault(route, fmt.Sprintf("%q is not a plain absolute path", clip(c.Path)), "a path such as /bookings/confirm")
+	}
+}
+
+// maxCallPath is the longest path of a call, in bytes.
+const maxCallPath = 512
+
+// isCallPath tells whether p is absolute and means the same to every program
+// that reads it: no dot segments, empty segments, escapes or query.
+func isCallPath(p string) bool {
+	if !strings.HasPrefix(p, "/") || len(p) > maxCallPath {
+		return false
+	}
+	for _, c := range p {
+		if c <= ' ' || c > '~' || strings.ContainsRune(`?#%\{}`, c) {
+			return false
+		}
+	}
+	segments := strings.Split(p[1:], "/")
+	if p == "/" {
+		return true
+	}
+	return !slices.ContainsFunc(segments, func(s string) bool { return s == "" || s == "." || s == ".." })
+}
