--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -85,16 +85,25 @@
 	// From and Seq order the summaries of one sender.
 	From string `json:"from"`
 	Seq  uint64 `json:"seq"`
-	// Heard is when this gateway received it.
-	Heard  time.Time               `json:"-"`
-	Groups map[string]GroupSummary `json:"groups"`
-	// Gateways lists some peer addresses that take forwarded requests.
-	Gateways []string `json:"gateways"`
-	Revision uint64   `json:"revision"`
+	// Heard is when this gateway received it, less its age at that time.
+	Heard time.Time `json:"-"`
+	// AgeMillis is the summary's age when it was sent on.
+	AgeMillis int64                   `json:"age_ms,omitempty"`
+	Groups    map[string]GroupSummary `json:"groups"`
+	// Gateways lists some gateways that take callers' and forwarded requests.
+	Gateways []GatewayAddress `json:"gateways"`
+	Revision uint64           `json:"revision"`
 	// Holding counts the region's gateways per revision held.
 	Holding map[uint64]int `json:"holding"`
 }
 
+// GatewayAddress is where a gateway is reached, as host:port.
+type GatewayAddress struct {
+	ID     string `json:"id"`
+	Peer   string `json:"peer"`
+	Caller string `json:"caller"`
+}
+
 // GroupSummary sums up the load of a group of endpoints in one region.
 type GroupSummary struct {
 	Endpoints           int     `json:"endpoints"`
@@ -134,8 +143,21 @@
 	Endpoints *Section[EndpointState]
 	Peers     *Section[PeerState]
 	Regions   *Section[RegionSummary]
+	// Retired holds the incarnations of endpoints and peers that have left or
+	// have been replaced, by RetiredKey. A live sign of one is ignored.
+	Retired *Section[RetiredIncarnation]
 }
 
+// RetiredIncarnation is a mark that an incarnation takes no new work.
+type RetiredIncarnation struct {
+	ID          string
+	Incarnation string
+	Since       time.Time
+}
+
+// RetiredKey is the key of an incarnation in Board.Retired.
+func RetiredKey(id, incarnation string) string { return id + "/" + incarnation }
+
 // New returns an empty board for the given gateway.
 func New(self Self) *Board {
 	return &Board{
@@ -145,5 +167,6 @@
 		Endpoints: NewSection[EndpointState](),
 		Peers:     NewSection[PeerState](),
 		Regions:   NewSection[RegionSummary](),
+		Retired:   NewSection[RetiredIncarnation](),
 	}
 }
