Add the callers' surface: authentication, entries, chat

Cause: the thin path needs a front that checks callers and peers alike. Change: one set of handlers for callers and for forwarded requests; the relay takes a gateway of another region as a target, signed by the peer client, so that completeness and resume work across regions as well.

--- /dev/null
+++ b/internal/gateway/chat.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hickorystage/hickorystage/internal/admit"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/relay"
+	"github.com/hickorystage/hickorystage/internal/sched"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// Estimates of answers.
+const (
+	defaultOutputTokens = 256
+	bytesPerOutputToken = 200
+)
+
+// chat serves POST /v1/chat/completions.
+func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, c *call) error {
+	parsed, err := relay.ParseChat(c.body)
+	if err != nil {
+		return err
+	}
+	if parsed.Resume != nil && c.fwd == nil {
+		return failure.Refuse(failure.CodeBadRequest, "resume is for gateways only")
+	}
+	model, ok := c.state.Intent.Models[parsed.Model]
+	if !ok {
+		return failure.Refuse(failure.CodeUnknownModel, "no model %q", parsed.Model)
+	}
+	if parsed.Priority != nil {
+		c.priority = min(c.priority, max(*parsed.Priority, 0))
+	}
+	req, err := g.schedRequest(c, parsed, model)
+	if err != nil {
+		return err
+	}
+	return g.runChat(w, r, c, parsed, req)
+}
+
+// schedRequest describes a chat to the scheduler.
+func (g *Gateway) schedRequest(c *call, parsed relay.Chat, model intent.Model) (*sched.Request, error) {
+	prompt := sched.EstimateTokens(len(parsed.Prompt))
+	if model.MaxPromptTokens > 0 && prompt > model.MaxPromptTokens {
+		return nil, failure.Refuse(failure.CodeBadRequest, "the prompt is longer than %d tokens", model.MaxPromptTokens)
+	}
+	output := parsed.MaxTokens
+	if output == 0 {
+		output = defaultOutputTokens
+	}
+	if model.MaxOutputTokens > 0 {
+		output = min(output, model.MaxOutputTokens)
+	}
+	return &sched.Request{
+		ID:               c.id,
+		Customer:         c.customerName,
+		Model:            parsed.Model,
+		Groups:           model.Groups,
+		PromptTokens:     prompt,
+		OutputTokens:     output,
+		Prefix:           sched.PrefixHashes(parsed.Prompt),
+		Priority:         c.priority,
+		Remaining:        c.remaining(),
+		PermittedRegions: c.permitted,
+		MovesLeft:        c.regionMoves(),
+		OutputBytes:      output * bytesPerOutputToken,
+	}, nil
+}
+
+// runChat admits a chat, relays it and accounts for it.
+func (g *Gateway) runChat(w http.ResponseWriter, r *http.Request, c *call, parsed relay.Chat, req *sched.Request) error {
+	ctx := r.Context()
+	item := admit.Item{
+		ID:       c.id,
+		Customer: c.customerName,
+		Group:    req.Groups[0],
+		Priority: c.priority,
+		Tokens:   req.PromptTokens + req.OutputTokens,
+		Deadline: c.deadline,
+	}
+	first, err := g.Dispatcher.Acquire(ctx, item, req)
+	if err != nil {
+		return err
+	}
+	p := &picker{g: g, call: c, req: req, next: &first}
+	summary, err := g.Relay.Chat(ctx, relay.ChatRequest{
+		RequestID: c.id,
+		Customer:  c.customerName,
+		Model:     parsed.Model,
+		Body:      c.body,
+		Priority:  c.priority,
+		Resume:    parsed.Resume,
+	}, p.pick, g.sink(w, r, c, parsed))
+	g.Dispatcher.Release(item, summary.Usage.TotalTokens-item.Tokens)
+	p.close()
+	g.account(ctx, summary, err)
+	if err != nil && !summary.Started {
+		return err
+	}
+	return nil
+}
+
+// sink returns how the answer leaves: as a stream for callers who asked for
+// one and for gateways, else as one document.
+func (g *Gateway) sink(w http.ResponseWriter, r *http.Request, c *call, parsed relay.Chat) relay.Sink {
+	if c.fwd != nil {
+		return relay.NewSSESink(w, relay.SSEOptions{ChunkID: r.Header.Get(relay.HeaderAttemptID), RequestID: c.id})
+	}
+	if parsed.Stream {
+		return relay.NewSSESink(w, relay.SSEOptions{ChunkID: c.id, RequestID: c.id})
+	}
+	return relay.NewPlainSink(w, c.id, parsed.Model, time.Now())
+}
+
+func (g *Gateway) account(ctx context.Context, s relay.Summary, err error) {
+	span := trace.SpanFromContext(ctx)
+	span.SetAttributes(
+		attribute.Int("attempts", s.Attempts),
+		attribute.String("endpoint.id", s.Target.ID),
+		attribute.String("endpoint.region", s.Target.Region),
+		attribute.Int64("tokens", int64(s.Tokens)),
+	)
+	if s.TTFT > 0 {
+		ttft.Observe(s.TTFT)
+	}
+	if err == nil {
+		g.Admit.Succeeded()
+	}
+	_ = telemetry.SpanGateway
+}
--- /dev/null
+++ b/internal/gateway/picker.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/relay"
+	"github.com/hickorystage/hickorystage/internal/sched"
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
+)
+
+// awayHeaderTimeout is the longest wait for another region's gateway to begin
+// its answer; it covers that region's own queue and attempts.
+const awayHeaderTimeout = 15 * time.Second
+
+// picker turns the scheduler's decisions for one request into targets.
+type picker struct {
+	g    *Gateway
+	call *call
+	req  *sched.Request
+	// next is a decision not yet used.
+	next *sched.Decision
+	// moved says that the request has used its move to another region.
+	moved bool
+}
+
+// pick implements relay.Picker.
+func (p *picker) pick(_ context.Context, tried map[string]bool) (relay.Target, error) {
+	p.req.Exclude = tried
+	p.req.Remaining = p.call.remaining()
+	if p.moved {
+		p.req.MovesLeft = 0
+	}
+	for {
+		decision, err := p.decision()
+		if err != nil {
+			return relay.Target{}, err
+		}
+		if target, ok := p.target(decision, tried); ok {
+			return target, nil
+		}
+	}
+}
+
+// decision returns the decision at hand or asks for another one.
+func (p *picker) decision() (sched.Decision, error) {
+	if p.next != nil {
+		d := *p.next
+		p.next = nil
+		return d, nil
+	}
+	return p.g.Dispatcher.Retry(p.req)
+}
+
+// close gives back a decision that no attempt has used.
+func (p *picker) close() {
+	if p.next != nil && p.next.Kind == sched.Serve {
+		p.g.Store.Done(p.next.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
+	}
+}
+
+// target returns where a decision leads. It returns false when the endpoint or
+// region has vanished since; the next decision then does without it.
+func (p *picker) target(d sched.Decision, tried map[string]bool) (relay.Target, bool) {
+	if d.Kind == sched.Away {
+		return p.away(d.Region, tried)
+	}
+	e, ok := p.g.Board.Endpoints.Get(d.Endpoint)
+	if !ok {
+		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
+		p.g.Store.Remove(d.Endpoint)
+		return relay.Target{}, false
+	}
+	return relay.Target{ID: e.ID, Group: e.Group, Region: e.Region, Address: e.Address}, true
+}
+
+// away returns a gateway of another region, once for each request.
+func (p *picker) away(region string, tried map[string]bool) (relay.Target, bool) {
+	p.moved = true
+	p.req.MovesLeft = 0
+	gateway, ok := p.g.gatewayOf(region, p.call, tried)
+	if !ok {
+		return relay.Target{}, false
+	}
+	fwd := p.call.forward(p.g.Board.Self.ID, 0, 0)
+	return relay.Target{
+		ID:      gateway.Instance,
+		Region:  region,
+		Address: gateway.Address,
+		Header:  http.Header{},
+		Route: &relay.Route{
+			PathPrefix:    peer.PathForward,
+			HeaderTimeout: awayHeaderTimeout,
+			Prepare:       p.g.Peers.Prepare(fwd),
+		},
+	}, true
+}
+
+// gatewayOf returns the peer address of a gateway of region that has not been
+// tried: the one that the customer's requests meet at.
+func (g *Gateway) gatewayOf(region string, c *call, tried map[string]bool) (Entry, bool) {
+	s, ok := g.Board.Regions.Get(region)
+	if !ok || time.Since(s.Heard) > regionStale {
+		return Entry{}, false
+	}
+	var entries []Entry
+	for _, gw := range s.Gateways {
+		if !tried[gw.ID] {
+			entries = append(entries, Entry{Instance: gw.ID, Region: region, Address: gw.Peer})
+		}
+	}
+	order := ranked(c.customerName, entries)
+	if len(order) == 0 {
+		return Entry{}, false
+	}
+	return order[0], true
+}
+
+// Observer tells the datastore how attempts end.
+type Observer struct{ Store *datastore.Store }
+
+// Sent implements relay.Observer. The dispatcher has noted the decision.
+func (o Observer) Sent(relay.Attempt) {}
+
+// FirstToken implements relay.Observer.
+func (o Observer) FirstToken(a relay.Attempt, _ time.Duration) {
+	if a.Target.Route == nil {
+		o.Store.FirstToken(a.Target.ID, a.RequestID, time.Now())
+	}
+}
+
+// Done implements relay.Observer.
+func (o Observer) Done(a relay.Attempt, r relay.Result) {
+	if a.Target.Route == nil {
+		o.Store.Done(a.Target.ID, a.RequestID, resultOf(r.Kind), time.Now())
+	}
+}
+
+func resultOf(kind relay.ResultKind) datastore.Result {
+	switch kind {
+	case relay.ResultOK, relay.ResultRejected:
+		return datastore.Success
+	case relay.ResultDialFailed:
+		return datastore.FailedDial
+	case relay.ResultSilent:
+		return datastore.Silent
+	case relay.ResultBusy, relay.ResultBadStatus, relay.ResultCrossed, relay.ResultMissing, relay.ResultMalformed:
+		return datastore.BadStatus
+	case relay.ResultTruncated:
+		return datastore.Truncated
+	case relay.ResultConnSilent, relay.ResultConnLost, relay.ResultCallerGone, relay.ResultDeadline:
+	}
+	return datastore.Cancelled
+}
+
+// Budget spends the retry budget of admission.
+type Budget struct{ Take0 func() bool }
+
+// Take implements relay.RetryBudget.
+func (b Budget) Take() bool { return b.Take0() }
+
+// noEndpoint is the refusal for a request that nothing serves.
+func noEndpoint(what string) *failure.Refusal {
+	return failure.Refuse(failure.CodeNoEndpoint, "no endpoint serves %s now", what).WithRetryAfter(drainRetry)
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// ErrorBody is the JSON form of a refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what went wrong and what is known of the work.
+type ErrorDetail struct {
+	Type      failure.Code    `json:"type"`
+	Code      failure.Code    `json:"code"`
+	Message   string          `json:"message"`
+	RequestID string          `json:"request_id"`
+	Outcome   failure.Outcome `json:"outcome"`
+	// RetryAfterMillis is set when a retry can help.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+	// Ticket lets the caller go on without the store.
+	Ticket string `json:"ticket,omitempty"`
+	// Entries says where to go instead of this instance.
+	Entries []Entry `json:"entries,omitempty"`
+}
+
+func (g *Gateway) writeRefusal(w http.ResponseWriter, requestID string, r *failure.Refusal, entries []Entry) {
+	rejected.Inc()
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
+	}
+	writeJSON(w, r.Status(), ErrorBody{Error: ErrorDetail{
+		Type:             r.Code,
+		Code:             r.Code,
+		Message:          r.Message,
+		RequestID:        requestID,
+		Outcome:          r.Outcome,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+		Ticket:           r.Ticket,
+		Entries:          entries,
+	}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (g *Gateway) notFound(w http.ResponseWriter, r *http.Request) {
+	g.writeRefusal(w, requestID(r), failure.Refuse(failure.CodeNotFound, "no such path"), nil)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -139,6 +139,18 @@
 	return c.send(c.single, req)
 }
 
+// Prepare returns a function that marks a request as forwarded and signs it.
+func (c *Client) Prepare(fwd Forward) func(req *http.Request, body []byte) {
+	return func(req *http.Request, body []byte) {
+		encoded, err := json.Marshal(fwd)
+		if err != nil {
+			return
+		}
+		req.Header.Set(HeaderForward, string(encoded))
+		c.signer.Sign(req, body)
+	}
+}
+
 func (c *Client) postJSON(ctx context.Context, address, path string, in, out any, limit int64) error {
 	body, err := json.Marshal(in)
 	if err != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -62,14 +63,15 @@
 // carries the attempt's id.
 func (x *exchange) send(method, path string, header http.Header, body []byte) (*http.Response, error) {
 	s := &x.r.settings
-	x.dog = newWatchdog(x.cancel, PhaseDial, s.DialTimeout+s.HeaderTimeout)
+	headerTimeout := x.headerTimeout()
+	x.dog = newWatchdog(x.cancel, PhaseDial, s.DialTimeout+headerTimeout)
 	hooks := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		x.connected.Store(true)
 		x.reused.Store(info.Reused)
-		x.dog.arm(PhaseHeader, s.HeaderTimeout)
+		x.dog.arm(PhaseHeader, headerTimeout)
 	}}
 	ctx := httptrace.WithClientTrace(x.ctx, hooks)
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+x.info.Target.Address+path, onceReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, x.url(path), onceReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -79,6 +81,9 @@
 	req.Header.Set(HeaderRequestID, x.info.RequestID)
 	req.Header.Set(HeaderAttemptID, x.info.ID)
 	propagation.TraceContext{}.Inject(x.ctx, propagation.HeaderCarrier(req.Header))
+	if route := x.info.Target.Route; route != nil {
+		route.Prepare(req, body)
+	}
 	resp, err := x.pool.transport(x.fresh).RoundTrip(req)
 	if err != nil {
 		return nil, err
@@ -89,6 +94,21 @@
 	return resp, x.checkHeader(resp)
 }
 
+func (x *exchange) url(path string) string {
+	prefix := ""
+	if route := x.info.Target.Route; route != nil {
+		prefix = route.PathPrefix
+	}
+	return "http://" + x.info.Target.Address + prefix + path
+}
+
+func (x *exchange) headerTimeout() time.Duration {
+	if route := x.info.Target.Route; route != nil && route.HeaderTimeout > 0 {
+		return route.HeaderTimeout
+	}
+	return x.r.settings.HeaderTimeout
+}
+
 // checkHeader returns an error if the answer belongs to another attempt. A
 // failure that names no attempt may come from in front of the endpoint.
 func (x *exchange) checkHeader(resp *http.Response) error {
@@ -120,7 +140,7 @@
 	if kind == ResultConnSilent || kind == ResultSilent {
 		x.pool.closeIdle()
 	}
-	if x.workLeft(kind) {
+	if x.workLeft(kind) && x.info.Target.Route == nil {
 		x.r.cancels.cancel(x.info.Target, x.info.ID)
 	}
 	res := Result{Kind: kind, Status: x.status, Tokens: x.tokens, Duration: now().Sub(x.info.Start), Err: err}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -31,6 +31,19 @@
 	// Header holds further headers for this target, such as the marks of a
 	// forwarded request. It is not modified.
 	Header http.Header
+	// Route is set when the target is another gateway.
+	Route *Route
+}
+
+// Route says how requests reach another gateway.
+type Route struct {
+	// PathPrefix precedes the path of each request.
+	PathPrefix string
+	// HeaderTimeout replaces Settings.HeaderTimeout, since a gateway answers
+	// only once its own endpoint has begun to.
+	HeaderTimeout time.Duration
+	// Prepare is called last, before the request is sent, to sign it.
+	Prepare func(req *http.Request, body []byte)
 }
 
 // ChatRequest is one chat completion to carry.
