--- /dev/null
+++ b/internal/standin/model/report.go
@@ -0,0 +1,86 @@
+package model
+
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+)
+
+// Snapshot is the exact load of an engine at a time.
+type Snapshot struct {
+	At                  time.Time
+	Running             int
+	Waiting             int
+	QueuedPrefillTokens int
+	PrefillRate         float64
+	DecodeRate          float64
+	KVUsed              float64
+}
+
+// snapshots takes the load reports that are due up to now.
+func (e *Engine) snapshots(now time.Time) {
+	last := e.reports[len(e.reports)-1].At
+	for next := last.Add(e.cfg.ReportEvery); !next.After(now); next = next.Add(e.cfg.ReportEvery) {
+		e.snapshot(next)
+	}
+}
+
+func (e *Engine) snapshot(at time.Time) {
+	e.reports = append(e.reports, e.Exact(at))
+	keep := int(e.cfg.ReportLag/e.cfg.ReportEvery) + 2
+	if len(e.reports) > 4*keep {
+		e.reports = append(e.reports[:0], e.reports[len(e.reports)-keep:]...)
+	}
+}
+
+// Exact returns the load without lag, for a scheduler that sees everything.
+func (e *Engine) Exact(at time.Time) Snapshot {
+	queued := 0
+	for _, s := range e.running {
+		queued += s.prefill
+	}
+	for _, s := range e.waiting {
+		queued += max(s.job.PromptTokens-e.cache.match(s.job.Prefix)*BlockTokens, 1)
+	}
+	return Snapshot{
+		At: at, Running: len(e.running), Waiting: len(e.waiting), QueuedPrefillTokens: queued,
+		PrefillRate: e.prefillRate(), DecodeRate: e.speed * float64(time.Second) / float64(e.decodeStep()),
+		KVUsed: float64(e.pinned) / float64(e.cfg.Blocks),
+	}
+}
+
+// decodeStep is the length of a step without prefill at nominal speed.
+func (e *Engine) decodeStep() time.Duration {
+	return e.cfg.StepBase + time.Duration(len(e.running))*e.cfg.StepPerSequence
+}
+
+// prefillRate is the prompt tokens a second beside the present batch.
+func (e *Engine) prefillRate() float64 {
+	step := e.decodeStep().Seconds() + float64(e.cfg.ChunkTokens)/e.cfg.PrefillRate
+	return e.speed * float64(e.cfg.ChunkTokens) / step
+}
+
+// CachedTokens returns the part of a prompt that the cache holds now.
+func (e *Engine) CachedTokens(prefix []uint64) int { return e.cache.match(prefix) * BlockTokens }
+
+// Report returns the newest load report that can be seen at now.
+func (e *Engine) Report(now time.Time) blackboard.LoadReport {
+	e.snapshots(now)
+	s := e.reports[0]
+	for _, r := range e.reports {
+		if r.At.Add(e.cfg.ReportLag).After(now) {
+			break
+		}
+		s = r
+	}
+	return blackboard.LoadReport{
+		At: s.At, AgeMillis: now.Sub(s.At).Milliseconds(), Running: s.Running, Waiting: s.Waiting,
+		QueuedPrefillTokens: s.QueuedPrefillTokens, PrefillRate: s.PrefillRate, DecodeRate: s.DecodeRate,
+		MaxBatch: e.cfg.MaxBatch, KVUsed: s.KVUsed, Leaving: e.leaving,
+	}
+}
+
+// CacheEvents returns the cache events above seq that can be seen at now.
+func (e *Engine) CacheEvents(seq uint64, now time.Time) []CacheEvent {
+	return e.cache.after(seq, now)
+}
