Prefix index: sample blocks by hash

Cache events don't say a block's place, so sampling by place indexed every block that an event named: four times the memory. Sampling by the hash lets events be dropped unseen. Eviction is in order of insertion (map order made two runs differ), empty blocks go when a shard has doubled.

--- a/internal/sched/datastore/datastore.go
+++ b/internal/sched/datastore/datastore.go
@@ -150,18 +150,13 @@
 // token, which the first token's time is compared with; 0 means none.
 func (s *Store) SentEstimated(id, requestID string, promptTokens int, prefix []uint64, estimate time.Duration, now time.Time) {
 	s.with(id, func(e *entry) {
-		uncached := max(promptTokens-s.cachedTokens(prefix, e.cur.Index), 1)
+		cached := s.cache.depthOf(prefix, e.cur.Index) * sched.BlockTokens
+		uncached := max(promptTokens-cached, 1)
 		e.send(requestID, uncached, estimate.Seconds(), now)
 		s.cache.insert(prefix, e.cur.Index)
 	})
 }
 
-func (s *Store) cachedTokens(prefix []uint64, i int) int {
-	depth := make([]int, i+1)
-	s.cache.Match(prefix, depth)
-	return depth[i] * sched.BlockTokens
-}
-
 // FirstToken notes the first token of a request's answer.
 func (s *Store) FirstToken(id, requestID string, now time.Time) {
 	s.with(id, func(e *entry) { e.firstToken(&s.opts.Health, requestID, now) })
--- a/internal/sched/datastore/index.go
+++ b/internal/sched/datastore/index.go
@@ -5,11 +5,16 @@
 // Bounds of the prefix index.
 const (
 	indexShards = 16
-	// indexStride is the number of blocks per indexed one; it bounds memory.
-	indexStride = 4
+	// sampleRate is the number of blocks per indexed one. Blocks are sampled by
+	// their hash, so that cache events can be sampled without their places.
+	sampleRate = 4
+	// sampleShift picks the hash bits that sample; shards use the low ones.
+	sampleShift = 32
 	// maxIndexBlocks bounds the indexed blocks of all endpoints together.
 	maxIndexBlocks = 1 << 17
-	wordBits       = 64
+	// minTidy is the least length of a shard that is tidied.
+	minTidy  = 256
+	wordBits = 64
 )
 
 // holders is the set of endpoints, by index, that hold a block.
@@ -43,49 +48,77 @@
 type indexShard struct {
 	mu     sync.RWMutex
 	blocks map[uint64]holders
+	// order holds the blocks in the order of their first insertion; the
+	// oldest are dropped when the shard is full.
+	order []uint64
+	// tidyAt is the length of order at which empty blocks are dropped.
+	tidyAt int
 }
 
 func newIndex() *index {
 	x := &index{}
 	for i := range x.shards {
 		x.shards[i].blocks = make(map[uint64]holders)
+		x.shards[i].tidyAt = minTidy
 	}
 	return x
 }
 
+func sampled(block uint64) bool { return (block>>sampleShift)%sampleRate == 0 }
+
 func (x *index) shard(block uint64) *indexShard { return &x.shards[block%indexShards] }
 
-// add notes that endpoint i holds block. A full shard drops an arbitrary block.
+// add notes that endpoint i holds block.
 func (x *index) add(block uint64, i int) {
+	if !sampled(block) {
+		return
+	}
 	sh := x.shard(block)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	h, ok := sh.blocks[block]
-	if !ok && len(sh.blocks) >= maxIndexBlocks/indexShards {
-		for victim := range sh.blocks {
-			delete(sh.blocks, victim)
-			break
-		}
+	if !ok {
+		sh.makeRoom()
+		sh.order = append(sh.order, block)
 	}
 	sh.blocks[block] = h.with(i)
 }
 
+// makeRoom drops blocks that no endpoint holds when the shard has doubled, and
+// the oldest ones when it is full.
+func (sh *indexShard) makeRoom() {
+	if len(sh.order) >= sh.tidyAt {
+		sh.tidy()
+	}
+	for len(sh.order) >= maxIndexBlocks/indexShards {
+		delete(sh.blocks, sh.order[0])
+		sh.order = sh.order[1:]
+	}
+}
+
+func (sh *indexShard) tidy() {
+	kept := make([]uint64, 0, len(sh.order))
+	for _, block := range sh.order {
+		if sh.blocks[block].empty() {
+			delete(sh.blocks, block)
+			continue
+		}
+		kept = append(kept, block)
+	}
+	sh.order = kept
+	sh.tidyAt = max(2*len(kept), minTidy)
+}
+
 // remove notes that endpoint i no longer holds block.
 func (x *index) remove(block uint64, i int) {
+	if !sampled(block) {
+		return
+	}
 	sh := x.shard(block)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.clear(block, i)
-}
-
-func (sh *indexShard) clear(block uint64, i int) {
-	h, ok := sh.blocks[block]
-	if !ok || !h.has(i) {
-		return
-	}
-	h[i/wordBits] &^= 1 << (i % wordBits)
-	if h.empty() {
-		delete(sh.blocks, block)
+	if h := sh.blocks[block]; h.has(i) {
+		h[i/wordBits] &^= 1 << (i % wordBits)
 	}
 }
 
@@ -94,8 +127,10 @@
 	for s := range x.shards {
 		sh := &x.shards[s]
 		sh.mu.Lock()
-		for block := range sh.blocks {
-			sh.clear(block, i)
+		for _, h := range sh.blocks {
+			if h.has(i) {
+				h[i/wordBits] &^= 1 << (i % wordBits)
+			}
 		}
 		sh.mu.Unlock()
 	}
@@ -103,16 +138,11 @@
 
 // insert notes that endpoint i holds every block of prefix.
 func (x *index) insert(prefix []uint64, i int) {
-	for b := 0; b < len(prefix); b++ {
-		if indexed(b, len(prefix)) {
-			x.add(prefix[b], i)
-		}
+	for _, block := range prefix {
+		x.add(block, i)
 	}
 }
 
-// indexed says whether the block at place b of n is looked up.
-func indexed(b, n int) bool { return b%indexStride == indexStride-1 || b == n-1 }
-
 // Match implements sched.PrefixIndex. A block that is not indexed counts with
 // the next one that is.
 func (x *index) Match(prefix []uint64, depth []int) {
@@ -120,11 +150,11 @@
 	for i := range alive {
 		alive[i] = ^uint64(0)
 	}
-	for b := 0; b < len(prefix); b++ {
-		if b%indexStride != indexStride-1 {
+	for b, block := range prefix {
+		if !sampled(block) {
 			continue
 		}
-		if !x.intersect(prefix[b], alive) {
+		if !x.intersect(block, alive) {
 			return
 		}
 		for i := range depth {
@@ -152,3 +182,25 @@
 	}
 	return left != 0
 }
+
+// depthOf is Match for one endpoint.
+func (x *index) depthOf(prefix []uint64, i int) int {
+	depth := 0
+	for b, block := range prefix {
+		if !sampled(block) {
+			continue
+		}
+		if !x.holds(block, i) {
+			return depth
+		}
+		depth = b + 1
+	}
+	return depth
+}
+
+func (x *index) holds(block uint64, i int) bool {
+	sh := x.shard(block)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	return sh.blocks[block].has(i)
+}
--- a/internal/standin/model/report.go
+++ b/internal/standin/model/report.go
@@ -17,6 +17,10 @@
 	KVUsed              float64
 }
 
+// spareReports is the number of reports kept beyond the lag, for readers who
+// ask for the past.
+const spareReports = 8
+
 // snapshots takes the load reports that are due up to now.
 func (e *Engine) snapshots(now time.Time) {
 	last := e.reports[len(e.reports)-1].At
@@ -27,8 +31,8 @@
 
 func (e *Engine) snapshot(at time.Time) {
 	e.reports = append(e.reports, e.Exact(at))
-	keep := int(e.cfg.ReportLag/e.cfg.ReportEvery) + 2
-	if len(e.reports) > 4*keep {
+	keep := int(e.cfg.ReportLag/e.cfg.ReportEvery) + spareReports
+	if len(e.reports) > 2*keep {
 		e.reports = append(e.reports[:0], e.reports[len(e.reports)-keep:]...)
 	}
 }
