--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -35,6 +35,7 @@
 	CodeBadTicket        Code = "bad_ticket"
 	CodeTicketExpired    Code = "ticket_expired"
 	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeInProgress       Code = "in_progress"
 	CodeResidency        Code = "residency_not_permitted"
 	CodeNoEndpoint       Code = "no_endpoint"
 	CodeLimited          Code = "limit_exceeded"
@@ -62,6 +63,7 @@
 	CodeBadTicket:        http.StatusBadRequest,
 	CodeTicketExpired:    http.StatusGone,
 	CodeKeyReused:        http.StatusUnprocessableEntity,
+	CodeInProgress:       http.StatusConflict,
 	CodeResidency:        http.StatusForbidden,
 	CodeNoEndpoint:       http.StatusServiceUnavailable,
 	CodeLimited:          http.StatusTooManyRequests,
