--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -14,6 +14,8 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // maxErrorBody bounds what is read of an endpoint's failure message, in bytes.
@@ -42,7 +44,7 @@
 
 func (r *Relay) newExchange(ctx context.Context, info Attempt, fresh bool) *exchange {
 	x := &exchange{r: r, info: info, fresh: fresh, parent: ctx, pool: r.pools.get(info.Target.Address)}
-	ctx, x.span = r.settings.Tracer.Start(ctx, "relay.attempt",
+	ctx, x.span = r.settings.Tracer.Start(ctx, telemetry.SpanAttempt,
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
 			attribute.String("request.id", info.RequestID),
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -85,7 +85,7 @@
 	if ctx.Err() != nil || s.fixed != nil || s.sum.Attempts >= s.r.settings.MaxAttempts {
 		return false
 	}
-	if !s.r.settings.Budget.Take() {
+	if !s.r.settings.Budget.Spend() {
 		retriesDenied.Inc()
 		return false
 	}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -7,7 +7,8 @@
 
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel/trace"
-	tracenoop "go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // Defaults of Settings.
@@ -86,7 +87,7 @@
 		s.Observer = noObserver{}
 	}
 	if s.Tracer == nil {
-		s.Tracer = tracenoop.NewTracerProvider().Tracer("")
+		s.Tracer = telemetry.Tracer()
 	}
 	if s.NewID == nil {
 		s.NewID = randomID
@@ -103,7 +104,7 @@
 
 type unlimitedBudget struct{}
 
-func (unlimitedBudget) Take() bool { return true }
+func (unlimitedBudget) Spend() bool { return true }
 
 type noObserver struct{}
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -61,8 +61,9 @@
 
 // RetryBudget bounds the attempts beyond the first ones.
 type RetryBudget interface {
-	// Take returns whether one more retry may be made, and spends it.
-	Take() bool
+	// Spend returns whether one more retry may be made, and takes it from the
+	// budget.
+	Spend() bool
 }
 
 // Attempt identifies one try of a request at one target.
