Add actions, services and the operators' API to the gateway

Cause: the thin path needs the rest of its surface. Change: incarnation ids name their region, so that a ticket finds its owner from any region in at most one move to the region and one to the owner; both ends check residency; the admin API says why an endpoint is or isn't used.

--- /dev/null
+++ b/internal/gateway/admin.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"expvar"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/sched"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+var adminRefused = telemetry.NewCounter("admin_auth_refused", "requests", "requests on the operators' listener without the token")
+
+// Status is the answer of GET /admin/v1/status.
+type Status struct {
+	ID          string               `json:"id"`
+	Incarnation string               `json:"incarnation"`
+	Region      string               `json:"region"`
+	DataCentre  string               `json:"data_centre"`
+	Lifecycle   blackboard.Lifecycle `json:"lifecycle"`
+	Revision    uint64               `json:"revision"`
+	InFlight    int                  `json:"in_flight"`
+	Peers       []PeerStatus         `json:"peers"`
+	Endpoints   []EndpointStatus     `json:"endpoints"`
+	Counters    map[string]int64     `json:"counters"`
+}
+
+// PeerStatus is one peer as this gateway sees it.
+type PeerStatus struct {
+	ID       string `json:"id"`
+	Region   string `json:"region"`
+	Ready    bool   `json:"ready"`
+	Leaving  bool   `json:"leaving"`
+	Revision uint64 `json:"revision"`
+	HeardMS  int64  `json:"heard_ms"`
+}
+
+// EndpointStatus is one endpoint and why it is or isn't used.
+type EndpointStatus struct {
+	ID         string `json:"id"`
+	Group      string `json:"group"`
+	Region     string `json:"region"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	Reason     string `json:"reason"`
+	InFlight   int    `json:"in_flight"`
+	Running    int    `json:"running"`
+	Waiting    int    `json:"waiting"`
+	ReportedMS int64  `json:"reported_ms"`
+}
+
+// ConfigStatus is the answer of GET /admin/v1/config.
+type ConfigStatus struct {
+	Revision uint64         `json:"revision"`
+	Digest   string         `json:"digest"`
+	Regions  []RegionStatus `json:"regions"`
+}
+
+// RegionStatus says how many gateways of a region hold which revision.
+type RegionStatus struct {
+	Region  string         `json:"region"`
+	HeardMS int64          `json:"heard_ms"`
+	Holding map[uint64]int `json:"holding"`
+}
+
+// The states of an endpoint as operators see them.
+const (
+	stateUsed      = "used"
+	stateNotUsed   = "not_used"
+	stateReturning = "returning"
+)
+
+// AdminHandler returns the HTTP handler of the operators' listener.
+func (g *Gateway) AdminHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.Use(g.requireToken)
+	mux.HandleFunc(pat.Get("/admin/v1/status"), func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, g.status(time.Now()))
+	})
+	mux.HandleFunc(pat.Get("/admin/v1/endpoints"), func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, g.endpointStatus(time.Now()))
+	})
+	mux.HandleFunc(pat.Get("/admin/v1/config"), func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, g.configStatus(time.Now()))
+	})
+	mux.HandleFunc(pat.Post("/admin/v1/drain"), func(w http.ResponseWriter, _ *http.Request) {
+		g.Drain()
+		writeJSON(w, http.StatusAccepted, struct {
+			Lifecycle blackboard.Lifecycle `json:"lifecycle"`
+		}{blackboard.Draining})
+	})
+	mux.Handle(pat.Get("/debug/vars"), expvar.Handler())
+	mux.HandleFunc(pat.New("/*"), g.notFound)
+	return mux
+}
+
+// requireToken lets only requests with the operators' token through. Hashes
+// are compared, so that neither content nor length shows in the time taken.
+func (g *Gateway) requireToken(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(g.AdminToken))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			adminRefused.Inc()
+			g.writeRefusal(w, requestID(r), failure.Refuse(failure.CodeUnauthenticated, "the operators' token is missing or wrong"), nil)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (g *Gateway) status(now time.Time) Status {
+	self := g.Board.Self
+	_, n := g.inFlight.wait()
+	s := Status{
+		ID:          self.ID,
+		Incarnation: self.Incarnation,
+		Region:      self.Region,
+		DataCentre:  self.DataCentre,
+		Lifecycle:   g.Board.Lifecycle.Get(),
+		Revision:    g.Board.Intent.Get().Revision,
+		InFlight:    n,
+		Peers:       g.peerStatus(now),
+		Endpoints:   g.endpointStatus(now),
+		Counters:    make(map[string]int64),
+	}
+	for _, c := range telemetry.Counters() {
+		s.Counters[c.Name] = c.Value()
+	}
+	return s
+}
+
+func (g *Gateway) peerStatus(now time.Time) []PeerStatus {
+	out := []PeerStatus{}
+	g.Board.Peers.Range(func(_ string, p blackboard.PeerState) bool {
+		out = append(out, PeerStatus{
+			ID:       p.ID,
+			Region:   p.Region,
+			Ready:    p.Ready,
+			Leaving:  p.Leaving,
+			Revision: p.Revision,
+			HeardMS:  now.Sub(p.Heard).Milliseconds(),
+		})
+		return true
+	})
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func (g *Gateway) endpointStatus(now time.Time) []EndpointStatus {
+	seen := g.schedEndpoints(now)
+	out := []EndpointStatus{}
+	g.Board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
+		s := EndpointStatus{
+			ID:      id,
+			Group:   e.Group,
+			Region:  e.Region,
+			Address: e.Address,
+			Running: e.Report.Running,
+			Waiting: e.Report.Waiting,
+		}
+		if e.HasReport {
+			s.ReportedMS = now.Sub(e.Report.At).Milliseconds()
+		}
+		view, known := seen[id]
+		s.InFlight = view.InFlight
+		s.State, s.Reason = explain(e, view, known)
+		out = append(out, s)
+		return true
+	})
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// schedEndpoints returns the scheduler's view of each endpoint.
+func (g *Gateway) schedEndpoints(now time.Time) map[string]sched.Endpoint {
+	out := make(map[string]sched.Endpoint)
+	for _, group := range g.Store.View(now).Groups {
+		for _, slot := range group.Slots {
+			e := *slot.Load()
+			out[e.ID] = e
+		}
+	}
+	return out
+}
+
+// explain says whether an endpoint is used and why.
+func explain(e blackboard.EndpointState, view sched.Endpoint, known bool) (state, reason string) {
+	switch {
+	case e.Leaving:
+		return stateNotUsed, "leaving: it finishes what it has and gets no new work"
+	case !known:
+		return stateNotUsed, "its group is not in the configuration, or it has just appeared"
+	case view.Health == sched.Ejected:
+		return stateNotUsed, "ejected: this gateway's calls to it failed"
+	case view.Health == sched.Returning:
+		return stateReturning, "returning: it takes a part of its share"
+	case !e.HasReport:
+		return stateUsed, "no load report yet"
+	}
+	return stateUsed, "healthy"
+}
+
+func (g *Gateway) configStatus(now time.Time) ConfigStatus {
+	state := g.Board.Intent.Get()
+	own := g.View.Summary(0, now)
+	out := ConfigStatus{
+		Revision: state.Revision,
+		Digest:   state.Digest,
+		Regions:  []RegionStatus{{Region: own.Region, Holding: own.Holding}},
+	}
+	g.Board.Regions.Range(func(_ string, s blackboard.RegionSummary) bool {
+		out.Regions = append(out.Regions, RegionStatus{
+			Region:  s.Region,
+			HeardMS: now.Sub(s.Heard).Milliseconds(),
+			Holding: s.Holding,
+		})
+		return true
+	})
+	sort.Slice(out.Regions, func(i, j int) bool { return out.Regions[i].Region < out.Regions[j].Region })
+	return out
+}
--- /dev/null
+++ b/internal/gateway/owners.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/peer"
+)
+
+// incarnationSeparator parts the region, the instance and the random part of
+// an incarnation id.
+const incarnationSeparator = "_"
+
+// sealHolders is the number of peers that get a seal.
+const sealHolders = 3
+
+// NewIncarnation makes an incarnation id that names its region, so that any
+// gateway can tell where a ticket's owner stands.
+func NewIncarnation(region, instance, random string) string {
+	return strings.Join([]string{region, instance, random}, incarnationSeparator)
+}
+
+func regionOf(incarnation string) string {
+	region, _, _ := strings.Cut(incarnation, incarnationSeparator)
+	return region
+}
+
+// Owners reaches the gateways that own tickets. It implements
+// action.Forwarder and action.Handover.
+type Owners struct{ g *Gateway }
+
+// NewOwners returns the owners as g sees them; g may be filled in later.
+func NewOwners(g *Gateway) *Owners { return &Owners{g: g} }
+
+// forwardKey carries the call that an action belongs to.
+type forwardKey struct{}
+
+func withCall(ctx context.Context, c *call) context.Context {
+	return context.WithValue(ctx, forwardKey{}, c)
+}
+
+// ForwardAction implements action.Forwarder.
+func (o *Owners) ForwardAction(ctx context.Context, incarnation string, c action.Call) (action.Answer, error) {
+	reply, err := o.ask(ctx, incarnation, peer.PathActionRun, peer.OwnerRequest{Call: &c})
+	if err != nil {
+		return action.Answer{}, err
+	}
+	if reply.Answer == nil {
+		return action.Answer{}, lost(incarnation, &peer.MalformedReplyError{})
+	}
+	return *reply.Answer, nil
+}
+
+// ForwardOutcome implements action.Forwarder.
+func (o *Owners) ForwardOutcome(ctx context.Context, incarnation string, q action.Query) (action.Record, error) {
+	reply, err := o.ask(ctx, incarnation, peer.PathActionOutcome, peer.OwnerRequest{Query: &q})
+	if err != nil {
+		return action.Record{}, err
+	}
+	if reply.Record == nil {
+		return action.Record{}, lost(incarnation, &peer.MalformedReplyError{})
+	}
+	return *reply.Record, nil
+}
+
+// ask sends a request on its way to the owner.
+func (o *Owners) ask(ctx context.Context, incarnation, path string, req peer.OwnerRequest) (peer.OwnerReply, error) {
+	c, ok := ctx.Value(forwardKey{}).(*call)
+	if !ok || c.ownerMoves() == 0 {
+		return peer.OwnerReply{}, &action.PeerUnknownError{Incarnation: incarnation}
+	}
+	address, fwd, err := o.way(incarnation, c)
+	if err != nil {
+		return peer.OwnerReply{}, err
+	}
+	req.Owner = incarnation
+	req.Forward = fwd
+	reply, err := o.g.Peers.AskOwner(ctx, address, path, req)
+	if err != nil {
+		return peer.OwnerReply{}, unreachable(incarnation, err)
+	}
+	if reply.Refusal != nil {
+		return peer.OwnerReply{}, reply.Refusal.Refusal()
+	}
+	return reply, nil
+}
+
+// way returns the next gateway on the way to an owner: the owner itself, or a
+// gateway of its region if the owner is not known here.
+func (o *Owners) way(incarnation string, c *call) (string, peer.Forward, error) {
+	self := o.g.Board.Self
+	region := regionOf(incarnation)
+	if !c.permitted[region] {
+		return "", peer.Forward{}, failure.Refuse(failure.CodeBadTicket, "the ticket is of a region that may not process the customer's data")
+	}
+	if p, ok := o.g.View.Owner(incarnation); ok {
+		return p.Address, c.forward(self.ID, 0, 0), nil
+	}
+	if region == self.Region || c.regionMoves() == 0 {
+		return "", peer.Forward{}, &action.PeerUnknownError{Incarnation: incarnation}
+	}
+	gateway, ok := o.g.gatewayOf(region, c, nil)
+	if !ok {
+		return "", peer.Forward{}, &action.PeerUnknownError{Incarnation: incarnation}
+	}
+	return gateway.Address, c.forward(self.ID, 0, 1), nil
+}
+
+func unreachable(incarnation string, err error) error {
+	var notSent *peer.NotSentError
+	if errors.As(err, &notSent) {
+		return &action.PeerUnreachableError{Incarnation: incarnation, Cause: err}
+	}
+	return lost(incarnation, err)
+}
+
+func lost(incarnation string, err error) error {
+	return &action.PeerUnreachableError{Incarnation: incarnation, Sent: true, Cause: err}
+}
+
+// FindSeal implements action.Forwarder.
+func (o *Owners) FindSeal(ctx context.Context, incarnation string) (action.Seal, error) {
+	var unreached error
+	for _, p := range o.sealPeers(incarnation) {
+		seal, err := o.g.Peers.FetchSeal(ctx, p, incarnation)
+		if err == nil {
+			return seal, nil
+		}
+		var status *peer.StatusError
+		if !errors.As(err, &status) {
+			unreached = err
+		}
+	}
+	if unreached != nil {
+		return action.Seal{}, unreachable(incarnation, unreached)
+	}
+	return action.Seal{}, &action.PeerUnknownError{Incarnation: incarnation}
+}
+
+// Send implements action.Handover.
+func (o *Owners) Send(ctx context.Context, s action.Seal) error {
+	err := error(&action.PeerUnknownError{Incarnation: s.Incarnation})
+	sent := false
+	for _, address := range o.sealPeers(s.Incarnation) {
+		if e := o.g.Peers.SendSeal(ctx, address, s); e != nil {
+			err = e
+			continue
+		}
+		sent = true
+	}
+	if sent {
+		return nil
+	}
+	return err
+}
+
+func (o *Owners) sealPeers(incarnation string) []string {
+	addresses := make(map[string]string)
+	var ids []string
+	for _, p := range o.g.View.Peers(o.g.Board.Self.Region, time.Now()) {
+		addresses[p.ID] = p.Address
+		ids = append(ids, p.ID)
+	}
+	var out []string
+	for _, id := range action.SealHolders(incarnation, ids, sealHolders) {
+		out = append(out, addresses[id])
+	}
+	return out
+}
+
+// OwnerHandlers returns what this gateway does with peers' requests about
+// actions.
+func (g *Gateway) OwnerHandlers() peer.OwnerHandlers {
+	return peer.OwnerHandlers{
+		Run:     g.ownerRun,
+		Outcome: g.ownerOutcome,
+		Seal:    g.Actions.HeldSeal,
+		Import:  g.Actions.Import,
+	}
+}
+
+func (g *Gateway) ownerRun(ctx context.Context, req peer.OwnerRequest) peer.OwnerReply {
+	g.inFlight.enter()
+	defer g.inFlight.leave()
+	c, err := g.accept(req.Forward, nil)
+	if err == nil && (req.Call == nil || req.Call.Customer != c.customerName) {
+		err = failure.Refuse(failure.CodeBadRequest, "the call is not the customer's")
+	}
+	if err != nil {
+		return refusalReply(err)
+	}
+	a, err := g.Actions.Do(withCall(ctx, c), g.lastMove(*req.Call, c))
+	if err != nil {
+		return refusalReply(err)
+	}
+	return peer.OwnerReply{Answer: &a}
+}
+
+// lastMove marks a call as one that may not be passed on again, unless it
+// still has to go from a gateway of the owner's region to the owner.
+func (g *Gateway) lastMove(c action.Call, from *call) action.Call {
+	c.Forwarded = from.ownerMoves() == 0
+	return c
+}
+
+func (g *Gateway) ownerOutcome(ctx context.Context, req peer.OwnerRequest) peer.OwnerReply {
+	c, err := g.accept(req.Forward, nil)
+	if err == nil && (req.Query == nil || req.Query.Customer != c.customerName) {
+		err = failure.Refuse(failure.CodeBadRequest, "the query is not the customer's")
+	}
+	if err != nil {
+		return refusalReply(err)
+	}
+	q := *req.Query
+	q.Forwarded = c.ownerMoves() == 0
+	rec, err := g.Actions.Outcome(withCall(ctx, c), q)
+	if err != nil {
+		return refusalReply(err)
+	}
+	return peer.OwnerReply{Record: &rec}
+}
+
+func refusalReply(err error) peer.OwnerReply {
+	return peer.OwnerReply{Refusal: peer.NewRefusalReply(failure.AsRefusal(err))}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -111,13 +111,6 @@
 	return body, err
 }
 
-// Handover sends sealed records, as JSON, to the peer at address.
-func (c *Client) Handover(ctx context.Context, address string, records any) error {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
-	return c.postJSON(ctx, address, PathHandover, records, nil, MaxExchangeBytes)
-}
-
 // Forward sends a caller's request on to the peer at address and returns the
 // answer as it comes. The call goes out on a connection of its own, so that
 // the transport never sends it twice.
--- /dev/null
+++ b/internal/peer/owners.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// Paths of what gateways ask the owners of tickets.
+const (
+	PathActionRun     = "/peer/v1/actions/run"
+	PathActionOutcome = "/peer/v1/actions/outcome"
+	PathSeal          = "/peer/v1/actions/seal"
+)
+
+// actionSlack is added to a forwarded action's deadline for its way back.
+const actionSlack = 500 * time.Millisecond
+
+// OwnerRequest asks the owner of a ticket to run a call or to tell an outcome.
+// A gateway that is not the owner passes it on if OwnerMoves is above zero.
+type OwnerRequest struct {
+	Owner   string        `json:"owner"`
+	Forward Forward       `json:"forward"`
+	Call    *action.Call  `json:"call,omitempty"`
+	Query   *action.Query `json:"query,omitempty"`
+}
+
+// OwnerReply is the owner's answer. Exactly one field is set.
+type OwnerReply struct {
+	Answer  *action.Answer `json:"answer,omitempty"`
+	Record  *action.Record `json:"record,omitempty"`
+	Refusal *RefusalReply  `json:"refusal,omitempty"`
+}
+
+// RefusalReply is a refusal on its way between gateways.
+type RefusalReply struct {
+	Code             failure.Code    `json:"code"`
+	Outcome          failure.Outcome `json:"outcome"`
+	Message          string          `json:"message"`
+	RetryAfterMillis int64           `json:"retry_after_ms,omitempty"`
+	Ticket           string          `json:"ticket,omitempty"`
+}
+
+// NewRefusalReply converts a refusal.
+func NewRefusalReply(r *failure.Refusal) *RefusalReply {
+	return &RefusalReply{
+		Code:             r.Code,
+		Outcome:          r.Outcome,
+		Message:          r.Message,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+		Ticket:           r.Ticket,
+	}
+}
+
+// Refusal converts back.
+func (r *RefusalReply) Refusal() *failure.Refusal {
+	out := failure.New(r.Code, r.Outcome, "%s", r.Message)
+	out.RetryAfter = time.Duration(r.RetryAfterMillis) * time.Millisecond
+	out.Ticket = r.Ticket
+	return out
+}
+
+// Valid says whether exactly one field is set.
+func (r OwnerReply) Valid() bool {
+	n := 0
+	for _, set := range []bool{r.Answer != nil, r.Record != nil, r.Refusal != nil} {
+		if set {
+			n++
+		}
+	}
+	return n == 1
+}
+
+// AskOwner sends an owner request to the gateway at address. Its errors are
+// *NotSentError, *LostError and *StatusError.
+func (c *Client) AskOwner(ctx context.Context, address, path string, req OwnerRequest) (OwnerReply, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return OwnerReply{}, &NotSentError{Cause: err}
+	}
+	httpReq, err := c.request(ctx, http.MethodPost, address, path, nil, body)
+	if err != nil {
+		return OwnerReply{}, err
+	}
+	httpReq.GetBody = nil
+	raw, err := c.roundTrip(c.single, httpReq, MaxForwardBytes)
+	if err != nil {
+		return OwnerReply{}, err
+	}
+	var reply OwnerReply
+	if err := json.Unmarshal(raw, &reply); err != nil || !reply.Valid() {
+		return OwnerReply{}, &LostError{Cause: &MalformedReplyError{Cause: err}}
+	}
+	return reply, nil
+}
+
+// MalformedReplyError says that a peer's answer can't be understood.
+type MalformedReplyError struct{ Cause error }
+
+// Error implements error.
+func (e *MalformedReplyError) Error() string { return "malformed reply of a peer" }
+
+// Unwrap returns the cause, if any.
+func (e *MalformedReplyError) Unwrap() error { return e.Cause }
+
+// FetchSeal returns the seal of an incarnation that the gateway at address
+// holds. A *StatusError means that it holds none.
+func (c *Client) FetchSeal(ctx context.Context, address, incarnation string) (action.Seal, error) {
+	var seal action.Seal
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	err := c.postJSON(ctx, address, PathSeal, sealRequest{Incarnation: incarnation}, &seal, MaxForwardBytes)
+	return seal, err
+}
+
+// SendSeal gives a seal to the gateway at address.
+func (c *Client) SendSeal(ctx context.Context, address string, seal action.Seal) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	return c.postJSON(ctx, address, PathHandover, seal, nil, MaxExchangeBytes)
+}
+
+type sealRequest struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// OwnerHandlers is what a gateway does with requests about actions.
+type OwnerHandlers struct {
+	Run     func(ctx context.Context, req OwnerRequest) OwnerReply
+	Outcome func(ctx context.Context, req OwnerRequest) OwnerReply
+	// Seal returns the seal of an incarnation if this gateway holds it.
+	Seal func(incarnation string) (action.Seal, bool)
+	// Import takes in the seal of a stopping peer.
+	Import func(seal action.Seal)
+}
+
+func (s *Server) askOwner(serve func(context.Context, OwnerRequest) OwnerReply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _, ok := s.verified(w, r, MaxForwardBytes)
+		if !ok {
+			return
+		}
+		var req OwnerRequest
+		if err := json.Unmarshal(body, &req); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), req.Forward.Remaining()+actionSlack)
+		defer cancel()
+		writeJSON(w, serve(ctx, req))
+	}
+}
+
+func (s *Server) seal(w http.ResponseWriter, r *http.Request) {
+	body, _, ok := s.verified(w, r, MaxExchangeBytes)
+	if !ok {
+		return
+	}
+	var req sealRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	seal, held := s.handlers.Owner.Seal(req.Incarnation)
+	if !held {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, seal)
+}
+
+func (s *Server) handover(w http.ResponseWriter, r *http.Request) {
+	body, _, ok := s.verified(w, r, MaxForwardBytes)
+	if !ok {
+		return
+	}
+	var seal action.Seal
+	if err := json.Unmarshal(body, &seal); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.handlers.Owner.Import(seal)
+	_, _ = io.WriteString(w, "{}")
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,7 +21,6 @@
 	server.Config.Handler = NewServer(NewSigner("server", secrets), address, Handlers{
 		Exchange: func(m Exchange) Exchange { return Exchange{From: Member{ID: "server", Beat: m.From.Beat + 1}} },
 		Snapshot: func() ([]byte, uint64) { return []byte("whole"), 7 },
-		Handover: func([]byte) error { return nil },
 		Forward: func(w http.ResponseWriter, r *http.Request, fwd Forward, _ string, body []byte) {
 			got = append(got, fwd)
 			_, _ = w.Write(append([]byte(r.URL.Path+" "), body...))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,8 +21,8 @@
 	Exchange func(Exchange) Exchange
 	// Snapshot returns the configuration in force and its revision.
 	Snapshot func() ([]byte, uint64)
-	// Handover takes in the sealed records of a stopping peer, as JSON.
-	Handover func(body []byte) error
+	// Owner serves requests about actions.
+	Owner OwnerHandlers
 	// Forward serves a forwarded request; its path is that of the caller's.
 	Forward func(w http.ResponseWriter, r *http.Request, fwd Forward, sender string, body []byte)
 }
@@ -46,6 +46,9 @@
 	mux.HandleFunc(pat.Post(PathExchange), s.exchange)
 	mux.HandleFunc(pat.Get(PathSnapshot), s.snapshot)
 	mux.HandleFunc(pat.Post(PathHandover), s.handover)
+	mux.HandleFunc(pat.Post(PathActionRun), s.askOwner(s.handlers.Owner.Run))
+	mux.HandleFunc(pat.Post(PathActionOutcome), s.askOwner(s.handlers.Owner.Outcome))
+	mux.HandleFunc(pat.Post(PathSeal), s.seal)
 	mux.HandleFunc(pat.New(PathForward+"/*"), s.forward)
 	return mux
 }
@@ -98,18 +101,6 @@
 	_, _ = w.Write(snapshot)
 }
 
-func (s *Server) handover(w http.ResponseWriter, r *http.Request) {
-	body, _, ok := s.verified(w, r, MaxForwardBytes)
-	if !ok {
-		return
-	}
-	if err := s.handlers.Handover(body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	writeJSON(w, struct{}{})
-}
-
 func (s *Server) forward(w http.ResponseWriter, r *http.Request) {
 	body, sender, ok := s.verified(w, r, MaxForwardBytes)
 	if !ok {
