--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,182 @@
+// Package app assembles the gateway: it wires the parts, runs the controllers
+// and the listeners, and stops them gracefully.
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/admit"
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/controller"
+	"github.com/hickorystage/hickorystage/internal/controller/configsync"
+	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
+	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
+	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/controller/register"
+	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
+	"github.com/hickorystage/hickorystage/internal/dispatch"
+	"github.com/hickorystage/hickorystage/internal/gateway"
+	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/relay"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+	"github.com/hickorystage/hickorystage/internal/sched"
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
+	"github.com/hickorystage/hickorystage/internal/settings"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// App is one gateway process.
+type App struct {
+	settings *settings.Gateway
+	logger   *log.Logger
+	board    *blackboard.Board
+	gateway  *gateway.Gateway
+	actions  *action.Manager
+	relay    *relay.Relay
+	peers    *peer.Client
+
+	controllers []controller.Controller
+	callers     *http.Server
+	peerServer  *http.Server
+	admin       *http.Server
+
+	drain chan struct{}
+	tomb  tomb.Tomb
+}
+
+// New assembles a gateway. Nothing runs yet.
+func New(s *settings.Gateway, logger *log.Logger) *App {
+	a := &App{settings: s, logger: logger, drain: make(chan struct{}, 1)}
+	a.board = blackboard.New(blackboard.Self{
+		ID:            s.ID,
+		Incarnation:   gateway.NewIncarnation(s.Region, s.ID, uuid.NewString()[:13]),
+		Region:        s.Region,
+		DataCentre:    s.DataCentre,
+		PeerAddress:   s.PeerAdvertise,
+		CallerAddress: s.Advertise,
+	})
+	signer := peer.NewSigner(s.ID, s.PeerSecrets)
+	a.peers = peer.NewClient(signer)
+	store := platform.NewHTTPStore(s.StoreURL, platform.Options{})
+	data := datastore.New(datastore.Options{Region: s.Region, Health: datastore.DefaultHealthOptions()})
+	admission := admit.New(s.ID, admit.DefaultOptions())
+	dispatcher := dispatch.New(sched.New(sched.DefaultOptions()), data, admission)
+	a.relay = relay.New(a.relaySettings(data, admission))
+	a.gateway = gateway.New(gateway.Config{
+		Board:       a.board,
+		View:        membership.New(a.board),
+		Dispatcher:  dispatcher,
+		Store:       data,
+		Admit:       admission,
+		Relay:       a.relay,
+		Peers:       a.peers,
+		Logger:      logger,
+		AdminToken:  s.AdminToken,
+		MaxBody:     s.MaxBody,
+		BodyTimeout: s.BodyTimeout,
+		Drain:       a.Drain,
+	})
+	a.actions = a.newActions(store)
+	a.gateway.Actions = a.actions
+	exchange := members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
+	a.controllers = []controller.Controller{
+		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
+		register.New(register.Config{Board: a.board, Directory: platform.NewHTTPDirectory(s.DirectoryURL, platform.Options{}), Log: logger}),
+		endpoints.New(a.board, platform.NewHTTPInstanceList(s.InstancesURL, platform.Options{}), logger),
+		loadpoll.New(a.board, s.PollInterval, exchange.TellPeers),
+		schedsync.New(a.board, data, admission),
+		exchange,
+		dispatcher,
+	}
+	a.newServers(signer, exchange)
+	return a
+}
+
+func (a *App) relaySettings(data *datastore.Store, admission *admit.Controller) relay.Settings {
+	return relay.Settings{
+		DialTimeout:       a.settings.DialTimeout,
+		FirstTokenTimeout: a.settings.FirstByteTimeout,
+		NextTokenTimeout:  a.settings.ChunkTimeout,
+		Budget:            gateway.Budget{Spend: admission.Retry},
+		Observer:          gateway.Observer{Store: data},
+		Tracer:            telemetry.Tracer(),
+		Logger:            a.logger,
+	}
+}
+
+// Board returns the blackboard, for tests and for the operators' API.
+func (a *App) Board() *blackboard.Board { return a.board }
+
+// Drain asks for a graceful shutdown.
+func (a *App) Drain() {
+	select {
+	case a.drain <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until the context ends or an operator asks for a drain, then
+// stops gracefully. hurry, once closed, ends a graceful shutdown sooner. The
+// error is nil when nothing in flight was cut off.
+func (a *App) Run(ctx context.Context, hurry <-chan struct{}) error {
+	listeners, err := a.listen()
+	if err != nil {
+		return err
+	}
+	a.serve(listeners)
+	for _, c := range a.controllers {
+		a.tomb.Go(func() error {
+			return errors.Wrapf(c.Run(&a.tomb), "controller %s", c.Name())
+		})
+	}
+	a.tomb.Go(a.becomeReady)
+	select {
+	case <-ctx.Done():
+	case <-a.drain:
+	case <-a.tomb.Dying():
+		return a.tomb.Wait()
+	}
+	cut := a.shutdown(hurry)
+	a.tomb.Kill(nil)
+	if err := a.tomb.Wait(); err != nil {
+		return err
+	}
+	if cut > 0 {
+		return &CutOffError{Requests: cut}
+	}
+	return nil
+}
+
+// becomeReady turns the lifecycle from starting to serving once there is a
+// configuration.
+func (a *App) becomeReady() error {
+	for {
+		state, changed := a.board.Intent.Watch()
+		if state.Revision > 0 {
+			a.board.Lifecycle.Update(func(old blackboard.Lifecycle) (blackboard.Lifecycle, bool) {
+				return blackboard.Serving, old == blackboard.Starting
+			})
+			a.logger.Info("serving", "revision", state.Revision)
+			return nil
+		}
+		select {
+		case <-a.tomb.Dying():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// settleTime is how long a stopping gateway still answers refusals after its
+// last request, so that callers who were told of it hear where to go.
+const settleTime = 500 * time.Millisecond
--- /dev/null
+++ b/internal/app/servers.go
@@ -0,0 +1,104 @@
+package app
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/peer"
+)
+
+// Limits of the listeners.
+const (
+	maxHeaderBytes = 32 << 10
+	keepAliveIdle  = 2 * time.Minute
+	// peerReadTimeout and adminReadTimeout bound the reading of a request.
+	peerReadTimeout  = 5 * time.Second
+	adminReadTimeout = 5 * time.Second
+)
+
+// listeners are the open sockets of a gateway.
+type listeners struct{ callers, peers, admin net.Listener }
+
+func (a *App) newServers(signer *peer.Signer, exchange *members.Controller) {
+	peers := peer.NewServer(signer, a.settings.PeerAdvertise, peer.Handlers{
+		Exchange: exchange.HandleExchange,
+		Snapshot: a.snapshot,
+		Owner:    a.gateway.OwnerHandlers(),
+		Forward:  a.gateway.ForwardHandler(),
+	})
+	a.callers = newServer(a.gateway.CallerHandler(), a.settings.HeaderTimeout)
+	a.peerServer = newServer(peers.Handler(), peerReadTimeout)
+	a.peerServer.ReadTimeout = peerReadTimeout
+	a.admin = newServer(a.gateway.AdminHandler(), adminReadTimeout)
+	a.admin.ReadTimeout = adminReadTimeout
+}
+
+func newServer(h http.Handler, headerTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       keepAliveIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (a *App) snapshot() ([]byte, uint64) {
+	state := a.board.Intent.Get()
+	return state.Snapshot, state.Revision
+}
+
+// ListenError says that a listener could not be opened.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// listen opens every listener or none.
+func (a *App) listen() (*listeners, error) {
+	var out listeners
+	var opened []net.Listener
+	for _, l := range []struct {
+		address string
+		dst     *net.Listener
+	}{
+		{a.settings.Listen, &out.callers},
+		{a.settings.PeerListen, &out.peers},
+		{a.settings.AdminListen, &out.admin},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, o := range opened {
+				_ = o.Close()
+			}
+			return nil, &ListenError{Address: l.address, Cause: err}
+		}
+		opened = append(opened, ln)
+		*l.dst = ln
+	}
+	return &out, nil
+}
+
+func (a *App) serve(l *listeners) {
+	for _, s := range []struct {
+		server *http.Server
+		ln     net.Listener
+	}{{a.callers, l.callers}, {a.peerServer, l.peers}, {a.admin, l.admin}} {
+		a.tomb.Go(func() error {
+			err := s.server.Serve(s.ln)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return err
+		})
+	}
+}
--- /dev/null
+++ b/internal/app/shutdown.go
@@ -0,0 +1,85 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+)
+
+// sealTimeout bounds the sealing and handing over of the action records.
+const sealTimeout = 5 * time.Second
+
+// CutOffError says that a shutdown ended requests that were under way.
+type CutOffError struct{ Requests int }
+
+// Error implements error.
+func (e *CutOffError) Error() string {
+	return fmt.Sprintf("shutdown cut off %d requests in flight", e.Requests)
+}
+
+// shutdown stops gracefully: it takes no new work, finishes what is in flight,
+// seals the action records and closes the listeners. It returns the number of
+// requests that were cut off.
+func (a *App) shutdown(hurry <-chan struct{}) int {
+	deadline := time.NewTimer(a.settings.DrainTimeout)
+	defer deadline.Stop()
+	a.board.Lifecycle.Set(blackboard.Draining)
+	a.logger.Info("draining")
+	a.actions.Drain()
+	cut := a.finishInFlight(hurry, deadline.C)
+	a.sealActions()
+	a.linger(hurry)
+	a.board.Lifecycle.Set(blackboard.Stopped)
+	a.closeServers()
+	_ = a.actions.Stop()
+	_ = a.relay.Close()
+	a.logger.Info("stopped", "cut_off", cut)
+	return cut
+}
+
+// finishInFlight waits until no request is under way.
+func (a *App) finishInFlight(hurry <-chan struct{}, deadline <-chan time.Time) int {
+	for {
+		idle, n := a.gateway.InFlight()
+		if n == 0 {
+			return 0
+		}
+		select {
+		case <-idle:
+		case <-hurry:
+			return n
+		case <-deadline:
+			return n
+		}
+	}
+}
+
+func (a *App) sealActions() {
+	ctx, cancel := context.WithTimeout(context.Background(), sealTimeout)
+	defer cancel()
+	if err := a.actions.Seal(ctx); err != nil {
+		a.logger.Warn("action records were not handed over", "err", err)
+	}
+}
+
+// linger goes on refusing truthfully for a moment, so that callers and peers
+// that have not heard yet are told where to go.
+func (a *App) linger(hurry <-chan struct{}) {
+	select {
+	case <-time.After(settleTime):
+	case <-hurry:
+	}
+}
+
+func (a *App) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	for _, s := range []*http.Server{a.callers, a.admin, a.peerServer} {
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	}
+}
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -157,10 +157,10 @@
 }
 
 // Budget spends the retry budget of admission.
-type Budget struct{ Take0 func() bool }
+type Budget struct{ Spend func() bool }
 
 // Take implements relay.RetryBudget.
-func (b Budget) Take() bool { return b.Take0() }
+func (b Budget) Take() bool { return b.Spend() }
 
 // noEndpoint is the refusal for a request that nothing serves.
 func noEndpoint(what string) *failure.Refusal {
