Dispatch an action on a connection of its own

Ruled out: DisableKeepAlives on a shared Transport (a dial may still be handed to another request, and the retry loop stays in the path); writing the request by hand. http.Transport.NewClientConn gives one connection and no retry.

Change: internal/action/dispatch. Commit is called between the dial and the first byte; a failed dial tries the next endpoint; nothing else does.

--- /dev/null
+++ b/internal/action/dispatch/dispatch_test.go
@@ -0,0 +1,249 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/action/dispatch"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/standin/fault"
+)
+
+// endpoint is a loopback server that counts the requests it executes.
+type endpoint struct {
+	address  string
+	executed atomic.Int64
+	faults   *fault.Switches
+	header   atomic.Pointer[http.Header]
+	answer   http.HandlerFunc
+}
+
+func newEndpoint(t *testing.T, answer http.HandlerFunc) *endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &endpoint{address: l.Addr().String(), faults: fault.New(), answer: answer}
+	server := &http.Server{Handler: e.faults.Middleware(e)}
+	go func() { _ = server.Serve(e.faults.Listener(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return e
+}
+
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	header := r.Header.Clone()
+	e.header.Store(&header)
+	e.executed.Add(1)
+	w.Header().Set(dispatch.HeaderAttemptID, r.Header.Get(dispatch.HeaderAttemptID))
+	if e.answer != nil {
+		e.answer(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// listPicker offers endpoints in order.
+type listPicker []dispatch.Endpoint
+
+func (l listPicker) Pick(_ context.Context, _ action.Order, tried []string) (dispatch.Endpoint, error) {
+	if len(tried) >= len(l) {
+		return dispatch.Endpoint{}, failure.Refuse(failure.CodeNoEndpoint, "no endpoint")
+	}
+	return l[len(tried)], nil
+}
+
+func pick(method string, addresses ...string) listPicker {
+	var l listPicker
+	for _, a := range addresses {
+		l = append(l, dispatch.Endpoint{ID: a, Address: a, Method: method, Path: "/book", ChecksFencing: true})
+	}
+	return l
+}
+
+func order() action.Order {
+	return action.Order{
+		AttemptID: "attempt", RequestID: "request", ActionID: "action", Fencing: 1, Body: []byte("body"),
+		Timeout: time.Second, Commit: func() error { return nil },
+	}
+}
+
+// deadAddress returns a loopback address that refuses connections.
+func deadAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestPooledClientSendsTwice shows what net/http re-sends and that a Sender
+// doesn't: the server closes each connection under its second request, after
+// the execution.
+func TestPooledClientSendsTwice(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		var executed atomic.Int64
+		go serveClosing(l, &executed)
+
+		naive := &http.Client{Transport: &http.Transport{}}
+		t.Cleanup(naive.CloseIdleConnections)
+		send := func() {
+			req, err := http.NewRequest(method, "http://"+l.Addr().String()+"/book", bytes.NewReader([]byte("body")))
+			require.NoError(t, err)
+			req.Header.Set("Idempotency-Key", "k")
+			resp, err := naive.Do(req)
+			require.NoError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		send()
+		require.EqualValues(t, 1, executed.Load())
+		send()
+		require.EqualValues(t, 3, executed.Load(), "net/http sent the second request twice")
+
+		executed.Store(0)
+		sender := dispatch.New(pick(method, l.Addr().String()), dispatch.Limits{}, nil)
+		for i := range 3 {
+			_, err := sender.Dispatch(t.Context(), order())
+			require.NoError(t, err)
+			require.EqualValues(t, i+1, executed.Load())
+		}
+	}
+}
+
+// serveClosing answers the first request of each connection and closes the
+// connection instead of answering the second, after executing it.
+func serveClosing(l net.Listener, executed *atomic.Int64) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go closingConn(conn, executed)
+	}
+}
+
+func closingConn(conn net.Conn, executed *atomic.Int64) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		executed.Add(1)
+		if n > 0 {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func TestFaultsOfOneDispatch(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	halting := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	crossed := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(dispatch.HeaderAttemptID, "other") }
+	long := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 2000)) }
+	redirect := func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "/book", http.StatusTemporaryRedirect)
+	}
+	cases := map[string]struct {
+		answer   http.HandlerFunc
+		fault    fault.Kind
+		status   int
+		executed int64
+	}{
+		"answered":                 {status: 200, executed: 1},
+		"redirect is not followed": {answer: redirect, status: 307, executed: 1},
+		"request lost":             {fault: fault.DropRequest},
+		"answer lost":              {fault: fault.DropAnswer, executed: 1},
+		"answer cut":               {fault: fault.Truncate, executed: 1},
+		"silent":                   {answer: silent, executed: 1},
+		"silent in the body":       {answer: halting, executed: 1},
+		"crossed":                  {answer: crossed, executed: 1},
+		"too long":                 {answer: long, executed: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, c.answer)
+			if c.fault != "" {
+				require.NoError(t, e.faults.Set(fault.Setting{Kind: c.fault, Bytes: 2}))
+			}
+			sender := dispatch.New(pick(http.MethodPost, e.address, e.address), dispatch.Limits{MaxBody: 1000, Gap: 200 * time.Millisecond}, nil)
+			reply, err := sender.Dispatch(t.Context(), order())
+			require.Equal(t, c.executed, e.executed.Load())
+			if c.status != 0 {
+				require.NoError(t, err)
+				require.Equal(t, c.status, reply.Status)
+				return
+			}
+			var maybe *action.MaybeSentError
+			require.ErrorAs(t, err, &maybe)
+		})
+	}
+}
+
+// TestSilentConnectionsDoNotMatter: connections that go silent for good are
+// never met again, since none is kept.
+func TestSilentConnectionsDoNotMatter(t *testing.T) {
+	e := newEndpoint(t, nil)
+	sender := dispatch.New(pick(http.MethodPost, e.address), dispatch.Limits{}, nil)
+	for i := range 3 {
+		_, err := sender.Dispatch(t.Context(), order())
+		require.NoError(t, err)
+		require.EqualValues(t, i+1, e.executed.Load())
+		require.NoError(t, e.faults.Set(fault.Setting{Kind: fault.Silent}))
+	}
+}
+
+func TestFailedDialTriesAnotherEndpoint(t *testing.T) {
+	e := newEndpoint(t, nil)
+	sender := dispatch.New(pick(http.MethodPost, deadAddress(t), e.address), dispatch.Limits{}, nil)
+	reply, err := sender.Dispatch(t.Context(), order())
+	require.NoError(t, err)
+	require.Equal(t, e.address, reply.Endpoint)
+
+	sender = dispatch.New(pick(http.MethodPost, deadAddress(t)), dispatch.Limits{}, nil)
+	_, err = sender.Dispatch(t.Context(), order())
+	var notSent *action.NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.Equal(t, failure.CodeNoEndpoint, failure.AsRefusal(err).Code)
+}
+
+func TestRefusedCommitSendsNothing(t *testing.T) {
+	e := newEndpoint(t, nil)
+	sender := dispatch.New(pick(http.MethodPost, e.address), dispatch.Limits{}, nil)
+	o := order()
+	o.Commit = func() error { return &action.CommitError{Reason: action.CommitTwice} }
+	_, err := sender.Dispatch(t.Context(), o)
+	var notSent *action.NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.Zero(t, e.executed.Load())
+}
+
+func TestHeadersOfADispatch(t *testing.T) {
+	e := newEndpoint(t, nil)
+	_, err := dispatch.New(pick(http.MethodPost, e.address), dispatch.Limits{}, nil).Dispatch(t.Context(), order())
+	require.NoError(t, err)
+	h := *e.header.Load()
+	require.Equal(t, "1", h.Get(dispatch.HeaderFencing))
+	require.Equal(t, "action", h.Get(dispatch.HeaderActionID))
+	require.Equal(t, "request", h.Get(dispatch.HeaderRequestID))
+	require.Empty(t, h.Get("Idempotency-Key"))
+	require.Empty(t, h.Get("X-Idempotency-Key"))
+}
