--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -107,7 +107,7 @@
 		DialTimeout:       a.settings.DialTimeout,
 		FirstTokenTimeout: a.settings.FirstByteTimeout,
 		NextTokenTimeout:  a.settings.ChunkTimeout,
-		Budget:            gateway.Budget{Spend: admission.Retry},
+		Budget:            gateway.Budget{Admit: admission},
 		Observer:          gateway.Observer{Store: data},
 		Tracer:            telemetry.Tracer(),
 		Logger:            a.logger,
--- /dev/null
+++ b/internal/app/parts.go
@@ -0,0 +1,92 @@
+package app
+
+import (
+	"context"
+	"slices"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/action/dispatch"
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/gateway"
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/intent/revision"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+)
+
+// InvalidIntentError says that a revision's files don't make a valid intent.
+type InvalidIntentError struct{ Findings intent.Diagnostics }
+
+// Error implements error.
+func (e *InvalidIntentError) Error() string { return e.Findings.String() }
+
+// parseIntent makes an intent of a revision's files.
+func parseIntent(files []revision.File) (*intent.Intent, error) {
+	in := make([]intent.File, 0, len(files))
+	for _, f := range files {
+		in = append(in, intent.File{Name: f.Name, Content: f.Content})
+	}
+	parsed, findings := intent.Parse(in)
+	if findings.HasFaults() {
+		return nil, &InvalidIntentError{Findings: findings}
+	}
+	return parsed, nil
+}
+
+func (a *App) newActions(store platform.Store) *action.Manager {
+	owners := gateway.NewOwners(a.gateway)
+	picker := &actionPicker{board: a.board}
+	return action.New(action.Config{
+		Incarnation: a.board.Self.Incarnation,
+		Dispatcher:  dispatch.New(picker, dispatch.DefaultLimits(), nil),
+		Store:       store,
+		Forwarder:   owners,
+		Handover:    owners,
+		Log:         a.logger,
+	})
+}
+
+// actionPicker chooses the endpoint of an action among those of this region
+// that stay, in an order that is the action's own.
+type actionPicker struct{ board *blackboard.Board }
+
+// Pick implements dispatch.Picker.
+func (p *actionPicker) Pick(_ context.Context, o action.Order, tried []string) (dispatch.Endpoint, error) {
+	in := p.board.Intent.Get().Intent
+	service, ok := in.Services[o.Service]
+	if !ok {
+		return dispatch.Endpoint{}, failure.Refuse(failure.CodeUnknownService, "no service %q", o.Service)
+	}
+	call, ok := service.Calls[o.Name]
+	if !ok {
+		return dispatch.Endpoint{}, failure.Refuse(failure.CodeUnknownService, "service %q has no call %q", o.Service, o.Name)
+	}
+	e, ok := p.endpoint(service.Group, o.ActionID, tried)
+	if !ok {
+		return dispatch.Endpoint{}, failure.Refuse(failure.CodeNoEndpoint, "no endpoint of %q takes a connection", service.Group)
+	}
+	return dispatch.Endpoint{
+		ID:            e.ID,
+		Address:       e.Address,
+		Method:        call.Method,
+		Path:          call.Path,
+		ChecksFencing: in.Groups[service.Group].ChecksFencing,
+	}, nil
+}
+
+func (p *actionPicker) endpoint(group, key string, tried []string) (blackboard.EndpointState, bool) {
+	var ids []string
+	p.board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
+		if e.Group == group && !e.Leaving && !slices.Contains(tried, id) {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	for _, id := range rendezvous.Top(key, ids, len(ids)) {
+		if e, ok := p.board.Endpoints.Get(id); ok {
+			return e, true
+		}
+	}
+	return blackboard.EndpointState{}, false
+}
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -9,8 +9,12 @@
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 )
 
-// sealTimeout bounds the sealing and handing over of the action records.
-const sealTimeout = 5 * time.Second
+// Bounds on the end of a graceful shutdown: the wait for actions that go on
+// without their callers, and the handing over of their records.
+const (
+	sealTimeout     = 5 * time.Second
+	handoverTimeout = 3 * time.Second
+)
 
 // CutOffError says that a shutdown ended requests that were under way.
 type CutOffError struct{ Requests int }
@@ -30,7 +34,7 @@
 	a.logger.Info("draining")
 	a.actions.Drain()
 	cut := a.finishInFlight(hurry, deadline.C)
-	a.sealActions()
+	cut += a.sealActions()
 	a.linger(hurry)
 	a.board.Lifecycle.Set(blackboard.Stopped)
 	a.closeServers()
@@ -57,12 +61,14 @@
 	}
 }
 
-func (a *App) sealActions() {
+// sealActions waits for the actions that go on without their callers and hands
+// the records over. It returns the number of actions that were cut off.
+func (a *App) sealActions() int {
 	ctx, cancel := context.WithTimeout(context.Background(), sealTimeout)
 	defer cancel()
-	if err := a.actions.Seal(ctx); err != nil {
-		a.logger.Warn("action records were not handed over", "err", err)
-	}
+	report := a.actions.Seal(ctx, handoverTimeout)
+	a.logger.Info("action records sealed", "runs", report.Runs, "peer", report.Peer, "store", report.Store)
+	return report.Cut
 }
 
 // linger goes on refusing truthfully for a moment, so that callers and peers
--- a/internal/controller/configsync/peers.go
+++ b/internal/controller/configsync/peers.go
@@ -71,8 +71,8 @@
 		if r.Region == c.Board.Self.Region || r.Revision <= known || now.Sub(r.Heard) > c.Timing.LiveWindow {
 			return true
 		}
-		for _, address := range r.Gateways {
-			out = append(out, claim{address, r.Revision, true})
+		for _, g := range r.Gateways {
+			out = append(out, claim{g.Peer, r.Revision, true})
 		}
 		return true
 	})
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -13,7 +13,6 @@
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched"
-	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // Estimates of answers.
@@ -133,5 +132,4 @@
 	if err == nil {
 		g.Admit.Succeeded()
 	}
-	_ = telemetry.SpanGateway
 }
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/relay"
@@ -157,10 +158,10 @@
 }
 
 // Budget spends the retry budget of admission.
-type Budget struct{ Spend func() bool }
+type Budget struct{ Admit *admit.Controller }
 
-// Take implements relay.RetryBudget.
-func (b Budget) Take() bool { return b.Spend() }
+// Spend implements relay.RetryBudget.
+func (b Budget) Spend() bool { return b.Admit.Retry() }
 
 // noEndpoint is the refusal for a request that nothing serves.
 func noEndpoint(what string) *failure.Refusal {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -97,18 +96,27 @@
 // FetchSnapshot returns the configuration that the peer holds, if its revision
 // is at least minRevision.
 func (c *Client) FetchSnapshot(ctx context.Context, address string, minRevision uint64) ([]byte, error) {
+	return c.FetchDelta(ctx, address, minRevision, nil)
+}
+
+// FetchDelta is FetchSnapshot, but the answer may leave out the contents whose
+// digests are in have.
+func (c *Client) FetchDelta(ctx context.Context, address string, minRevision uint64, have []string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	path := PathSnapshot + "?min=" + strconv.FormatUint(minRevision, 10)
-	req, err := c.request(ctx, http.MethodGet, address, path, nil, nil)
+	body, err := json.Marshal(SnapshotRequest{MinRevision: minRevision, Have: have})
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	req, err := c.request(ctx, http.MethodPost, address, PathSnapshot, nil, body)
 	if err != nil {
 		return nil, err
 	}
-	body, err := c.roundTrip(c.pooled, req, MaxSnapshotBytes)
+	snapshot, err := c.roundTrip(c.pooled, req, MaxSnapshotBytes)
 	if ctx.Err() != nil {
 		c.CloseIdle()
 	}
-	return body, err
+	return snapshot, err
 }
 
 // Forward sends a caller's request on to the peer at address and returns the
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -57,6 +57,13 @@
 	Regions []blackboard.RegionSummary `json:"regions,omitempty"`
 }
 
+// SnapshotRequest asks for the configuration that a gateway holds.
+type SnapshotRequest struct {
+	MinRevision uint64 `json:"min"`
+	// Have lists the digests of contents that the answer may leave out.
+	Have []string `json:"have,omitempty"`
+}
+
 // Limits on one exchange.
 const (
 	// MaxRows bounds the rows of each kind in one exchange.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"goji.io"
 	"goji.io/pat"
 
+	"github.com/hickorystage/hickorystage/internal/intent/revision"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -44,7 +44,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post(PathExchange), s.exchange)
-	mux.HandleFunc(pat.Get(PathSnapshot), s.snapshot)
+	mux.HandleFunc(pat.Post(PathSnapshot), s.snapshot)
 	mux.HandleFunc(pat.Post(PathHandover), s.handover)
 	mux.HandleFunc(pat.Post(PathActionRun), s.askOwner(s.handlers.Owner.Run))
 	mux.HandleFunc(pat.Post(PathActionOutcome), s.askOwner(s.handlers.Owner.Outcome))
@@ -84,21 +84,26 @@
 }
 
 func (s *Server) snapshot(w http.ResponseWriter, r *http.Request) {
-	_, _, ok := s.verified(w, r, 0)
+	body, _, ok := s.verified(w, r, MaxExchangeBytes)
 	if !ok {
 		return
 	}
-	wanted, err := strconv.ParseUint(r.URL.Query().Get("min"), 10, 64)
-	if err != nil {
+	var req SnapshotRequest
+	if err := json.Unmarshal(body, &req); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	snapshot, revision := s.handlers.Snapshot()
-	if revision == 0 || revision < wanted {
+	snapshot, held := s.handlers.Snapshot()
+	if held == 0 || held < req.MinRevision {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write(snapshot)
+	reduced, err := revision.Reduce(snapshot, req.Have)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(reduced)
 }
 
 func (s *Server) forward(w http.ResponseWriter, r *http.Request) {
