Add the stand-in of a plain service

Cause: bookings and dispatches need an endpoint that counts what it really executes, and that checks fencing numbers or ignores them.

Ruled out: serve.Run, which closes connections at once.

Conclusion: go test -race -count=3 ./internal/standin/service passes.

--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,86 @@
+package service_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/action/dispatch"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/standin/directory"
+	"github.com/hickorystage/hickorystage/internal/standin/service"
+)
+
+func call(s *service.Server, action, fencing string) int {
+	r := httptest.NewRequest(http.MethodPost, "/book", strings.NewReader(`{"key":"b1"}`))
+	r.Header.Set(dispatch.HeaderActionID, action)
+	r.Header.Set(dispatch.HeaderFencing, fencing)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	return w.Code
+}
+
+func TestFencing(t *testing.T) {
+	checking := service.New(service.Config{ChecksFencing: true})
+	require.Equal(t, http.StatusOK, call(checking, "a", "1"))
+	require.Equal(t, http.StatusConflict, call(checking, "a", "1"))
+	require.Equal(t, http.StatusOK, call(checking, "b", "1"))
+	require.Equal(t, 2, checking.Counts().ByKey["b1"])
+	require.Equal(t, 1, checking.Counts().RefusedByFencing)
+
+	ignoring := service.New(service.Config{})
+	require.Equal(t, http.StatusOK, call(ignoring, "a", "1"))
+	require.Equal(t, http.StatusOK, call(ignoring, "a", "1"))
+	require.Equal(t, 2, ignoring.Counts().ByKey["b1"])
+}
+
+// TestGracefulStop: a stopping service is listed as leaving, answers what is
+// in flight and leaves the list.
+func TestGracefulStop(t *testing.T) {
+	list := directory.New(0)
+	server := httptest.NewServer(list.Handler())
+	t.Cleanup(server.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+
+	ctx, stop := context.WithCancel(t.Context())
+	p := service.Process{
+		Config:   service.Config{Work: 300 * time.Millisecond},
+		Listen:   address,
+		Instance: platform.Instance{ID: "s1", Group: "booking", Region: "r"},
+		Register: []string{server.URL},
+		Grace:    100 * time.Millisecond,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	state := func() platform.InstanceState {
+		for _, i := range list.Instances("r") {
+			return i.State
+		}
+		return ""
+	}
+	require.Eventually(t, func() bool { return state() == platform.InstanceLive }, 5*time.Second, time.Millisecond)
+
+	answered := make(chan error, 1)
+	go func() {
+		resp, err := http.Post("http://"+address+"/book", "application/json", strings.NewReader("{}"))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		answered <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	stop()
+	require.Eventually(t, func() bool { return state() == platform.InstanceLeaving }, 5*time.Second, time.Millisecond)
+	require.NoError(t, <-answered)
+	require.NoError(t, <-ended)
+	require.Empty(t, state())
+}
