--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -160,7 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if q, ok := c.queues[item.Group]; ok {
-		q.insert(item)
+		q.putBack(item)
 	}
 }
 
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -15,6 +15,11 @@
 	// rate is the smoothed number of requests that leave in a second.
 	rate    float64
 	lastPop time.Time
+	// undo is the state before the last pop, for an item that is put back.
+	undo struct {
+		rate    float64
+		lastPop time.Time
+	}
 }
 
 func newQueue(limit int) *queue { return &queue{max: limit} }
@@ -52,10 +57,17 @@
 		return Item{}, false
 	}
 	item := heap.Pop(&q.items).(Item)
+	q.undo.rate, q.undo.lastPop = q.rate, q.lastPop
 	q.learn(now)
 	return item, true
 }
 
+// putBack undoes the last pop.
+func (q *queue) putBack(item Item) {
+	q.insert(item)
+	q.rate, q.lastPop = q.undo.rate, q.undo.lastPop
+}
+
 // rateWeight is the weight of a new sample in the smoothed rate.
 const rateWeight = 0.1
 
@@ -68,6 +80,10 @@
 		q.rate += rateWeight * (1/dt - q.rate)
 	}
 	q.lastPop = now
+	if q.len() == 0 {
+		// The time to the next pop will say nothing about the rate.
+		q.lastPop = time.Time{}
+	}
 }
 
 // waitFor estimates how long item would wait behind those before it.
--- a/internal/sched/datastore/away.go
+++ b/internal/sched/datastore/away.go
@@ -153,16 +153,16 @@
 
 // Summary sums up this region's groups for the other regions, by the corrected
 // loads.
-func (s *Store) Summary() map[string]blackboard.GroupSummary {
+func (s *Store) Summary(now time.Time) map[string]blackboard.GroupSummary {
 	l := s.layout.load()
 	out := make(map[string]blackboard.GroupSummary, len(l.groups))
 	for name, g := range l.groups {
-		out[name] = summarise(g)
+		out[name] = summarise(g, now)
 	}
 	return out
 }
 
-func summarise(g *sched.GroupView) blackboard.GroupSummary {
+func summarise(g *sched.GroupView, now time.Time) blackboard.GroupSummary {
 	var sum blackboard.GroupSummary
 	for _, slot := range g.Slots {
 		e := slot.Load()
@@ -172,9 +172,9 @@
 		sum.Endpoints++
 		sum.Running += e.Running
 		sum.Waiting += e.Waiting
-		sum.QueuedPrefillTokens += e.QueuedPrefillTokens
+		sum.QueuedPrefillTokens += int(e.Backlog(now))
 		sum.PrefillRate += e.PrefillRate
-		sum.FreeSlots += max(e.MaxBatch-e.Running-e.Waiting, 0)
+		sum.FreeSlots += max(e.MaxBatch-e.Occupancy(), 0)
 	}
 	return sum
 }
--- a/internal/sched/datastore/health.go
+++ b/internal/sched/datastore/health.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// PreviousHealthOptions are the options of the version before, for comparison.
+func PreviousHealthOptions() HealthOptions { return DefaultHealthOptions() }
+
 // health is the state of one endpoint's health.
 type health struct {
 	state     sched.Health
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -13,8 +13,8 @@
 // unknownWait is added to the estimate of an endpoint with no report.
 const unknownWait = 0.05
 
-// backlogAt returns the prefill backlog of e at now, in tokens.
-func backlogAt(e *Endpoint, now time.Time) float64 {
+// Backlog returns the corrected prefill backlog at now, in tokens.
+func (e *Endpoint) Backlog(now time.Time) float64 {
 	b := e.BacklogTokens
 	if dt := now.Sub(e.BacklogAt).Seconds(); dt > 0 {
 		b -= dt * prefillRate(e)
@@ -36,8 +36,8 @@
 	return e.DecodeRate
 }
 
-// occupancy estimates the requests at e, running and waiting.
-func occupancy(e *Endpoint) int {
+// Occupancy estimates the requests at the endpoint, running and waiting.
+func (e *Endpoint) Occupancy() int {
 	n := e.Running + e.Waiting + e.SentSince - e.DoneSince
 	return max(n, e.InFlight)
 }
@@ -47,7 +47,7 @@
 	if e.MaxBatch <= 0 {
 		return 0
 	}
-	over := occupancy(e) - e.MaxBatch + 1
+	over := e.Occupancy() - e.MaxBatch + 1
 	if over <= 0 {
 		return 0
 	}
@@ -61,7 +61,7 @@
 	uncached := float64(max(req.PromptTokens-cached, 1))
 	backlog := float64(e.QueuedPrefillTokens)
 	if o.LagCorrection {
-		backlog = backlogAt(e, now)
+		backlog = e.Backlog(now)
 	}
 	t := (backlog+uncached)/prefillRate(e) + slotWait(e, req.OutputTokens) + e.RTT.Seconds()
 	if o.BiasCorrection {
--- a/internal/sched/filter.go
+++ b/internal/sched/filter.go
@@ -30,7 +30,7 @@
 }
 
 func withinConcurrency(_ *Request, e *Endpoint, _ uint64) bool {
-	return e.MaxConcurrent <= 0 || occupancy(e) < e.MaxConcurrent
+	return e.MaxConcurrent <= 0 || e.Occupancy() < e.MaxConcurrent
 }
 
 // fixedFilters hold whatever else is the case.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -1,7 +1,5 @@
 package sched
 
-import "time"
-
 // Options switch parts of the scheduler, so that versions can be compared.
 type Options struct {
 	// LagCorrection uses the corrected backlog instead of the report's.
@@ -25,6 +23,9 @@
 	}
 }
 
+// PreviousOptions are the options of the version before, for comparison.
+func PreviousOptions() Options { return DefaultOptions() }
+
 // Scheduler decides where a request runs. It is safe for concurrent use and
 // holds no state.
 type Scheduler struct{ opts Options }
@@ -115,7 +116,7 @@
 }
 
 func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, rnd uint64) Decision {
-	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), Reason: ReasonBest}
+	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
 		away := bestAway(req, v, rnd)
 		gain := local.score - away.ttft - costSeconds(v, req, away.cost)
@@ -126,7 +127,7 @@
 			serve.Reason = ReasonAwayBudget
 		}
 	}
-	if late(req, serve.EstimatedTTFT) {
+	if late(req, local.ttft, decodeRate(local.e)) {
 		return Decision{Kind: Refuse, EstimatedTTFT: serve.EstimatedTTFT, Reason: ReasonDeadline}
 	}
 	return serve
@@ -140,7 +141,7 @@
 		return Decision{}, false
 	}
 	away := bestAway(req, v, rnd)
-	if away.region == "" || late(req, seconds(away.ttft)) {
+	if away.region == "" || late(req, away.ttft, defaultDecodeRate) {
 		return Decision{}, false
 	}
 	return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonNoLocal}, true
@@ -156,8 +157,12 @@
 	return Decision{Kind: Refuse, Reason: ReasonNoEndpoint}
 }
 
-// late says that an answer whose first token takes d can't meet the deadline.
-// A request without a deadline is never late.
-func late(req *Request, d time.Duration) bool {
-	return req.Remaining > 0 && d > req.Remaining
+// late says that an answer whose first token takes ttft seconds and whose
+// other tokens come at rate can't be whole by the deadline. A request without
+// a deadline is never late.
+func late(req *Request, ttft, rate float64) bool {
+	if req.Remaining <= 0 {
+		return false
+	}
+	return ttft+float64(req.OutputTokens)/rate > req.Remaining.Seconds()
 }
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -43,6 +43,9 @@
 	Region string
 	// EstimatedTTFT is the estimated time to first token.
 	EstimatedTTFT time.Duration
+	// CachedTokens is the part of the prompt that the endpoint is believed to
+	// hold.
+	CachedTokens int
 	// Reason explains the decision to operators.
 	Reason Reason
 }
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -32,10 +32,10 @@
 	stepEnd time.Time
 	busy    bool
 	reports []Snapshot
-	// lastStep is the duration of the last whole step.
-	lastStep time.Duration
-	leaving  bool
-	work     Work
+	// step is the smoothed duration of a step.
+	step    time.Duration
+	leaving bool
+	work    Work
 }
 
 // Work counts what an engine computed.
@@ -47,7 +47,7 @@
 
 // New returns an idle engine at time now.
 func New(cfg Config, now time.Time) *Engine {
-	e := &Engine{cfg: cfg, speed: 1, lastStep: cfg.StepBase}
+	e := &Engine{cfg: cfg, speed: 1, step: cfg.StepBase}
 	e.cache = newCache(&e.cfg, rand.New(rand.NewPCG(cfg.Seed, 0x5eed)))
 	e.snapshot(now)
 	return e
@@ -141,6 +141,9 @@
 	return out
 }
 
+// stepSmoothing is the number of steps that the reported step time spans.
+const stepSmoothing = 16
+
 // startStep admits waiting jobs and plans the next step.
 func (e *Engine) startStep(now time.Time) {
 	e.admit(now)
@@ -161,8 +164,9 @@
 	d := e.cfg.StepBase + time.Duration(decode)*e.cfg.StepPerSequence
 	d += time.Duration(float64(prefill) / e.cfg.PrefillRate * float64(time.Second))
 	e.stepAt, e.busy = now, true
-	e.lastStep = time.Duration(float64(d) / e.speed)
-	e.stepEnd = now.Add(e.lastStep)
+	d = time.Duration(float64(d) / e.speed)
+	e.step += (d - e.step) / stepSmoothing
+	e.stepEnd = now.Add(d)
 }
 
 // admit moves waiting jobs into the batch while there is room, in order.
--- a/internal/standin/model/report.go
+++ b/internal/standin/model/report.go
@@ -48,7 +48,7 @@
 	}
 	return Snapshot{
 		At: at, Running: len(e.running), Waiting: len(e.waiting), QueuedPrefillTokens: queued,
-		PrefillRate: e.prefillRate(), DecodeRate: e.speed * float64(time.Second) / float64(e.decodeStep()),
+		PrefillRate: e.prefillRate(), DecodeRate: float64(time.Second) / float64(e.step),
 		KVUsed: float64(e.pinned) / float64(e.cfg.Blocks),
 	}
 }
