--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,7 +21,7 @@
 func main() {
 	flaggy.SetName("standin")
 	flaggy.SetDescription("stand-ins of the platform, the endpoints and the callers")
-	commands := []command{storeCommand(), directoryCommand(), engineCommand(), demoCommand()}
+	commands := []command{storeCommand(), directoryCommand(), engineCommand(), demoCommand(), experimentCommand()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
