--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,7 @@
 		engineCommand(),
 		serviceCommand(),
 		demoCommand(),
+		experimentCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,6 +39,7 @@
 // App is one gateway process.
 type App struct {
 	settings *settings.Gateway
+	network  Network
 	logger   *log.Logger
 	board    *blackboard.Board
 	gateway  *gateway.Gateway
@@ -50,13 +52,32 @@
 	peerServer  *http.Server
 	admin       *http.Server
 
-	drain chan struct{}
-	tomb  tomb.Tomb
+	// closers close idle connections at the end.
+	closers []func()
+	drain   chan struct{}
+	tomb    tomb.Tomb
+}
+
+// Network is how a gateway listens and connects.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
 // New assembles a gateway. Nothing runs yet.
-func New(s *settings.Gateway, logger *log.Logger) *App {
-	a := &App{settings: s, logger: logger, drain: make(chan struct{}, 1)}
+func New(s *settings.Gateway, network Network, logger *log.Logger) *App {
+	a := &App{settings: s, network: network, logger: logger, drain: make(chan struct{}, 1)}
 	a.board = blackboard.New(blackboard.Self{
 		ID:            s.ID,
 		Incarnation:   gateway.NewIncarnation(s.Region, s.ID, uuid.NewString()[:13]),
@@ -66,8 +87,12 @@
 		CallerAddress: s.Advertise,
 	})
 	signer := peer.NewSigner(s.ID, s.PeerSecrets)
-	a.peers = peer.NewClient(signer)
-	store := platform.NewHTTPStore(s.StoreURL, platform.Options{})
+	a.peers = peer.NewClient(signer, network.Dial)
+	options := platform.Options{Dial: network.Dial}
+	store := platform.NewHTTPStore(s.StoreURL, options)
+	directory := platform.NewHTTPDirectory(s.DirectoryURL, options)
+	list := platform.NewHTTPInstanceList(s.InstancesURL, options)
+	a.closers = []func(){store.Close, directory.Close, list.Close, a.peers.CloseIdle}
 	data := datastore.New(datastore.Options{Region: s.Region, Health: datastore.DefaultHealthOptions()})
 	admission := admit.New(s.ID, admit.DefaultOptions())
 	dispatcher := dispatch.New(sched.New(sched.DefaultOptions()), data, admission)
@@ -91,9 +116,9 @@
 	exchange := members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
-		register.New(register.Config{Board: a.board, Directory: platform.NewHTTPDirectory(s.DirectoryURL, platform.Options{}), Log: logger}),
-		endpoints.New(a.board, platform.NewHTTPInstanceList(s.InstancesURL, platform.Options{}), logger),
-		loadpoll.New(a.board, s.PollInterval, exchange.TellPeers),
+		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
+		endpoints.New(a.board, list, logger),
+		loadpoll.New(a.board, s.PollInterval, exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
 		exchange,
 		dispatcher,
@@ -110,6 +135,7 @@
 		Budget:            gateway.Budget{Admit: admission},
 		Observer:          gateway.Observer{Store: data},
 		Tracer:            telemetry.Tracer(),
+		Dial:              a.network.Dial,
 		Logger:            a.logger,
 	}
 }
@@ -148,7 +174,11 @@
 	}
 	cut := a.shutdown(hurry)
 	a.tomb.Kill(nil)
-	if err := a.tomb.Wait(); err != nil {
+	err = a.tomb.Wait()
+	for _, closeIdle := range a.closers {
+		closeIdle()
+	}
+	if err != nil {
 		return err
 	}
 	if cut > 0 {
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -39,7 +39,7 @@
 	picker := &actionPicker{board: a.board}
 	return action.New(action.Config{
 		Incarnation: a.board.Self.Incarnation,
-		Dispatcher:  dispatch.New(picker, dispatch.DefaultLimits(), nil),
+		Dispatcher:  dispatch.New(picker, dispatch.DefaultLimits(), a.network.Dial),
 		Store:       store,
 		Forwarder:   owners,
 		Handover:    owners,
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -75,7 +75,7 @@
 		{a.settings.PeerListen, &out.peers},
 		{a.settings.AdminListen, &out.admin},
 	} {
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := a.network.Listen(l.address)
 		if err != nil {
 			for _, o := range opened {
 				_ = o.Close()
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -56,15 +56,20 @@
 	onLeaving func()
 }
 
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns the controller. onLeaving is called at the first report that
-// says that an endpoint is leaving.
-func New(board *blackboard.Board, interval time.Duration, onLeaving func()) *Controller {
-	dialer := &net.Dialer{Timeout: pollTimeout}
+// says that an endpoint is leaving. A nil dial dials TCP.
+func New(board *blackboard.Board, interval time.Duration, onLeaving func(), dial DialFunc) *Controller {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &Controller{
 		board:     board,
 		view:      membership.New(board),
 		interval:  interval,
-		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
+		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dial}},
 		onLeaving: onLeaving,
 	}
 }
@@ -75,6 +80,7 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	defer c.client.CloseIdleConnections()
 	for {
 		asked := c.pollOnce(ctx)
 		select {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -110,6 +110,11 @@
 // corrects the estimate of its tokens.
 func (d *Dispatcher) Release(item admit.Item, extraTokens int) {
 	d.admit.Finish(item, extraTokens, time.Now())
+	d.wake()
+}
+
+// wake makes the queues be looked at.
+func (d *Dispatcher) wake() {
 	select {
 	case d.kick <- struct{}{}:
 	default:
@@ -150,6 +155,7 @@
 
 func (d *Dispatcher) await(ctx context.Context, w *waiter) (sched.Decision, error) {
 	queued.Inc()
+	d.wake()
 	select {
 	case out := <-w.result:
 		return d.settle(w, out)
@@ -206,20 +212,23 @@
 	}
 }
 
-// Run serves the queues until the tomb dies.
+// Run serves the queues until the tomb dies. It sleeps while nobody waits.
 func (d *Dispatcher) Run(t *tomb.Tomb) error {
-	ticker := time.NewTicker(pumpInterval)
-	defer ticker.Stop()
 	for {
+		groups := d.waitingGroups()
+		for _, group := range groups {
+			d.pump(group)
+		}
+		var next <-chan time.Time
+		if len(groups) > 0 {
+			next = time.After(pumpInterval)
+		}
 		select {
 		case <-t.Dying():
 			return nil
-		case <-ticker.C:
+		case <-next:
 		case <-d.kick:
 		}
-		for _, group := range d.waitingGroups() {
-			d.pump(group)
-		}
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -58,16 +58,27 @@
 	single *http.Client
 }
 
-// NewClient returns a client that signs with signer.
-func NewClient(signer *Signer) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that signs with signer and connects by dial; nil
+// dials TCP.
+func NewClient(signer *Signer, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         bounded,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 	}
 	single := &http.Transport{
-		DialContext:       dialer.DialContext,
+		DialContext:       bounded,
 		DisableKeepAlives: true,
 	}
 	return &Client{
