Prove the whole system in virtual time; learn endpoints from peers

Cause: a gateway started while its region was cut off got the configuration from a peer, but no endpoints, since the instance list was away too (found by TestCutOffRegionServesAndRejoins). A refusal for a store that is away named a ticket that it did not carry (found by TestActionsWithoutTheStore). Ruled out: the exchange of load rows as the carrier of endpoints (it would repeat addresses twice a second). Change: while the list is away a gateway asks a peer for the region's endpoints every 5 s; the ticket is attached. System tests run every gateway, store, directory, engine and service over a network in memory: isolation, residency, loops, actions, leaving, rolling replacement, silent connections, configuration, spans.

--- a/internal/action/result.go
+++ b/internal/action/result.go
@@ -81,7 +81,7 @@
 func (m *Manager) answer(c Call, res *result, f *flight, way Way) (Answer, error) {
 	if !res.answered() {
 		r := res.refusal()
-		if res.outcome == failure.NotRun {
+		if res.outcome == failure.NotRun || res == storeAway {
 			r = m.withTicket(c.Customer, r)
 		}
 		return Answer{}, r
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -47,6 +47,7 @@
 	relay    *relay.Relay
 	peers    *peer.Client
 
+	exchange    *members.Controller
 	controllers []controller.Controller
 	callers     *http.Server
 	peerServer  *http.Server
@@ -113,17 +114,17 @@
 	})
 	a.actions = a.newActions(store)
 	a.gateway.Actions = a.actions
-	exchange := members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
+	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
-		endpoints.New(a.board, list, logger),
-		loadpoll.New(a.board, s.PollInterval, exchange.TellPeers, network.Dial),
+		endpoints.New(a.board, list, a.peers, logger),
+		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
-		exchange,
+		a.exchange,
 		dispatcher,
 	}
-	a.newServers(signer, exchange)
+	a.newServers(signer)
 	return a
 }
 
--- /dev/null
+++ b/internal/app/isolation_test.go
@@ -0,0 +1,188 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/standin/caller"
+)
+
+// isolationTime is how long the region is cut off; ISOLATION_TIME replaces it
+// for longer runs by hand.
+func isolationTime(t *testing.T) time.Duration {
+	text := os.Getenv("ISOLATION_TIME")
+	if text == "" {
+		return 10 * time.Minute
+	}
+	d, err := time.ParseDuration(text)
+	require.NoError(t, err)
+	return d
+}
+
+func (w *world) cutOff(region string) {
+	for _, other := range allRegions {
+		if other != region {
+			w.net.Cut(region, other)
+		}
+	}
+}
+
+func (w *world) heal(region string) {
+	for _, other := range allRegions {
+		w.net.Heal(region, other)
+	}
+}
+
+// serveCallers sends a chat and a booking by ticket and checks both.
+func (w *world) serveCallers(n *node, key string) {
+	w.t.Helper()
+	c := w.client(n, key)
+	s, err := c.Stream(context.Background(), chatBody("cut off"))
+	require.NoError(w.t, err)
+	require.Equal(w.t, 10, s.Chunks)
+	before := w.executions()
+	tickets := w.entries(c).Tickets
+	a := w.book(c, tickets.Key(tickets.First))
+	require.Equal(w.t, http.StatusOK, a.Status, string(a.Body))
+	require.Equal(w.t, before+1, w.executions())
+	c.HTTP.CloseIdleConnections()
+}
+
+func TestCutOffRegionServesAndRejoins(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.cutOff(gotaland)
+		time.Sleep(30 * time.Second)
+		second := w.publish(intent.File{Name: "70-during-the-cut.yaml", Content: []byte("routing: {retry_ratio: 0.2}\n")})
+		for end := time.Now().Add(isolationTime(t)); time.Now().Before(end); time.Sleep(time.Minute) {
+			w.serveCallers(w.node("gw5-gotaland"), "demo-key-gotaland")
+			w.serveCallers(w.node("gw6-gotaland"), "demo-key-gotaland")
+		}
+		require.NoError(t, w.stop(w.node("gw5-gotaland")))
+		fresh := w.addGateway(gotaland, 7)
+		fresh.app.Board().Peers.Len()
+		w.seed(fresh, w.node("gw6-gotaland"))
+		w.await(15*time.Second, "a gateway started during the cut gets the configuration of its peer", fresh.serving)
+		require.Equal(t, uint64(1), fresh.app.Board().Intent.Get().Revision)
+		w.await(15*time.Second, "and its endpoints", func() bool { return fresh.knows(2) })
+		w.serveCallers(fresh, "demo-key-gotaland")
+
+		w.heal(gotaland)
+		healed := time.Now()
+		w.await(9*time.Second, "the newest revision is in force in the rejoined region", func() bool {
+			for _, n := range w.nodes {
+				if n.app.Board().Intent.Get().Revision != second {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("in force everywhere %s after the healing", time.Since(healed))
+		w.serveCallers(fresh, "demo-key-gotaland")
+	})
+}
+
+func TestConfigurationIsInForceEverywhereWithinNineSeconds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for round := range 5 {
+			revision := w.publish(intent.File{Name: "70-round.yaml", Content: []byte("routing: {retry_ratio: 0." + string(rune('1'+round)) + "}\n")})
+			start := time.Now()
+			w.await(9*time.Second, "the revision is in force everywhere", func() bool {
+				for _, n := range w.nodes {
+					if n.app.Board().Intent.Get().Revision != revision {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("revision %d in force everywhere after %s", revision, time.Since(start))
+		}
+	})
+}
+
+func TestLeavingEndpointGetsNoNewWorkAfterThreeSeconds(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		stays := w.addEngine(svealand, "engine-b", "10.1.0.9:80")
+		time.Sleep(5 * time.Second)
+		leaves := w.engines["engine-svealand"]
+		c := w.client(w.node("gw1-svealand"), "demo-key-svealand")
+		other := w.client(w.node("gw2-svealand"), "demo-key-svealand")
+		w.directory.PutInstance(platform.Instance{
+			ID: "engine-svealand", Incarnation: "1", Group: "assistant", Region: svealand,
+			Address: "10.1.0.1:80", State: platform.InstanceLeaving,
+		})
+		leaves.MarkLeaving()
+		for range 40 {
+			for _, x := range []*caller.Client{c, other} {
+				s, err := x.Stream(context.Background(), chatBody("who serves"))
+				require.NoError(t, err)
+				require.Equal(t, 10, s.Chunks)
+			}
+		}
+		work := leaves.Work()
+		require.LessOrEqual(t, work.LatestAfterLeavingMillis, int64(3000))
+		require.Equal(t, work.Whole, work.Attempts, "nothing in flight was cut off")
+		require.Positive(t, stays.Work().Whole)
+	})
+}
+
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		stop := make(chan struct{})
+		results := make(chan error, 3)
+		for range 3 {
+			go func() { results <- w.keepChatting(stop) }()
+		}
+		for i, id := range []string{"gw1-svealand", "gw2-svealand"} {
+			fresh := w.addGateway(svealand, 10+i)
+			w.await(20*time.Second, "the replacement serves", func() bool { return fresh.serving() && fresh.knows(2) })
+			require.NoError(t, w.stop(w.node(id)), "a graceful shutdown cuts nothing off")
+		}
+		w.addEngine(svealand, "engine-c", "10.1.0.10:80")
+		time.Sleep(5 * time.Second)
+		w.directory.PutInstance(platform.Instance{
+			ID: "engine-svealand", Incarnation: "1", Group: "assistant", Region: svealand,
+			Address: "10.1.0.1:80", State: platform.InstanceLeaving,
+		})
+		time.Sleep(5 * time.Second)
+		require.Zero(t, w.engines["engine-svealand"].Work().InFlight)
+		w.kill("10.1.0.1:80")
+		time.Sleep(10 * time.Second)
+		close(stop)
+		for range 3 {
+			require.NoError(t, <-results)
+		}
+	})
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c := w.client(w.node("gw1-svealand"), "demo-key-svealand")
+		for range 3 {
+			_, err := c.Stream(context.Background(), chatBody("warm up"))
+			require.NoError(t, err)
+		}
+		require.Positive(t, w.net.SilenceTo("10.1.0.1:80"))
+		w.net.SilenceTo(storeAddress)
+		w.net.SilenceTo(directoryAddress)
+		w.net.SilenceTo(w.node("gw2-svealand").peers)
+		start := time.Now()
+		s, err := c.Stream(context.Background(), chatBody("after the silence"))
+		require.NoError(t, err)
+		require.Equal(t, 10, s.Chunks)
+		require.Less(t, time.Since(start), 5*time.Second, "one limit on silence and a new connection")
+		require.Equal(t, "used", w.endpointState("gw1-svealand", "engine-svealand"), "the endpoint is not blamed")
+		revision := w.publish(intent.File{Name: "70-x.yaml", Content: []byte("routing: {retry_ratio: 0.3}\n")})
+		w.await(9*time.Second, "a new revision comes through new connections", func() bool {
+			return w.node("gw1-svealand").app.Board().Intent.Get().Revision == revision
+		})
+		synctest.Wait()
+	})
+}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hickorystage/hickorystage/internal/controller/members"
 	"github.com/hickorystage/hickorystage/internal/peer"
 )
 
@@ -23,12 +22,13 @@
 // listeners are the open sockets of a gateway.
 type listeners struct{ callers, peers, admin net.Listener }
 
-func (a *App) newServers(signer *peer.Signer, exchange *members.Controller) {
+func (a *App) newServers(signer *peer.Signer) {
 	peers := peer.NewServer(signer, a.settings.PeerAdvertise, peer.Handlers{
-		Exchange: exchange.HandleExchange,
-		Snapshot: a.snapshot,
-		Owner:    a.gateway.OwnerHandlers(),
-		Forward:  a.gateway.ForwardHandler(),
+		Exchange:  a.exchange.HandleExchange,
+		Snapshot:  a.snapshot,
+		Endpoints: func() []peer.Endpoint { return a.gateway.View.Endpoints(time.Now()) },
+		Owner:     a.gateway.OwnerHandlers(),
+		Forward:   a.gateway.ForwardHandler(),
 	})
 	a.callers = newServer(a.gateway.CallerHandler(), a.settings.HeaderTimeout)
 	a.peerServer = newServer(peers.Handler(), peerReadTimeout)
--- a/internal/controller/endpoints/endpoints.go
+++ b/internal/controller/endpoints/endpoints.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/platform"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
@@ -24,6 +25,9 @@
 	// unlistedFor is how long an endpoint may be missing from answered lists
 	// before it is removed.
 	unlistedFor = 10 * time.Second
+	// peerInterval is the time between two looks at a peer's endpoints while
+	// the list is away.
+	peerInterval = 5 * time.Second
 	// foreignInterval is the time between two looks for gateways of a region
 	// that is not heard.
 	foreignInterval = 10 * time.Second
@@ -32,23 +36,31 @@
 var (
 	listReads  = telemetry.NewCounter("instance_list_reads", "calls", "reads of the instance list")
 	listErrors = telemetry.NewCounter("instance_list_errors", "calls", "reads of the instance list that failed")
+	peerReads  = telemetry.NewCounter("endpoints_from_peers", "calls", "times a peer's endpoints were taken while the instance list was away")
 	removed    = telemetry.NewCounter("endpoints_removed", "endpoints", "endpoints removed after leaving the list")
 )
 
+// PeerSource tells the endpoints that a peer knows.
+type PeerSource interface {
+	FetchEndpoints(ctx context.Context, address string) ([]peer.Endpoint, error)
+}
+
 // Controller reads the instance list.
 type Controller struct {
 	board  *blackboard.Board
 	view   *membership.View
 	list   platform.InstanceList
+	peers  PeerSource
 	logger *log.Logger
 
 	listDown    bool
+	nextPeer    time.Time
 	nextForeign time.Time
 }
 
 // New returns the controller.
-func New(board *blackboard.Board, list platform.InstanceList, logger *log.Logger) *Controller {
-	return &Controller{board: board, view: membership.New(board), list: list, logger: logger}
+func New(board *blackboard.Board, list platform.InstanceList, peers PeerSource, logger *log.Logger) *Controller {
+	return &Controller{board: board, view: membership.New(board), list: list, peers: peers, logger: logger}
 }
 
 // Name implements controller.Controller.
@@ -77,6 +89,7 @@
 			c.logger.Warn("instance list unavailable", "err", err)
 		}
 		c.listDown = true
+		c.askPeer(ctx)
 		return
 	}
 	if c.listDown {
@@ -90,6 +103,26 @@
 	c.removeUnlisted(now)
 }
 
+// askPeer learns the region's endpoints from a peer while the list is away, so
+// that a gateway that starts meanwhile can serve.
+func (c *Controller) askPeer(ctx context.Context) {
+	now := time.Now()
+	if now.Before(c.nextPeer) {
+		return
+	}
+	c.nextPeer = now.Add(peerInterval)
+	for _, p := range c.view.Peers(c.board.Self.Region, now) {
+		rows, err := c.peers.FetchEndpoints(ctx, p.Address)
+		if err != nil {
+			continue
+		}
+		peerReads.Inc()
+		c.view.AbsorbEndpoints(rows, time.Now())
+		return
+	}
+	c.nextPeer = time.Time{}
+}
+
 func (c *Controller) read(ctx context.Context, region string) ([]platform.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// Seed adds a peer address that is tried while no peer of the region is known.
+func (c *Controller) Seed(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = append(c.seeds, address)
+}
+
 // Self returns what this gateway says of itself, with a new beat.
 func (c *Controller) Self() peer.Member {
 	self := c.board.Self
@@ -160,13 +167,13 @@
 		}
 		return true
 	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(addresses) == 0 {
 		addresses = c.seeds
 	}
 	if len(addresses) == 0 {
 		return "", false
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return addresses[c.rng.IntN(len(addresses))], true
 }
--- a/internal/membership/convert.go
+++ b/internal/membership/convert.go
@@ -133,6 +133,45 @@
 	return rows
 }
 
+// Endpoints returns the endpoints of the region for a peer.
+func (v *View) Endpoints(now time.Time) []peer.Endpoint {
+	out := []peer.Endpoint{}
+	v.board.Endpoints.Range(func(_ string, e blackboard.EndpointState) bool {
+		out = append(out, peer.Endpoint{
+			ID:           e.ID,
+			Incarnation:  e.Incarnation,
+			Group:        e.Group,
+			Region:       e.Region,
+			DataCentre:   e.DataCentre,
+			Address:      e.Address,
+			Leaving:      e.Leaving,
+			ListedMillis: now.Sub(e.Listed).Milliseconds(),
+		})
+		return true
+	})
+	return out
+}
+
+// AbsorbEndpoints takes in the endpoints that a peer knows. One that is known
+// here already is left as it is.
+func (v *View) AbsorbEndpoints(rows []peer.Endpoint, now time.Time) {
+	for _, r := range rows {
+		if _, known := v.board.Endpoints.Get(r.ID); known || r.Region != v.board.Self.Region {
+			continue
+		}
+		v.MergeEndpoint(blackboard.EndpointState{
+			ID:          r.ID,
+			Incarnation: r.Incarnation,
+			Group:       r.Group,
+			Region:      r.Region,
+			DataCentre:  r.DataCentre,
+			Address:     r.Address,
+			Leaving:     r.Leaving,
+			Listed:      now.Add(-millis(r.ListedMillis)),
+		})
+	}
+}
+
 func fromMember(m peer.Member, now time.Time) blackboard.PeerState {
 	return blackboard.PeerState{
 		ID:            m.ID,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -130,6 +130,15 @@
 	return snapshot, err
 }
 
+// FetchEndpoints returns the endpoints of the region as the peer knows them.
+func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]Endpoint, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var out []Endpoint
+	err := c.postJSON(ctx, address, PathEndpoints, struct{}{}, &out, MaxEndpointsBytes)
+	return out, err
+}
+
 // Forward sends a caller's request on to the peer at address and returns the
 // answer as it comes. The call goes out on a connection of its own, so that
 // the transport never sends it twice.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -12,7 +12,9 @@
 const (
 	PathExchange = "/peer/v1/exchange"
 	PathSnapshot = "/peer/v1/snapshot"
-	PathHandover = "/peer/v1/handover"
+	// PathEndpoints tells the endpoints of the region.
+	PathEndpoints = "/peer/v1/endpoints"
+	PathHandover  = "/peer/v1/handover"
 	// PathForward precedes the path of a forwarded caller's request.
 	PathForward = "/peer/v1/forward"
 )
@@ -40,6 +42,19 @@
 	Report      blackboard.LoadReport `json:"report"`
 }
 
+// Endpoint is one endpoint of the region as the instance list named it.
+type Endpoint struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"inc"`
+	Group       string `json:"group"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"dc"`
+	Address     string `json:"addr"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	// ListedMillis is the time since the list last named it.
+	ListedMillis int64 `json:"listed_ms"`
+}
+
 // Retired marks an incarnation of an endpoint or gateway that takes no new work.
 type Retired struct {
 	ID          string `json:"id"`
@@ -70,6 +85,8 @@
 	MaxRows = 32
 	// MaxExchangeBytes bounds the body of one exchange.
 	MaxExchangeBytes = 64 << 10
+	// MaxEndpointsBytes bounds the list of a region's endpoints.
+	MaxEndpointsBytes = 1 << 20
 	// MaxSnapshotBytes bounds the snapshot of a configuration.
 	MaxSnapshotBytes = 8 << 20
 	// MaxForwardBytes bounds the body of a forwarded request.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,8 @@
 	Exchange func(Exchange) Exchange
 	// Snapshot returns the configuration in force and its revision.
 	Snapshot func() ([]byte, uint64)
+	// Endpoints returns the endpoints of the region.
+	Endpoints func() []Endpoint
 	// Owner serves requests about actions.
 	Owner OwnerHandlers
 	// Forward serves a forwarded request; its path is that of the caller's.
@@ -45,6 +47,7 @@
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post(PathExchange), s.exchange)
 	mux.HandleFunc(pat.Post(PathSnapshot), s.snapshot)
+	mux.HandleFunc(pat.Post(PathEndpoints), s.endpoints)
 	mux.HandleFunc(pat.Post(PathHandover), s.handover)
 	mux.HandleFunc(pat.Post(PathActionRun), s.askOwner(s.handlers.Owner.Run))
 	mux.HandleFunc(pat.Post(PathActionOutcome), s.askOwner(s.handlers.Owner.Outcome))
@@ -106,6 +109,13 @@
 	_, _ = w.Write(reduced)
 }
 
+func (s *Server) endpoints(w http.ResponseWriter, r *http.Request) {
+	if _, _, ok := s.verified(w, r, MaxExchangeBytes); !ok {
+		return
+	}
+	writeJSON(w, s.handlers.Endpoints())
+}
+
 func (s *Server) forward(w http.ResponseWriter, r *http.Request) {
 	body, sender, ok := s.verified(w, r, MaxForwardBytes)
 	if !ok {
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -14,6 +14,8 @@
 	net.Conn
 	network *Network
 	way     [2]string
+	// hosts are the dialling and the accepting instance.
+	hosts [2]string
 	// address is the one dialled, at both ends.
 	address string
 	silent  atomic.Bool
@@ -26,11 +28,12 @@
 	once   sync.Once
 }
 
-func (n *Network) gate(c net.Conn, way [2]string, address string) *gatedConn {
+func (n *Network) gate(c net.Conn, way, hosts [2]string, address string) *gatedConn {
 	g := &gatedConn{
 		Conn:    c,
 		network: n,
 		way:     way,
+		hosts:   hosts,
 		address: address,
 		moved:   make(chan struct{}),
 		closed:  make(chan struct{}),
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -13,31 +13,63 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*Listener
-	zones     map[string]string
-	cut       map[[2]string]bool
-	delay     time.Duration
-	conns     map[*gatedConn]struct{}
+	// at holds the host of each address.
+	at    map[string]Host
+	dead  map[string]bool
+	cut   map[[2]string]bool
+	delay time.Duration
+	conns map[*gatedConn]struct{}
 }
 
 // NewNetwork returns a network whose zones are oneWay apart from each other.
 func NewNetwork(oneWay time.Duration) *Network {
 	return &Network{
 		listeners: make(map[string]*Listener),
-		zones:     make(map[string]string),
+		at:        make(map[string]Host),
+		dead:      make(map[string]bool),
 		cut:       make(map[[2]string]bool),
 		delay:     oneWay,
 		conns:     make(map[*gatedConn]struct{}),
 	}
 }
 
-// Host is the network as seen from one zone.
+// Host is the network as seen from one instance.
 type Host struct {
 	network *Network
 	zone    string
+	name    string
 }
 
-// Host returns the network as seen from zone.
-func (n *Network) Host(zone string) Host { return Host{network: n, zone: zone} }
+// Host returns the network as seen from the instance name in zone.
+func (n *Network) Host(zone, name string) Host { return Host{network: n, zone: zone, name: name} }
+
+// Kill ends an instance at once: its listeners and connections close, and it
+// can't connect any more.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	n.dead[name] = true
+	for address, h := range n.at {
+		if h.name == name {
+			_ = n.listeners[address].Close()
+		}
+	}
+	hit := n.matching(func(c *gatedConn) bool { return c.hosts[0] == name || c.hosts[1] == name })
+	n.mu.Unlock()
+	for _, c := range hit {
+		_ = c.Close()
+	}
+}
+
+// matching returns the open connections that pass; n.mu is held.
+func (n *Network) matching(pass func(*gatedConn) bool) []*gatedConn {
+	var hit []*gatedConn
+	for c := range n.conns {
+		if pass(c) {
+			hit = append(hit, c)
+		}
+	}
+	return hit
+}
 
 // AddressInUseError says that an address has a listener already.
 type AddressInUseError struct{ Address string }
@@ -55,7 +87,7 @@
 	}
 	l := Listen(address)
 	n.listeners[address] = l
-	n.zones[address] = h.zone
+	n.at[address] = h
 	return l, nil
 }
 
@@ -65,24 +97,31 @@
 	n := h.network
 	n.mu.Lock()
 	l := n.listeners[address]
-	zone := n.zones[address]
-	cut := n.cut[pair(h.zone, zone)]
+	to := n.at[address]
+	way := pair(h.zone, to.zone)
+	cut := n.cut[way]
+	dead := n.dead[h.name]
 	n.mu.Unlock()
 	if cut {
 		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Net: "memory", Addr: addr(address), Err: ctx.Err()}
+		return nil, dialError(address, ctx.Err())
 	}
-	if l == nil {
-		return nil, &net.OpError{Op: "dial", Net: "memory", Addr: addr(address), Err: net.ErrClosed}
+	if l == nil || dead {
+		return nil, dialError(address, net.ErrClosed)
 	}
-	if err := n.travel(ctx, h.zone, zone); err != nil {
-		return nil, err
+	if err := n.travel(ctx, h.zone, to.zone); err != nil {
+		return nil, dialError(address, err)
 	}
 	client, server := net.Pipe()
-	if err := l.offer(ctx, n.gate(server, pair(h.zone, zone), address)); err != nil {
+	hosts := [2]string{h.name, to.name}
+	if err := l.offer(ctx, n.gate(server, way, hosts, address)); err != nil {
 		return nil, err
 	}
-	return n.gate(client, pair(h.zone, zone), address), nil
+	return n.gate(client, way, hosts, address), nil
+}
+
+func dialError(address string, err error) error {
+	return &net.OpError{Op: "dial", Net: "memory", Addr: addr(address), Err: err}
 }
 
 // travel waits for the round trip of a handshake between two zones.
@@ -135,12 +174,7 @@
 // Reset closes every open connection to an address, as a killed process does.
 func (n *Network) Reset(address string) {
 	n.mu.Lock()
-	var hit []*gatedConn
-	for c := range n.conns {
-		if c.address == address {
-			hit = append(hit, c)
-		}
-	}
+	hit := n.matching(func(c *gatedConn) bool { return c.address == address })
 	n.mu.Unlock()
 	for _, c := range hit {
 		_ = c.Close()
