--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -43,6 +43,9 @@
 	return &HTTPStore{caller: newCaller(baseURL, o)}
 }
 
+// Close closes the idle connections.
+func (s *HTTPStore) Close() { s.caller.Close() }
+
 // Get implements Store.
 func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
 	storeGets.Inc()
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,89 @@
+#!/usr/bin/env bash
+# Starts a three-region deployment of examples/luftvard on loopback, publishes
+# its configuration, sends a chat, a streamed chat, a booking and its repeat,
+# and stays up until interrupted. It ends every process that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+out=out/run
+mkdir -p "$out"
+gateways=()
+others=()
+
+# end PID... asks processes to stop and waits for them.
+end() {
+  [ $# -gt 0 ] || return 0
+  kill -TERM "$@" 2>/dev/null || true
+  wait "$@" 2>/dev/null || true
+}
+
+stop() {
+  trap - EXIT INT TERM
+  end "${gateways[@]}"
+  end "${others[@]}"
+  echo "step: every process has ended"
+}
+trap 'stop' EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# start NAME COMMAND... runs a process with its output in out/run/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$out/$name.log" 2>&1 &
+  case "$name" in
+    gw-*) gateways+=($!) ;;
+    *) others+=($!) ;;
+  esac
+}
+
+export HICKORYSTAGE_STORE_URL=http://127.0.0.1:7100
+export HICKORYSTAGE_DIRECTORY_URL=http://127.0.0.1:7200
+export HICKORYSTAGE_PEER_SECRETS=demo-secret-of-the-gateways
+export HICKORYSTAGE_ADMIN_TOKEN=demo-token-of-the-operators
+export HICKORYSTAGE_DRAIN_TIMEOUT=10s
+
+echo "step: platform (key-value store, directory, instance list)"
+start store bin/standin store --listen 127.0.0.1:7100 --admin 127.0.0.1:7101
+start directory bin/standin directory --listen 127.0.0.1:7200 --admin 127.0.0.1:7201 --lag 500ms
+
+echo "step: endpoints (two engines and a booking service in each region)"
+n=0
+for region in svealand norrland gotaland; do
+  for i in 1 2; do
+    start "engine-$region-$i" bin/standin engine --id "engine-$region-$i" --region "$region" --group assistant \
+      --listen "127.0.0.1:$((7300 + n))" --admin "127.0.0.1:$((7400 + n))" --register "$HICKORYSTAGE_DIRECTORY_URL" --leave-grace 100ms
+    n=$((n + 1))
+  done
+  start "booking-$region" bin/standin service --id "booking-$region" --region "$region" --group booking \
+    --listen "127.0.0.1:$((7300 + n))" --admin "127.0.0.1:$((7400 + n))" --register "$HICKORYSTAGE_DIRECTORY_URL" --leave-grace 100ms
+  n=$((n + 1))
+done
+
+echo "step: configuration (check and apply examples/luftvard)"
+bin/hickorystage config check examples/luftvard
+bin/hickorystage config apply examples/luftvard --store "$HICKORYSTAGE_STORE_URL" --replace
+
+echo "step: gateways (two in each region)"
+n=0
+for region in svealand norrland gotaland; do
+  for i in 1 2; do
+    id="gw-$region-$i"
+    bin/standin register --register "$HICKORYSTAGE_DIRECTORY_URL" --id "$id" --region "$region" --address "127.0.0.1:$((8100 + n))"
+    start "$id" bin/hickorystage gateway --id "$id" --region "$region" --data-centre "$region-1" \
+      --listen "127.0.0.1:$((8000 + n))" --peer-listen "127.0.0.1:$((8100 + n))" --admin-listen "127.0.0.1:$((8200 + n))" \
+      --trace-file "$out/$id.trace.json"
+    n=$((n + 1))
+  done
+done
+
+echo "step: requests (a chat, a streamed chat, a booking, its repeat)"
+bin/standin demo --directory "$HICKORYSTAGE_DIRECTORY_URL" --key demo-key-svealand --region svealand
+
+if [ "${RUN_ONCE:-}" = 1 ]; then
+  echo "step: stopping, as RUN_ONCE=1 asks"
+  exit 0
+fi
+echo "step: up; callers at 127.0.0.1:8000, operators at 127.0.0.1:8200, logs in $out; interrupt to stop"
+wait -n || { echo "a process has ended early; see $out"; exit 1; }
