--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"goji.io"
 	"goji.io/pat"
 
+	"github.com/hickorystage/hickorystage/internal/intent/revision"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -21,8 +21,10 @@
 	Exchange func(Exchange) Exchange
 	// Snapshot returns the configuration in force and its revision.
 	Snapshot func() ([]byte, uint64)
-	// Handover takes in the sealed records of a stopping peer, as JSON.
-	Handover func(body []byte) error
+	// Endpoints returns the endpoints of the region.
+	Endpoints func() []Endpoint
+	// Owner serves requests about actions.
+	Owner OwnerHandlers
 	// Forward serves a forwarded request; its path is that of the caller's.
 	Forward func(w http.ResponseWriter, r *http.Request, fwd Forward, sender string, body []byte)
 }
@@ -44,8 +46,12 @@
 func (s *Server) Handler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post(PathExchange), s.exchange)
-	mux.HandleFunc(pat.Get(PathSnapshot), s.snapshot)
+	mux.HandleFunc(pat.Post(PathSnapshot), s.snapshot)
+	mux.HandleFunc(pat.Post(PathEndpoints), s.endpoints)
 	mux.HandleFunc(pat.Post(PathHandover), s.handover)
+	mux.HandleFunc(pat.Post(PathActionRun), s.askOwner(s.handlers.Owner.Run))
+	mux.HandleFunc(pat.Post(PathActionOutcome), s.askOwner(s.handlers.Owner.Outcome))
+	mux.HandleFunc(pat.Post(PathSeal), s.seal)
 	mux.HandleFunc(pat.New(PathForward+"/*"), s.forward)
 	return mux
 }
@@ -81,33 +87,33 @@
 }
 
 func (s *Server) snapshot(w http.ResponseWriter, r *http.Request) {
-	_, _, ok := s.verified(w, r, 0)
+	body, _, ok := s.verified(w, r, MaxExchangeBytes)
 	if !ok {
 		return
 	}
-	wanted, err := strconv.ParseUint(r.URL.Query().Get("min"), 10, 64)
-	if err != nil {
+	var req SnapshotRequest
+	if err := json.Unmarshal(body, &req); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	snapshot, revision := s.handlers.Snapshot()
-	if revision == 0 || revision < wanted {
+	snapshot, held := s.handlers.Snapshot()
+	if held == 0 || held < req.MinRevision {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write(snapshot)
-}
-
-func (s *Server) handover(w http.ResponseWriter, r *http.Request) {
-	body, _, ok := s.verified(w, r, MaxForwardBytes)
-	if !ok {
+	reduced, err := revision.Reduce(snapshot, req.Have)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if err := s.handlers.Handover(body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	_, _ = w.Write(reduced)
+}
+
+func (s *Server) endpoints(w http.ResponseWriter, r *http.Request) {
+	if _, _, ok := s.verified(w, r, MaxExchangeBytes); !ok {
 		return
 	}
-	writeJSON(w, struct{}{})
+	writeJSON(w, s.handlers.Endpoints())
 }
 
 func (s *Server) forward(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -32,6 +32,9 @@
 	return &HTTPDirectory{caller: newCaller(baseURL, o)}
 }
 
+// Close closes the idle connections.
+func (d *HTTPDirectory) Close() { d.caller.Close() }
+
 // Register implements Directory.
 func (d *HTTPDirectory) Register(ctx context.Context, r Registration, ttl time.Duration) error {
 	directoryCalls.Inc()
@@ -86,6 +89,9 @@
 	return &HTTPInstanceList{caller: newCaller(baseURL, o)}
 }
 
+// Close closes the idle connections.
+func (l *HTTPInstanceList) Close() { l.caller.Close() }
+
 // Instances implements InstanceList.
 func (l *HTTPInstanceList) Instances(ctx context.Context, region string) ([]Instance, error) {
 	listCalls.Inc()
