--- a/internal/standin/experiment/plot.go
+++ b/internal/standin/experiment/plot.go
@@ -8,15 +8,17 @@
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
 // Sizes of the plots.
 const (
-	plotWidth  = 7 * vg.Inch
-	plotHeight = 3.2 * vg.Inch
-	barWidth   = 8 * vg.Millimeter / 2
-	lineWidth  = vg.Length(1.2)
+	plotWidth   = 7 * vg.Inch
+	plotHeight  = 3.2 * vg.Inch
+	glyphStep   = 0.12
+	glyphRadius = vg.Length(3.5)
+	lineWidth   = vg.Length(1.2)
 	// plotSmoothing is the number of seconds that a point of a series spans.
 	plotSmoothing = 5
 )
@@ -67,26 +69,30 @@
 	p.Legend.Top, p.Legend.Left = true, true
 	scenarios, policies := names(fs)
 	for i, policy := range policies {
-		values := make(plotter.Values, 0, len(scenarios))
-		for _, f := range fs {
-			if f.Policy == policy {
-				values = append(values, max(f.TTFT.P99.Seconds(), 0.01))
-			}
-		}
-		bars, err := plotter.NewBarChart(values, barWidth)
+		points, err := plotter.NewScatter(tailPoints(fs, policy, float64(i-len(policies)/2)*glyphStep))
 		if err != nil {
-			return errors.Wrap(err, "draw bars")
+			return errors.Wrap(err, "draw points")
 		}
-		bars.Color, bars.LineStyle.Width = palette[i%len(palette)], 0
-		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(policies)-1)/2)
-		p.Add(bars)
-		p.Legend.Add(policy, bars)
+		points.Color, points.Shape, points.Radius = palette[i%len(palette)], plotutil.Shape(i), glyphRadius
+		p.Add(points)
+		p.Legend.Add(policy, points)
 	}
-	p.Y.Min = 0.05
+	p.Add(plotter.NewGrid())
 	p.NominalX(scenarios...)
 	return errors.Wrap(p.Save(plotWidth, plotHeight, file), "write a plot")
 }
 
+// tailPoints returns a policy's percentiles, one a scenario, moved sideways.
+func tailPoints(fs []Figures, policy string, shift float64) plotter.XYs {
+	var out plotter.XYs
+	for _, f := range fs {
+		if f.Policy == policy {
+			out = append(out, plotter.XY{X: float64(len(out)) + shift, Y: max(f.TTFT.P99.Seconds(), 0.01)})
+		}
+	}
+	return out
+}
+
 func plotBurst(file string, fs []Figures) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("Share of requests answered in time, burst: %s, %d gateways", fs[0].Deployment, fs[0].Gateways)
