Engine model: running sequences share the blocks of their prefixes

The model counted a running prompt's blocks twice, once for the sequence and once for the cache, so 48 long sequences left no cache at all. Engines share them by reference. Blocks now have references; those in use can't be evicted, and a sequence that doesn't fit waits.

Ruled out: weighting the request's own prefill by 4 instead (p95 16.8 s against 22.9 s, still collapsed).

--- a/internal/standin/model/cache.go
+++ b/internal/standin/model/cache.go
@@ -2,104 +2,119 @@
 
 import (
 	"container/list"
-	"math/rand/v2"
-	"sort"
 	"time"
 )
 
-// Op is what a cache event says of a block.
-type Op string
-
-// The operations of cache events.
-const (
-	Stored  Op = "stored"
-	Removed Op = "removed"
-	Cleared Op = "cleared"
-)
-
-// CacheEvent is one published change of the prefix cache.
-type CacheEvent struct {
-	Seq   uint64 `json:"seq"`
-	Op    Op     `json:"op"`
-	Block uint64 `json:"block"`
-	// Visible is when it can be read.
-	Visible time.Time `json:"-"`
+// block is one block of a prompt in the cache memory.
+type block struct {
+	hash uint64
+	// refs counts the running sequences that use the block; it can't be
+	// evicted while there are any.
+	refs int
+	// ready says that the block's content has been computed.
+	ready bool
+	// idle is its place among the blocks that can be evicted.
+	idle *list.Element
 }
 
-// maxEvents bounds the events kept for readers.
-const maxEvents = 1 << 14
-
-// cache is a prefix cache with least-recently-used eviction of blocks.
+// cache is a prefix cache whose blocks are shared with the running sequences,
+// with least-recently-used eviction of those that no sequence uses.
 type cache struct {
-	cfg    *Config
-	rnd    *rand.Rand
-	order  *list.List
-	blocks map[uint64]*list.Element
-	seq    uint64
-	events []CacheEvent
+	blocks map[uint64]*block
+	// idle holds the blocks without references, most recently used first.
+	idle *list.List
+	log  *eventLog
 }
 
-func newCache(cfg *Config, rnd *rand.Rand) *cache {
-	return &cache{cfg: cfg, rnd: rnd, order: list.New(), blocks: make(map[uint64]*list.Element)}
+func newCache(log *eventLog) *cache {
+	return &cache{blocks: make(map[uint64]*block), idle: list.New(), log: log}
 }
 
-// match returns the number of leading blocks that are held.
+// match returns the number of leading blocks whose content is there.
 func (c *cache) match(prefix []uint64) int {
-	for i, b := range prefix {
-		if _, ok := c.blocks[b]; !ok {
+	for i, h := range prefix {
+		b, ok := c.blocks[h]
+		if !ok || !b.ready {
 			return i
 		}
 	}
 	return len(prefix)
 }
 
-// store holds every block of prefix, the leading ones as the most recent, and
-// evicts down to limit blocks.
-func (c *cache) store(prefix []uint64, limit int, now time.Time) {
-	for i := len(prefix) - 1; i >= 0; i-- {
-		b := prefix[i]
-		if el, ok := c.blocks[b]; ok {
-			c.order.MoveToFront(el)
-			continue
+// missing returns the number of blocks of prefix that need memory, counting
+// those that could be evicted meanwhile.
+func (c *cache) missing(prefix []uint64) int {
+	n := 0
+	for _, h := range prefix {
+		if b, ok := c.blocks[h]; !ok || b.refs == 0 {
+			n++
 		}
-		c.blocks[b] = c.order.PushFront(b)
-		c.publish(Stored, b, now)
 	}
-	c.trim(limit, now)
+	return n
 }
 
-// trim evicts the least recently used blocks down to limit.
-func (c *cache) trim(limit int, now time.Time) {
-	for c.order.Len() > max(limit, 0) {
-		el := c.order.Back()
-		b := c.order.Remove(el).(uint64)
-		delete(c.blocks, b)
-		c.publish(Removed, b, now)
+// referenced is the number of blocks that can't be evicted.
+func (c *cache) referenced() int { return len(c.blocks) - c.idle.Len() }
+
+// acquire takes a reference to every block of prefix, adding those that are
+// missing.
+func (c *cache) acquire(prefix []uint64) {
+	for _, h := range prefix {
+		b, ok := c.blocks[h]
+		if !ok {
+			b = &block{hash: h}
+			c.blocks[h] = b
+		}
+		if b.idle != nil {
+			c.idle.Remove(b.idle)
+			b.idle = nil
+		}
+		b.refs++
 	}
 }
 
-// clear forgets everything.
-func (c *cache) clear(now time.Time) {
-	c.order.Init()
-	clear(c.blocks)
-	c.publish(Cleared, 0, now)
+// computed marks the blocks of prefix as ready.
+func (c *cache) computed(prefix []uint64, at time.Time) {
+	for _, h := range prefix {
+		if b, ok := c.blocks[h]; ok && !b.ready {
+			b.ready = true
+			c.log.add(Stored, h, at)
+		}
+	}
 }
 
-// publish notes an event; a lost one leaves a gap in the numbers.
-func (c *cache) publish(op Op, block uint64, now time.Time) {
-	c.seq++
-	if c.rnd.Float64() < c.cfg.EventLoss {
-		return
+// release gives the references back. The deepest blocks become idle first, so
+// that they are evicted before those that they depend on.
+func (c *cache) release(prefix []uint64) {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		b, ok := c.blocks[prefix[i]]
+		if !ok || b.refs == 0 {
+			continue
+		}
+		b.refs--
+		if b.refs > 0 {
+			continue
+		}
+		if !b.ready {
+			delete(c.blocks, b.hash)
+			continue
+		}
+		b.idle = c.idle.PushFront(b)
 	}
-	if len(c.events) >= maxEvents {
-		c.events = append(c.events[:0], c.events[maxEvents/2:]...)
+}
+
+// trim evicts idle blocks until at most limit blocks are held.
+func (c *cache) trim(limit int, at time.Time) {
+	for len(c.blocks) > max(limit, 0) && c.idle.Len() > 0 {
+		b := c.idle.Remove(c.idle.Back()).(*block)
+		delete(c.blocks, b.hash)
+		c.log.add(Removed, b.hash, at)
 	}
-	c.events = append(c.events, CacheEvent{Seq: c.seq, Op: op, Block: block, Visible: now.Add(c.cfg.EventLag)})
 }
 
-// after returns the events above seq that can be read at now.
-func (c *cache) after(seq uint64, now time.Time) []CacheEvent {
-	i := sort.Search(len(c.events), func(i int) bool { return c.events[i].Seq > seq })
-	j := i + sort.Search(len(c.events)-i, func(k int) bool { return c.events[i+k].Visible.After(now) })
-	return c.events[i:j:j]
+// clear forgets everything; no sequence may be running.
+func (c *cache) clear(at time.Time) {
+	c.idle.Init()
+	clear(c.blocks)
+	c.log.add(Cleared, 0, at)
 }
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -14,7 +14,8 @@
 	prefill int // prompt tokens still to be computed
 	chunk   int // prompt tokens computed in the present step
 	emitted int
-	blocks  int
+	// private is the blocks that no other sequence can share.
+	private int
 }
 
 func (s *sequence) decoding() bool { return s.prefill == 0 }
@@ -23,9 +24,11 @@
 type Engine struct {
 	cfg     Config
 	cache   *cache
+	log     *eventLog
 	waiting []*sequence
 	running []*sequence
-	pinned  int
+	// private is the blocks of the running sequences that aren't shared.
+	private int
 	arrived uint64
 	speed   float64
 	stepAt  time.Time
@@ -48,7 +51,8 @@
 // New returns an idle engine at time now.
 func New(cfg Config, now time.Time) *Engine {
 	e := &Engine{cfg: cfg, speed: 1, step: cfg.StepBase}
-	e.cache = newCache(&e.cfg, rand.New(rand.NewPCG(cfg.Seed, 0x5eed)))
+	e.log = &eventLog{cfg: &e.cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x5eed))}
+	e.cache = newCache(e.log)
 	e.snapshot(now)
 	return e
 }
@@ -68,9 +72,9 @@
 // Submit hands a job to the engine at now. It returns a Rejected event for a
 // job that can never fit. Advance must have been called up to now.
 func (e *Engine) Submit(now time.Time, job Job) (Event, bool) {
-	s := &sequence{job: job, order: e.arrived, blocks: blocksOf(job)}
+	s := &sequence{job: job, order: e.arrived, private: privateBlocks(job)}
 	e.arrived++
-	if s.blocks > e.cfg.Blocks {
+	if s.private+len(job.Prefix) > e.cfg.Blocks {
 		return Event{Kind: Rejected, At: now, Job: job.ID}, false
 	}
 	i := sort.Search(len(e.waiting), func(i int) bool { return ahead(s, e.waiting[i]) })
@@ -91,8 +95,10 @@
 	return a.order < b.order
 }
 
-func blocksOf(job Job) int {
-	return (job.PromptTokens + job.OutputTokens + BlockTokens - 1) / BlockTokens
+// privateBlocks is the memory for the prompt's end and the answer.
+func privateBlocks(job Job) int {
+	tail := max(job.PromptTokens-len(job.Prefix)*BlockTokens, 0)
+	return (tail + job.OutputTokens + BlockTokens - 1) / BlockTokens
 }
 
 // Cancel ends a job; its place is free from the next step on. It says whether
@@ -107,20 +113,26 @@
 	for i, s := range e.running {
 		if s.job.ID == id {
 			e.running = append(e.running[:i], e.running[i+1:]...)
-			e.pinned -= s.blocks
+			e.free(s)
 			return true
 		}
 	}
 	return false
 }
 
+// free gives back a sequence's memory; the blocks of its prefix stay cached.
+func (e *Engine) free(s *sequence) {
+	e.private -= s.private
+	e.cache.release(s.job.Prefix)
+}
+
 // Reset drops all jobs and the cache, as a crash does, and returns the jobs.
 func (e *Engine) Reset(now time.Time) []string {
 	var ids []string
 	for _, s := range append(e.running, e.waiting...) {
 		ids = append(ids, s.job.ID)
 	}
-	e.running, e.waiting, e.pinned, e.busy = nil, nil, 0, false
+	e.running, e.waiting, e.private, e.busy = nil, nil, 0, false
 	e.cache.clear(now)
 	return ids
 }
@@ -173,23 +185,32 @@
 func (e *Engine) admit(now time.Time) {
 	for len(e.waiting) > 0 && len(e.running) < e.cfg.MaxBatch {
 		s := e.waiting[0]
-		if e.pinned+s.blocks > e.cfg.Blocks {
+		if !e.fits(s) {
 			return
 		}
 		e.waiting = e.waiting[1:]
 		held := min(e.cache.match(s.job.Prefix)*BlockTokens, s.job.PromptTokens-1)
 		s.cached = max(held, 0)
 		s.prefill = max(s.job.PromptTokens-s.cached, 1)
-		e.pinned += s.blocks
+		e.private += s.private
+		e.cache.acquire(s.job.Prefix)
 		e.work.CachedTokens += s.cached
 		i := sort.Search(len(e.running), func(i int) bool { return ahead(s, e.running[i]) })
 		e.running = append(e.running, nil)
 		copy(e.running[i+1:], e.running[i:])
 		e.running[i] = s
-		e.cache.trim(e.cfg.Blocks-e.pinned, now)
+		e.cache.trim(e.cfg.Blocks-e.private, now)
 	}
 }
 
+// fits says whether there is memory for a sequence beside the running ones.
+func (e *Engine) fits(s *sequence) bool {
+	return e.used()+s.private+e.cache.missing(s.job.Prefix) <= e.cfg.Blocks
+}
+
+// used is the memory that can't be freed now, in blocks.
+func (e *Engine) used() int { return e.private + e.cache.referenced() }
+
 // endStep applies the step that ends at now.
 func (e *Engine) endStep(now time.Time, out []Event) []Event {
 	kept := e.running[:0]
@@ -197,7 +218,7 @@
 		var done bool
 		out, done = e.stepOne(s, now, out)
 		if done {
-			e.pinned -= s.blocks
+			e.free(s)
 			continue
 		}
 		kept = append(kept, s)
@@ -215,7 +236,7 @@
 		if !s.decoding() {
 			return out, false
 		}
-		e.cache.store(s.job.Prefix, e.cfg.Blocks-e.pinned, now)
+		e.cache.computed(s.job.Prefix, now)
 	}
 	first := s.emitted == 0
 	out = append(out, Event{Kind: Token, At: now, Job: s.job.ID, Seq: s.job.FirstSeq + s.emitted, First: first, CachedTokens: s.cached})
--- a/internal/standin/model/report.go
+++ b/internal/standin/model/report.go
@@ -49,7 +49,7 @@
 	return Snapshot{
 		At: at, Running: len(e.running), Waiting: len(e.waiting), QueuedPrefillTokens: queued,
 		PrefillRate: e.prefillRate(), DecodeRate: float64(time.Second) / float64(e.step),
-		KVUsed: float64(e.pinned) / float64(e.cfg.Blocks),
+		KVUsed: float64(e.used()) / float64(e.cfg.Blocks),
 	}
 }
 
@@ -86,5 +86,5 @@
 
 // CacheEvents returns the cache events above seq that can be seen at now.
 func (e *Engine) CacheEvents(seq uint64, now time.Time) []CacheEvent {
-	return e.cache.after(seq, now)
+	return e.log.after(seq, now)
 }
