--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -20,18 +21,23 @@
 	o := experiment.Options{Seed: 1, Parallel: 4}
 	out, trace := "out/experiment", false
 	var deployments, scenarios, policies string
+	gateways := "8,30"
 	sub.String(&deployments, "d", "deployments", "deployments to run, with commas between; all by default")
 	sub.String(&scenarios, "s", "scenarios", "scenarios to run; all by default")
 	sub.String(&policies, "p", "policies", "policies to run; all by default")
-	sub.IntSlice(&o.Gateways, "g", "gateways", "numbers of gateways; 8 and 30 by default")
+	sub.String(&gateways, "g", "gateways", "numbers of gateways")
 	sub.UInt64(&o.Seed, "", "seed", "seed of the load and the engines")
 	sub.Int(&o.Parallel, "", "parallel", "runs at the same time")
 	sub.String(&out, "o", "out", "folder for the CSV file and the plots")
 	sub.Bool(&trace, "", "trace", "write every first token to trace.csv, too")
 	run := func(context.Context) error {
 		o.Deployments, o.Scenarios, o.Policies = list(deployments), list(scenarios), list(policies)
-		if len(o.Gateways) == 0 {
-			o.Gateways = []int{8, 30}
+		for _, n := range list(gateways) {
+			count, err := strconv.Atoi(n)
+			if err != nil {
+				return errors.Wrapf(err, "number of gateways %q", n)
+			}
+			o.Gateways = append(o.Gateways, count)
 		}
 		return runExperiment(o, out, trace)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -8,6 +8,9 @@
 	BiasCorrection bool
 	// PrefixAffinity counts cached prefixes in the estimate.
 	PrefixAffinity bool
+	// WorkWeight is the weight of a request's own prefill in the score beyond
+	// its part of the estimate: work that others have to wait for.
+	WorkWeight float64
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -19,12 +22,17 @@
 func DefaultOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
-		SpreadTies: true, Hysteresis: true,
+		SpreadTies: true, Hysteresis: true, WorkWeight: 2,
 	}
 }
 
 // PreviousOptions are the options of the version before, for comparison.
-func PreviousOptions() Options { return DefaultOptions() }
+func PreviousOptions() Options {
+	return Options{
+		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
+		SpreadTies: true, Hysteresis: true,
+	}
+}
 
 // Scheduler decides where a request runs. It is safe for concurrent use and
 // holds no state.
@@ -103,7 +111,11 @@
 		cached = depth[e.Index] * BlockTokens
 	}
 	t := estimateLocal(&s.opts, req, e, v.Now, cached)
-	return candidate{e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens, score: t + costSeconds(v, req, gv.CostPerMillionTokens)}
+	work := float64(max(req.PromptTokens-cached, 1)) / prefillRate(e)
+	return candidate{
+		e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens,
+		score: t + s.opts.WorkWeight*work + costSeconds(v, req, gv.CostPerMillionTokens),
+	}
 }
 
 // costSeconds converts a request's cost into seconds by the operators' weights.
@@ -119,7 +131,7 @@
 	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
 		away := bestAway(req, v, rnd)
-		gain := local.score - away.ttft - costSeconds(v, req, away.cost)
+		gain := local.ttft + costSeconds(v, req, local.cost) - away.ttft - costSeconds(v, req, away.cost)
 		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
 			if withinAwayShare(v) {
 				return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonAway}
