--- a/internal/sched/datastore/datastore.go
+++ b/internal/sched/datastore/datastore.go
@@ -157,6 +157,15 @@
 	})
 }
 
+// PeerSent notes that another gateway of the region sent a request with a
+// large uncached prompt to an endpoint at a time, by this gateway's clock.
+func (s *Store) PeerSent(id string, uncachedTokens int, prefix []uint64, at time.Time) {
+	s.with(id, func(e *entry) {
+		e.peerSend(uncachedTokens, at)
+		s.cache.insert(prefix, e.cur.Index)
+	})
+}
+
 // FirstToken notes the first token of a request's answer.
 func (s *Store) FirstToken(id, requestID string, now time.Time) {
 	s.with(id, func(e *entry) { e.firstToken(&s.opts.Health, requestID, now) })
--- a/internal/sched/datastore/endpoint.go
+++ b/internal/sched/datastore/endpoint.go
@@ -103,6 +103,18 @@
 	e.addBacklog(uncached, now)
 }
 
+// peerSend notes a request that another gateway sent at a time. What the last
+// report already counts is left out.
+func (e *entry) peerSend(uncached int, at time.Time) {
+	if !at.After(e.cur.ReportAt) {
+		return
+	}
+	e.recent = append(e.recent, sent{at: at, uncached: uncached})
+	e.cur.SentSince++
+	e.cur.SentTokens += uncached
+	e.addBacklog(uncached, at)
+}
+
 // firstToken notes the first token of a request.
 func (e *entry) firstToken(o *HealthOptions, id string, now time.Time) {
 	s, ok := e.inFlight[id]
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -11,6 +11,9 @@
 	// WorkWeight is the weight of a request's own prefill in the score beyond
 	// its part of the estimate: work that others have to wait for.
 	WorkWeight float64
+	// DeadlineFilter leaves out endpoints that can't answer in time while
+	// others can.
+	DeadlineFilter bool
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -22,7 +25,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
-		SpreadTies: true, Hysteresis: true, WorkWeight: 2,
+		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true,
 	}
 }
 
@@ -63,7 +66,26 @@
 		return nil, false
 	}
 	cs, full := s.candidates(req, v, rnd)
-	return pick(&s.opts, req, cs, rnd), full
+	return pick(&s.opts, req, s.inTime(req, cs), rnd), full
+}
+
+// inTime returns the candidates that can answer by the deadline, or all of
+// them when none can.
+func (s *Scheduler) inTime(req *Request, cs []candidate) []candidate {
+	if !s.opts.DeadlineFilter {
+		return cs
+	}
+	n := 0
+	for i := range cs {
+		if !late(req, cs[i].ttft, decodeRate(cs[i].e)) {
+			cs[n], cs[i] = cs[i], cs[n]
+			n++
+		}
+	}
+	if n == 0 {
+		return cs
+	}
+	return cs[:n]
 }
 
 // candidates returns the endpoints that pass the filters, with estimates. When
--- a/internal/standin/experiment/figures.go
+++ b/internal/standin/experiment/figures.go
@@ -48,17 +48,18 @@
 
 // collector gathers the figures of one run.
 type collector struct {
-	sc       Scenario
-	ttft     []time.Duration
-	gaps     *hdrhistogram.Histogram
-	requests int
-	aways    int
-	good     int
-	useful   int
-	refusals map[failure.Code]int
-	failures int
-	own      int
-	other    int
+	sc        Scenario
+	ttft      []time.Duration
+	gaps      *hdrhistogram.Histogram
+	requests  int
+	aways     int
+	good      int
+	useful    int
+	refusals  map[failure.Code]int
+	failures  int
+	announced int
+	own       int
+	other     int
 	// offered and served count requests and good answers by second of arrival.
 	offered []int
 	served  []int
--- a/internal/standin/experiment/gateway.go
+++ b/internal/standin/experiment/gateway.go
@@ -180,6 +180,7 @@
 	if c.parent == nil && c.attempt == 1 {
 		g.store.SentLocal(s.now)
 	}
+	g.announce(c, e, c.req.PromptTokens-d.CachedTokens)
 	uncached := max(c.req.PromptTokens-e.model.CachedTokens(c.req.Prefix), 1)
 	e.pending++
 	e.pendingTokens += uncached
@@ -192,6 +193,23 @@
 	})
 }
 
+// announce tells the region's other gateways of a large prefill.
+func (g *gateway) announce(c *call, e *engine, uncached int) {
+	s := g.sim
+	if s.policy.AnnounceTokens <= 0 || uncached < s.policy.AnnounceTokens {
+		return
+	}
+	at := s.now
+	s.fig.announced++
+	s.after(announceDelay, func() {
+		for _, o := range g.region.gateways {
+			if o != g {
+				o.store.PeerSent(e.id, uncached, nil, at)
+			}
+		}
+	})
+}
+
 // forward sends a call to another region.
 func (g *gateway) forward(c *call, d sched.Decision) {
 	s := g.sim
--- a/internal/standin/experiment/policy.go
+++ b/internal/standin/experiment/policy.go
@@ -13,8 +13,11 @@
 	Health datastore.HealthOptions
 	// Exact says that gateways share one queue a region, for the all-seeing
 	// policy.
-	Exact  bool
-	Decide func(g *gateway, req *sched.Request, rnd uint64) sched.Decision
+	Exact bool
+	// AnnounceTokens is the uncached part of a prompt from which the other
+	// gateways of the region are told of it; 0 means never.
+	AnnounceTokens int
+	Decide         func(g *gateway, req *sched.Request, rnd uint64) sched.Decision
 }
 
 // Policies returns the policies in the order of the table.
--- a/internal/standin/experiment/sim.go
+++ b/internal/standin/experiment/sim.go
@@ -23,6 +23,8 @@
 	gossipLag = 300 * time.Millisecond
 	// summaryEvery is the time between region summaries.
 	summaryEvery = time.Second
+	// announceDelay is how long an announcement takes to the other gateways.
+	announceDelay = 50 * time.Millisecond
 	// silenceLimit is how long a call may be silent.
 	silenceLimit = 2 * time.Second
 	// drainTime is how long a run goes on after the last arrival.
