Adapt the fleet test to gateway addresses

Cause: region summaries now name gateways with their addresses; the fake in the fleet test still gave bare strings, so the package's tests did not build after the merge. Change: the fake gives the same address in the new type; no assertion changes.

--- a/internal/controller/configsync/fleet_test.go
+++ b/internal/controller/configsync/fleet_test.go
@@ -421,7 +421,7 @@
 	}
 	for _, g := range from.gateways {
 		if g.board.Intent.Get().Revision == summary.Revision && len(summary.Gateways) < 2 {
-			summary.Gateways = append(summary.Gateways, g.id)
+			summary.Gateways = append(summary.Gateways, blackboard.GatewayAddress{ID: g.id, Peer: g.id})
 		}
 	}
 	for _, to := range f.regions {
