Test callers' surface with a stock client and bad input

Change: tests over the whole system: openai-go plain, streamed, cancelled, refused; 18 kinds of bad input each with its code, outcome not_run and no work done; slow headers on each listener; the operators' token.

--- /dev/null
+++ b/internal/app/callers_test.go
@@ -0,0 +1,179 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/gateway"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/standin/caller"
+)
+
+// TestStockOpenAIClient uses the registry's client library as callers do:
+// plain, streamed, cancelled and refused.
+func TestStockOpenAIClient(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		n := w.node("gw1-svealand")
+		stock := func(key string) openai.Client {
+			c := w.client(n, key)
+			return openai.NewClient(option.WithBaseURL("http://"+n.callers+"/v1/"), option.WithAPIKey(key),
+				option.WithHTTPClient(c.HTTP), option.WithMaxRetries(0))
+		}
+		client := stock("demo-key-svealand")
+		params := openai.ChatCompletionNewParams{
+			Model:               "quilt-care",
+			Messages:            []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+			MaxCompletionTokens: openai.Int(8),
+		}
+		ctx := context.Background()
+		plain, err := client.Chat.Completions.New(ctx, params)
+		require.NoError(t, err)
+		require.NotEmpty(t, plain.Choices[0].Message.Content)
+		require.EqualValues(t, 8, plain.Usage.CompletionTokens)
+
+		stream := client.Chat.Completions.NewStreaming(ctx, params)
+		text := ""
+		for stream.Next() {
+			for _, choice := range stream.Current().Choices {
+				text += choice.Delta.Content
+			}
+		}
+		require.NoError(t, stream.Err())
+		require.Equal(t, plain.Choices[0].Message.Content, text)
+
+		cancelled, cancel := context.WithCancel(ctx)
+		params.MaxCompletionTokens = openai.Int(1000)
+		stream = client.Chat.Completions.NewStreaming(cancelled, params)
+		require.True(t, stream.Next())
+		cancel()
+		for stream.Next() {
+		}
+		require.ErrorIs(t, stream.Err(), context.Canceled)
+		w.await(time.Second, "the engine's work is cancelled", func() bool {
+			return w.engines["engine-svealand"].Work().InFlight == 0
+		})
+
+		models, err := client.Models.List(ctx)
+		require.NoError(t, err)
+		require.Len(t, models.Data, 2)
+
+		_, err = stockRefusal(ctx, stock("not-a-key"), params)
+		var refused *openai.Error
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, http.StatusUnauthorized, refused.StatusCode)
+	})
+}
+
+func stockRefusal(ctx context.Context, c openai.Client, params openai.ChatCompletionNewParams) (*openai.ChatCompletion, error) {
+	return c.Chat.Completions.New(ctx, params)
+}
+
+func TestBadInputIsRefusedWithATypeAndTouchesNothing(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		n := w.node("gw1-svealand")
+		tickets := w.entries(w.client(n, "demo-key-svealand")).Tickets
+		good := tickets.Key(tickets.First)
+		big := strings.Repeat("x", 2<<20)
+		type header = map[string]string
+		key := func(k string) header { return header{gateway.HeaderIdempotencyKey: k} }
+		for name, c := range map[string]struct {
+			method, path, key string
+			header            header
+			body              any
+			want              failure.Code
+		}{
+			"no key":              {http.MethodGet, "/v1/models", "", nil, nil, failure.CodeUnauthenticated},
+			"unknown key":         {http.MethodGet, "/v1/models", "nobody", nil, nil, failure.CodeUnauthenticated},
+			"unknown path":        {http.MethodGet, "/v2/models", "demo-key-svealand", nil, nil, failure.CodeNotFound},
+			"unknown model":       {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, caller.ChatBody{Model: "x", Messages: chatBody("a").Messages}, failure.CodeUnknownModel},
+			"broken JSON":         {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, "not an object", failure.CodeBadRequest},
+			"no messages":         {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, caller.ChatBody{Model: "quilt-care"}, failure.CodeBadRequest},
+			"oversize body":       {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, chatBody(big), failure.CodeBodyTooLarge},
+			"prompt too long":     {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, chatBody(big[:900<<10]), failure.CodeBadRequest},
+			"bad deadline":        {http.MethodGet, "/v1/models", "demo-key-svealand", header{gateway.HeaderDeadline: "soon"}, nil, failure.CodeBadRequest},
+			"bad priority":        {http.MethodGet, "/v1/models", "demo-key-svealand", header{gateway.HeaderPriority: "-1"}, nil, failure.CodeBadRequest},
+			"unknown service":     {http.MethodPost, "/v1/actions/none/collect", "demo-key-svealand", key("a"), nil, failure.CodeUnknownService},
+			"unknown call":        {http.MethodPost, "/v1/actions/booking/none", "demo-key-svealand", key("a"), nil, failure.CodeUnknownService},
+			"action without key":  {http.MethodPost, "/v1/actions/booking/collect", "demo-key-svealand", nil, nil, failure.CodeBadRequest},
+			"forged ticket":       {http.MethodPost, "/v1/actions/booking/collect", "demo-key-svealand", key(good + "9"), nil, failure.CodeBadTicket},
+			"foreign ticket":      {http.MethodPost, "/v1/actions/booking/collect", "demo-key-norrland", key(good), nil, failure.CodeBadTicket},
+			"unrepeatable call":   {http.MethodPost, "/v1/services/booking/bookings/collect", "demo-key-svealand", nil, nil, failure.CodeForbidden},
+			"forged resume":       {http.MethodPost, "/v1/chat/completions", "demo-key-svealand", nil, map[string]any{"model": "quilt-care", "messages": chatBody("a").Messages, "resume": map[string]any{"next_seq": 3, "text": "x"}}, failure.CodeBadRequest},
+			"forged peer headers": {http.MethodPost, "/peer/v1/forward/v1/chat/completions", "demo-key-svealand", header{peer.HeaderForward: `{"customer":"svealand-shops"}`}, chatBody("a"), failure.CodeNotFound},
+		} {
+			a, err := w.client(n, c.key).Do(context.Background(), c.method, c.path, c.header, c.body)
+			require.NoError(t, err, name)
+			refusal := refusalOf(t, a)
+			require.Equal(t, c.want, refusal.Type, name)
+			require.Equal(t, failure.NotRun, refusal.Outcome, name)
+			require.NotEmpty(t, refusal.RequestID, name)
+			require.GreaterOrEqual(t, a.Status, 400, name)
+			require.Less(t, a.Status, 500, name)
+		}
+		require.Zero(t, w.executions())
+		require.Zero(t, w.engines["engine-svealand"].Work().Attempts)
+	})
+}
+
+func TestRepeatableServiceCall(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c := w.client(w.node("gw1-svealand"), "demo-key-svealand")
+		a, err := c.Do(context.Background(), http.MethodGet, "/v1/services/booking/bookings/slots?week=3", nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.Status, string(a.Body))
+		require.Contains(t, string(a.Body), "/bookings/slots")
+	})
+}
+
+func TestOperatorsNeedTheToken(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		n := w.node("gw1-svealand")
+		for _, path := range []string{"/admin/v1/status", "/admin/v1/config", "/debug/vars"} {
+			c := w.client(n, "wrong-token")
+			c.Address = n.admin
+			a, err := c.Do(context.Background(), http.MethodGet, path, nil, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusUnauthorized, a.Status)
+			c.Key = "a-token-of-the-operators"
+			a, err = c.Do(context.Background(), http.MethodGet, path, nil, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, a.Status, path)
+		}
+	})
+}
+
+// TestSlowHeadersAreCutOff sends a byte of the header now and then.
+func TestSlowHeadersAreCutOff(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		n := w.node("gw1-svealand")
+		for _, address := range []string{n.callers, n.peers, n.admin} {
+			conn, err := w.net.Host(svealand, "caller").Dial(context.Background(), "tcp", address)
+			require.NoError(t, err)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = io.Copy(io.Discard, bufio.NewReader(conn))
+			}()
+			sent := time.Now()
+			for time.Since(sent) < time.Minute {
+				if _, err := conn.Write([]byte("G")); err != nil {
+					break
+				}
+				time.Sleep(time.Second)
+			}
+			require.Less(t, time.Since(sent), time.Minute, "the listener has cut the connection off")
+			require.NoError(t, conn.Close())
+			<-ended
+		}
+	})
+}
