--- a/cmd/hickorystage/main.go
+++ b/cmd/hickorystage/main.go
@@ -2,14 +2,27 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/command"
+	"github.com/hickorystage/hickorystage/internal/platform"
 )
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "gateway" {
+	if len(os.Args) > 1 && os.Args[1] == command.GatewayName {
 		os.Exit(runGateway(os.Args[2:]))
 	}
-	fmt.Fprintln(os.Stderr, "usage: hickorystage gateway [flags]")
-	os.Exit(exitSettings)
+	os.Exit(command.Run(context.Background(), os.Args[1:], &command.Env{
+		Out:      os.Stdout,
+		Err:      os.Stderr,
+		Lookup:   os.LookupEnv,
+		NewStore: newStore,
+		Now:      time.Now,
+	}))
+}
+
+func newStore(baseURL string) platform.Store {
+	return platform.NewHTTPStore(baseURL, platform.Options{})
 }
--- /dev/null
+++ b/internal/command/apply.go
@@ -0,0 +1,224 @@
+package command
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/intent/publish"
+)
+
+// maxAuthor is the length of an author's name in bytes.
+const maxAuthor = 128
+
+// applyCommand publishes a folder.
+type applyCommand struct {
+	folder   string
+	store    storeFlags
+	admin    adminFlags
+	changeID string
+	author   string
+	base     uint64
+	replace  bool
+	wait     time.Duration
+	json     bool
+}
+
+func (c *applyCommand) subcommand(env *Env) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("apply")
+	sub.Description = "publish a folder as the next revision"
+	addFolder(sub, &c.folder)
+	c.store.attach(sub, env)
+	c.admin.attach(sub, env)
+	c.author = env.lookup(envAuthor, envUser)
+	sub.String(&c.author, "", "author", "name kept with the revision, or "+envAuthor)
+	sub.String(&c.changeID, "", "change-id", "resume or settle the change with this id")
+	sub.UInt64(&c.base, "", "base", "the revision that the folder was taken from, if the folder doesn't know")
+	sub.Bool(&c.replace, "", "replace", "replace the published files by the folder as a whole")
+	sub.Duration(&c.wait, "", "wait", "follow the change for so long until it is in force, such as 9s; needs --admin")
+	addJSON(sub, &c.json)
+	return sub
+}
+
+func (c *applyCommand) check() []string {
+	problems := c.store.problems()
+	if c.wait < 0 {
+		problems = append(problems, "--wait: must not be negative")
+	}
+	if c.wait > 0 {
+		problems = append(problems, c.admin.problems()...)
+	}
+	if c.changeID != "" && !publish.IsChangeID(c.changeID) {
+		problems = append(problems, "--change-id: not an id that apply has printed: "+c.changeID)
+	}
+	if c.author == "" || len(c.author) > maxAuthor {
+		problems = append(problems, "--author: want a name of 1 to 128 bytes")
+	}
+	if c.base != 0 && c.replace {
+		problems = append(problems, "--base and --replace exclude each other")
+	}
+	return problems
+}
+
+func (c *applyCommand) run(ctx context.Context, env *Env) error {
+	files, err := readFolder(c.folder)
+	if err != nil {
+		return err
+	}
+	state, err := readState(c.folder)
+	if err != nil {
+		return err
+	}
+	pub, storeCtx, cancel := c.store.publisher(ctx, env)
+	defer cancel()
+	a := &application{command: c, env: env, pub: pub, files: files, state: state}
+	outcome, err := a.publish(storeCtx)
+	if err != nil {
+		return err
+	}
+	if err := a.report(outcome); err != nil {
+		return err
+	}
+	accepted, ok := outcome.(publish.Accepted)
+	if !ok || c.wait == 0 {
+		return nil
+	}
+	return a.follow(ctx, accepted.Revision)
+}
+
+// application is one run of apply.
+type application struct {
+	command *applyCommand
+	env     *Env
+	pub     *publish.Publisher
+	files   []intent.File
+	state   folderState
+	change  publish.Change
+}
+
+// publish settles what an earlier run left open, publishes the folder, and
+// keeps the folder's state.
+func (a *application) publish(ctx context.Context) (publish.Outcome, error) {
+	outcome, err := a.prepare(ctx)
+	if outcome != nil || err != nil {
+		return outcome, err
+	}
+	a.state.Pending = &pendingChange{
+		ID:      a.change.ID,
+		Author:  a.change.Author,
+		Replace: a.change.Replace,
+		Base:    a.change.Base,
+		Target:  publish.Base{Files: publish.Refs(a.files)},
+	}
+	if err := a.state.write(a.command.folder); err != nil {
+		return nil, err
+	}
+	a.env.notef("change %s\n", a.change.ID)
+	outcome, err = a.pub.Apply(ctx, a.change)
+	if err != nil {
+		return nil, a.mismatch(err)
+	}
+	return outcome, a.keep(outcome)
+}
+
+// prepare fills a.change. It returns an outcome when the change that an
+// earlier run left open ends the command.
+func (a *application) prepare(ctx context.Context) (publish.Outcome, error) {
+	if p := a.state.Pending; p != nil {
+		if a.continues(p) {
+			a.resume(p)
+			return nil, nil
+		}
+		outcome, err := a.settlePending(ctx, p)
+		if outcome != nil || err != nil {
+			return outcome, err
+		}
+	}
+	a.change = publish.Change{
+		Author:  a.command.author,
+		Files:   a.files,
+		Base:    a.state.Base,
+		Replace: a.command.replace,
+	}
+	if a.command.base != 0 {
+		head, err := a.pub.At(ctx, a.command.base)
+		if err != nil {
+			return nil, err
+		}
+		a.change.Base = &publish.Base{Revision: head.Revision, Files: head.Files}
+	}
+	a.change.ID = publish.NewChangeID(a.change)
+	if a.command.changeID != "" {
+		a.change.ID, a.change.Resumed = a.command.changeID, true
+	}
+	return nil, nil
+}
+
+// continues tells whether this run asks for the same as the open change.
+func (a *application) continues(p *pendingChange) bool {
+	same := slices.Equal(publish.Refs(a.files), p.Target.Files) && a.command.replace == p.Replace
+	return same && a.command.base == 0 && (a.command.changeID == "" || a.command.changeID == p.ID)
+}
+
+func (a *application) resume(p *pendingChange) {
+	a.env.notef("resuming change %s\n", p.ID)
+	a.change = publish.Change{
+		ID:      p.ID,
+		Author:  p.Author,
+		Files:   a.files,
+		Base:    p.Base,
+		Replace: p.Replace,
+		Resumed: true,
+	}
+}
+
+// settlePending finds out whether the open change was published, although the
+// folder has been edited since.
+func (a *application) settlePending(ctx context.Context, p *pendingChange) (publish.Outcome, error) {
+	outcome, err := a.pub.Apply(ctx, publish.Change{ID: p.ID, Files: a.files, Base: p.Base, Resumed: true})
+	var mismatch *publish.MismatchError
+	if errors.As(err, &mismatch) {
+		a.env.notef("change %s, begun before the folder was edited, was not published\n", p.ID)
+		a.state.Pending = nil
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	accepted, ok := outcome.(publish.Accepted)
+	if !ok {
+		return publish.Unknown{ChangeID: p.ID, Cause: causeOf(outcome)}, nil
+	}
+	a.env.notef("change %s, begun before the folder was edited, is revision %d\n", p.ID, accepted.Revision)
+	a.state.Base = &publish.Base{Revision: accepted.Revision, Files: p.Target.Files}
+	a.state.Pending = nil
+	return nil, nil
+}
+
+// keep writes the folder's state after an outcome. An unknown change stays
+// open.
+func (a *application) keep(outcome publish.Outcome) error {
+	switch o := outcome.(type) {
+	case publish.Accepted:
+		a.state.Base = &publish.Base{Revision: o.Revision, Files: publish.Refs(a.files)}
+		a.state.Pending = nil
+	case publish.Rejected:
+		a.state.Pending = nil
+	}
+	return a.state.write(a.command.folder)
+}
+
+// mismatch closes a change that can't be resumed from this folder.
+func (a *application) mismatch(err error) error {
+	a.state.Pending = nil
+	if writeErr := a.state.write(a.command.folder); writeErr != nil {
+		return writeErr
+	}
+	return &UsageError{Problems: []string{
+		err.Error() + ", and no revision holds it; apply without --change-id publishes the folder as it is",
+	}}
+}
--- /dev/null
+++ b/internal/command/configstatus.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/hickorystage/hickorystage/internal/gateway"
+)
+
+const configPath = "/admin/v1/config"
+
+// configStatusCommand shows which region holds which revision.
+type configStatusCommand struct {
+	admin adminFlags
+	json  bool
+}
+
+func (c *configStatusCommand) subcommand(env *Env) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("status")
+	sub.Description = "show the revision in force in each region"
+	c.admin.attach(sub, env)
+	addJSON(sub, &c.json)
+	return sub
+}
+
+func (c *configStatusCommand) check() []string { return c.admin.problems() }
+
+func (c *configStatusCommand) run(ctx context.Context, env *Env) error {
+	var s gateway.ConfigStatus
+	if err := c.admin.call(ctx, http.MethodGet, configPath, &s); err != nil {
+		return err
+	}
+	if c.json {
+		return env.printJSON(s)
+	}
+	printConfigStatus(env, s)
+	return nil
+}
+
+func printConfigStatus(env *Env, s gateway.ConfigStatus) {
+	env.printf("revision %d (%s)\n", s.Revision, s.Digest)
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	row(w, "REGION", "IN FORCE", "GATEWAYS", "HEARD")
+	for _, r := range s.Regions {
+		row(w, r.Region, inForceText(r.Holding), holdingText(r.Holding), ago(r.HeardMS)+" ago")
+	}
+	w.Flush()
+}
+
+// inForce returns the revision that every gateway of a region has reached, the
+// lowest one held; ok is false when no gateway is known.
+func inForce(holding map[uint64]int) (rev uint64, ok bool) {
+	for r, n := range holding {
+		if n > 0 && (!ok || r < rev) {
+			rev, ok = r, true
+		}
+	}
+	return rev, ok
+}
+
+func inForceText(holding map[uint64]int) string {
+	rev, ok := inForce(holding)
+	if !ok {
+		return "unknown"
+	}
+	return fmt.Sprint(rev)
+}
+
+// holdingText tells how many gateways hold which revision, newest first.
+func holdingText(holding map[uint64]int) string {
+	revs := make([]uint64, 0, len(holding))
+	for r := range holding {
+		revs = append(revs, r)
+	}
+	slices.Sort(revs)
+	slices.Reverse(revs)
+	parts := make([]string, len(revs))
+	for i, r := range revs {
+		parts[i] = fmt.Sprintf("%d hold %d", holding[r], r)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/command/errors.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// UsageError lists everything that is wrong with the arguments or the folder.
+type UsageError struct{ Problems []string }
+
+// Error implements error.
+func (e *UsageError) Error() string { return strings.Join(e.Problems, "\n") }
+
+// RejectedError says that a configuration or change is rejected. What is wrong
+// has been printed already.
+type RejectedError struct{}
+
+// Error implements error.
+func (e *RejectedError) Error() string { return "rejected" }
+
+// UnknownOutcomeError says that a change may have been published.
+type UnknownOutcomeError struct{ ChangeID string }
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string { return "unknown outcome of change " + e.ChangeID }
+
+// NotInForceError says that an accepted revision was not seen in force in time.
+type NotInForceError struct {
+	Revision uint64
+	Waited   time.Duration
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("revision %d is accepted, but was not seen in force everywhere within %s", e.Revision, e.Waited)
+}
+
+// AdminError says that a gateway's administration API gave no usable answer.
+type AdminError struct {
+	URL string
+	// Status is the HTTP status, 0 without an answer.
+	Status int
+	// Message is the start of a refusal's body.
+	Message string
+	Cause   error
+}
+
+// Error implements error.
+func (e *AdminError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("%s answered status %d: %s", e.URL, e.Status, e.Message)
+	}
+	return fmt.Sprintf("%s: %v", e.URL, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *AdminError) Unwrap() error { return e.Cause }
+
+// report prints what the operator hasn't been shown yet and returns the exit
+// code.
+func report(env *Env, err error) int {
+	var usage *UsageError
+	var rejected *RejectedError
+	var unknown *UnknownOutcomeError
+	var notInForce *NotInForceError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &rejected):
+		return ExitRejected
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &notInForce):
+		env.notef("%v\n", err)
+		return ExitNotInForce
+	case errors.As(err, &usage):
+		for _, p := range usage.Problems {
+			env.notef("hickorystage: %s\n", p)
+		}
+		return ExitUsage
+	}
+	env.notef("hickorystage: %v\n", err)
+	return ExitRejected
+}
--- /dev/null
+++ b/internal/command/folder.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/hickorystage/hickorystage/internal/intent"
+)
+
+// readFolder returns the configuration files of a folder. Hidden files and
+// files with another ending than .yaml or .yml are not part of it.
+func readFolder(folder string) ([]intent.File, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, &UsageError{Problems: []string{err.Error()}}
+	}
+	var files []intent.File
+	for _, e := range entries {
+		if e.IsDir() || !isConfiguration(e.Name()) {
+			continue
+		}
+		content, err := readBounded(filepath.Join(folder, e.Name()))
+		if err != nil {
+			return nil, &UsageError{Problems: []string{err.Error()}}
+		}
+		files = append(files, intent.File{Name: e.Name(), Content: content})
+	}
+	if len(files) == 0 {
+		return nil, &UsageError{Problems: []string{fmt.Sprintf("%s: no .yaml file in this folder", folder)}}
+	}
+	return files, nil
+}
+
+func isConfiguration(name string) bool {
+	ext := filepath.Ext(name)
+	return (ext == ".yaml" || ext == ".yml") && !strings.HasPrefix(name, ".")
+}
+
+// readBounded reads one byte more than a file may have, so that a huge file
+// is refused by its size and not read whole.
+func readBounded(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, intent.MaxFileSize+1))
+}
+
+// writeAtomic replaces a file so that a reader sees the old or the new content.
+func writeAtomic(path string, content []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".hickorystage-tmp-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if _, err = f.Write(content); err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
--- /dev/null
+++ b/internal/command/version.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+)
+
+// versionCommand prints the version of the program.
+type versionCommand struct{}
+
+func (c *versionCommand) subcommand(*Env) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("version")
+	sub.Description = "print the version"
+	return sub
+}
+
+func (c *versionCommand) check() []string { return nil }
+
+func (c *versionCommand) run(_ context.Context, env *Env) error {
+	env.printf("hickorystage %s\n", version())
+	return nil
+}
+
+// version returns the version that the Go toolchain stamped into the program.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
--- /dev/null
+++ b/internal/intent/compare.go
@@ -0,0 +1,80 @@
+package intent
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// FieldChange is one value that differs between two configurations. Old or New
+// is empty when the field is only in the other one.
+type FieldChange struct {
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// Compare lists the values that differ, in the order of their paths. Either
+// side may be nil, which stands for an empty configuration. Values are JSON,
+// after the merge and with the defaults.
+func Compare(from, to *Intent) ([]FieldChange, error) {
+	old, err := flatten(from)
+	if err != nil {
+		return nil, err
+	}
+	now, err := flatten(to)
+	if err != nil {
+		return nil, err
+	}
+	var changes []FieldChange
+	for path, v := range old {
+		if now[path] != v {
+			changes = append(changes, FieldChange{Path: path, Old: v, New: now[path]})
+		}
+	}
+	for path, v := range now {
+		if _, ok := old[path]; !ok {
+			changes = append(changes, FieldChange{Path: path, New: v})
+		}
+	}
+	slices.SortFunc(changes, func(a, b FieldChange) int {
+		if a.Path < b.Path {
+			return -1
+		}
+		return 1
+	})
+	return changes, nil
+}
+
+// flatten returns each value by its path. Lists count as one value.
+func flatten(in *Intent) (map[string]string, error) {
+	values := make(map[string]string)
+	if in == nil {
+		return values, nil
+	}
+	b, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	var root map[string]any
+	if err := json.Unmarshal(b, &root); err != nil {
+		return nil, err
+	}
+	flattenInto(values, "", root)
+	return values, nil
+}
+
+func flattenInto(values map[string]string, path string, m map[string]any) {
+	for key, v := range m {
+		p := joinPath(path, key)
+		if inner, ok := v.(map[string]any); ok {
+			flattenInto(values, p, inner)
+			continue
+		}
+		b, err := json.Marshal(v)
+		if err != nil {
+			// v comes from JSON.
+			panic(err)
+		}
+		values[p] = string(b)
+	}
+}
--- a/internal/intent/publish/chain.go
+++ b/internal/intent/publish/chain.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/intent/revision"
 	"github.com/hickorystage/hickorystage/internal/platform"
 )
@@ -138,3 +139,9 @@
 	var nf *platform.NotFoundError
 	return errors.As(err, &nf)
 }
+
+// Files returns the contents of a revision's files.
+func (p *Publisher) Files(ctx context.Context, h revision.Head) ([]intent.File, error) {
+	r := newRun(p, Change{})
+	return r.contents(ctx, listingOf(h.Files))
+}
