--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -8,6 +8,12 @@
 	BiasCorrection bool
 	// PrefixAffinity counts cached prefixes in the estimate.
 	PrefixAffinity bool
+	// WorkWeight is the weight of a request's own prefill in the score beyond
+	// its part of the estimate: work that others have to wait for.
+	WorkWeight float64
+	// DeadlineFilter leaves out endpoints that can't answer in time while
+	// others can.
+	DeadlineFilter bool
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -19,12 +25,17 @@
 func DefaultOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
-		SpreadTies: true, Hysteresis: true,
+		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true,
 	}
 }
 
 // PreviousOptions are the options of the version before, for comparison.
-func PreviousOptions() Options { return DefaultOptions() }
+func PreviousOptions() Options {
+	return Options{
+		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
+		SpreadTies: true, Hysteresis: true,
+	}
+}
 
 // Scheduler decides where a request runs. It is safe for concurrent use and
 // holds no state.
@@ -55,7 +66,26 @@
 		return nil, false
 	}
 	cs, full := s.candidates(req, v, rnd)
-	return pick(&s.opts, req, cs, rnd), full
+	return pick(&s.opts, req, s.inTime(req, cs), rnd), full
+}
+
+// inTime returns the candidates that can answer by the deadline, or all of
+// them when none can.
+func (s *Scheduler) inTime(req *Request, cs []candidate) []candidate {
+	if !s.opts.DeadlineFilter {
+		return cs
+	}
+	n := 0
+	for i := range cs {
+		if !late(req, cs[i].ttft, decodeRate(cs[i].e)) {
+			cs[n], cs[i] = cs[i], cs[n]
+			n++
+		}
+	}
+	if n == 0 {
+		return cs
+	}
+	return cs[:n]
 }
 
 // candidates returns the endpoints that pass the filters, with estimates. When
@@ -103,7 +133,11 @@
 		cached = depth[e.Index] * BlockTokens
 	}
 	t := estimateLocal(&s.opts, req, e, v.Now, cached)
-	return candidate{e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens, score: t + costSeconds(v, req, gv.CostPerMillionTokens)}
+	work := float64(max(req.PromptTokens-cached, 1)) / prefillRate(e)
+	return candidate{
+		e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens,
+		score: t + s.opts.WorkWeight*work + costSeconds(v, req, gv.CostPerMillionTokens),
+	}
 }
 
 // costSeconds converts a request's cost into seconds by the operators' weights.
@@ -119,7 +153,7 @@
 	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
 		away := bestAway(req, v, rnd)
-		gain := local.score - away.ttft - costSeconds(v, req, away.cost)
+		gain := local.ttft + costSeconds(v, req, local.cost) - away.ttft - costSeconds(v, req, away.cost)
 		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
 			if withinAwayShare(v) {
 				return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonAway}
