Refuse a folder that is ahead of the store

Cause: a folder taken from revision N, applied to an empty or older store, rebased on nothing and was told 'no region is declared'; with another base it could have published part of a configuration. Test: TestApplyRejects.

--- a/internal/command/applyreport.go
+++ b/internal/command/applyreport.go
@@ -110,14 +110,12 @@
 
 func (a *application) printRejected(reason error) {
 	var conflict *publish.ConflictError
-	var noBase *publish.NoBaseError
 	switch {
 	case errors.As(reason, &conflict):
 		printConflicts(a.env, conflict.Files)
 		a.env.printf("rejected: take the other change into the folder with:\n  hickorystage config pull %s --store %s\n",
 			quote(a.command.folder), quote(a.command.store.url))
-	case errors.As(reason, &noBase):
-		printNoBase(a.env, noBase, a.command.folder)
+	case printBaseProblem(a.env, reason, a.command.folder):
 	default:
 		a.env.printf("rejected: %v\n", reason)
 	}
@@ -130,9 +128,16 @@
 	}
 }
 
-func printNoBase(env *Env, e *publish.NoBaseError, folder string) {
-	env.printf("rejected: %v\n", e)
+// printBaseProblem prints err and what helps, if err is about the base.
+func printBaseProblem(env *Env, err error, folder string) bool {
+	var noBase *publish.NoBaseError
+	var behind *publish.BehindError
+	if !errors.As(err, &noBase) && !errors.As(err, &behind) {
+		return false
+	}
+	env.printf("rejected: %v\n", err)
 	env.printf("say what %s was taken from by --base REVISION, or replace all published files by --replace\n", folder)
+	return true
 }
 
 // causeOf returns what kept an outcome from being settled.
--- a/internal/command/diff.go
+++ b/internal/command/diff.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
 	"github.com/hickorystage/hickorystage/internal/intent"
@@ -54,9 +53,7 @@
 	pub, ctx, cancel := c.store.publisher(ctx, env)
 	defer cancel()
 	r, err := c.compare(ctx, pub, publish.Change{Files: files, Base: state.Base, Replace: c.replace})
-	var noBase *publish.NoBaseError
-	if errors.As(err, &noBase) {
-		printNoBase(env, noBase, c.folder)
+	if printBaseProblem(env, err, c.folder) {
 		return &RejectedError{}
 	}
 	if err != nil {
--- a/internal/intent/publish/publish.go
+++ b/internal/intent/publish/publish.go
@@ -105,15 +105,16 @@
 	Files []intent.File `json:"-"`
 }
 
-// Plan works out what Apply would do, without writing anything.
+// Plan works out what Apply would do, without writing anything. The error is a
+// *NoBaseError, a *BehindError or a failure of the store.
 func (p *Publisher) Plan(ctx context.Context, ch Change) (*Plan, error) {
 	r := newRun(p, ch)
 	head, err := p.readHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if !r.setBase(head) {
-		return nil, &NoBaseError{Head: head.Head}
+	if err := r.setBase(head); err != nil {
+		return nil, err
 	}
 	merged := rebase(r.base, r.mine, listingOf(head.Files))
 	plan := &Plan{Head: head.Head, Kept: merged.kept}
--- a/internal/intent/publish/publish_test.go
+++ b/internal/intent/publish/publish_test.go
@@ -72,6 +72,10 @@
 	var noBase *NoBaseError
 	require.ErrorAs(t, apply(mem, newChange("bob", startFiles(), nil)).(Rejected).Reason, &noBase)
 
+	var behind *BehindError
+	later := &Base{Revision: 7, Files: base.Files}
+	require.ErrorAs(t, apply(mem, newChange("bob", startFiles(), later)).(Rejected).Reason, &behind)
+
 	replace := Change{Author: "bob", Files: startFiles(), Replace: true}
 	replace.ID = NewChangeID(replace)
 	require.Equal(t, uint64(3), apply(mem, replace).(Accepted).Revision)
--- a/internal/intent/publish/result.go
+++ b/internal/intent/publish/result.go
@@ -27,7 +27,7 @@
 // Rejected says that the change is not in the chain and never will be.
 type Rejected struct {
 	// Reason is an *InvalidError, *ConflictError, *NoBaseError,
-	// *UnreachableError or *ContentionError.
+	// *BehindError, *UnreachableError or *ContentionError.
 	Reason error
 }
 
@@ -81,6 +81,15 @@
 	return fmt.Sprintf("the folder has no base, and the store holds revision %d by %s", e.Head.Revision, e.Head.Author)
 }
 
+// BehindError says that the store's newest revision is older than the one that
+// the folder was taken from: it is another store, or one that has lost data.
+type BehindError struct{ Base, Head uint64 }
+
+// Error implements error.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("the folder was taken from revision %d, but the store's newest is %d", e.Base, e.Head)
+}
+
 // UnreachableError says that the store failed before the head was written.
 type UnreachableError struct{ Cause error }
 
--- a/internal/intent/publish/run.go
+++ b/internal/intent/publish/run.go
@@ -127,31 +127,33 @@
 	return r.ch.Base.Revision
 }
 
-// setBase fixes the base at the first head read. It returns false when there
-// is none to compare with.
-func (r *run) setBase(head headState) bool {
+// setBase fixes the base at the first head read. The error is a *NoBaseError
+// or a *BehindError.
+func (r *run) setBase(head headState) error {
 	switch {
 	case r.base != nil:
 	case r.ch.Replace:
 		r.base = listingOf(head.Files)
+	case r.ch.Base != nil && r.ch.Base.Revision > head.Revision:
+		return &BehindError{Base: r.ch.Base.Revision, Head: head.Revision}
 	case r.ch.Base != nil:
 		r.base = listingOf(r.ch.Base.Files)
 	case head.version == 0:
 		r.base = listing{}
 	default:
-		return false
+		return &NoBaseError{Head: head.Head}
 	}
-	return true
+	return nil
 }
 
 // merge rebases the change on the head.
 func (r *run) merge(ctx context.Context, head headState) (listing, Outcome) {
 	current := listingOf(head.Files)
-	if !r.setBase(head) {
+	if err := r.setBase(head); err != nil {
 		if current.equal(r.mine) {
 			return nil, r.unchanged(head)
 		}
-		return nil, r.rejected(&NoBaseError{Head: head.Head})
+		return nil, r.rejected(err)
 	}
 	merged := rebase(r.base, r.mine, current)
 	if len(merged.conflicts) > 0 {
