Find silent peers by probing, not by gossiped signs of life

Cause: signs of life of all gateways in each exchange took the most of its bytes and still came too late in a large region (trial at 82 gateways: up to 22 s against the 6 s of suspicion). Ruled out: longer suspicion (entries and roles would lag as long); random choice of load rows (p99 age 75 to 87 s at 29 gateways, against 28 s). Change: an exchange is a probe; a peer that does not answer twice is suspected and all are told at once; the suspected gateway refutes by a later epoch; a digest of the known gateways replaces their rows, which are sent only when it differs. Peers are taken in turn. Load rows: those polled here first.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -55,8 +55,10 @@
 	// Listed is when the instance list last named the endpoint.
 	Listed time.Time
 	Report LoadReport
-	// HasReport says that Report has been filled at least once.
+	// HasReport says that Report has been filled at least once, Direct that it
+	// came from the endpoint itself and not from a peer.
 	HasReport bool
+	Direct    bool
 }
 
 // PeerState is what this gateway knows of another gateway.
@@ -73,10 +75,16 @@
 	Ready bool
 	// Revision is the newest revision the peer is known to hold.
 	Revision uint64
-	// Heard is when this gateway last had a direct or relayed sign of life.
+	// Heard is when this gateway last had reason to believe that the peer is
+	// alive: a sign of life, or the absence of a suspicion.
 	Heard time.Time
+	// Suspected says that the peer did not answer in its present epoch and has
+	// not been heard directly since.
+	Suspected bool
 	// Beat is the peer's own counter, which orders signs of life.
 	Beat uint64
+	// Epoch grows each time the peer refutes a suspicion.
+	Epoch uint64
 }
 
 // RegionSummary is what one region tells the others about itself.
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -17,14 +17,11 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
-	"github.com/hickorystage/hickorystage/internal/rendezvous"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // Bounds on polling.
 const (
-	// pollers is the number of gateways that ask one endpoint.
-	pollers = 2
 	// maxPollsPerSecond bounds what one gateway spends on polling; with more
 	// endpoints to ask the interval grows.
 	maxPollsPerSecond = 8
@@ -116,7 +113,7 @@
 	self := c.board.Self.ID
 	var out []blackboard.EndpointState
 	c.board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
-		if !e.Leaving && rendezvous.Owns("load/"+id, self, live, pollers) {
+		if !e.Leaving && membership.LoadPoll(id).HeldBy(self, live) {
 			out = append(out, e)
 		}
 		return true
@@ -132,7 +129,7 @@
 		c.client.CloseIdleConnections()
 		return
 	}
-	taken := c.view.MergeLoad(e.ID, incarnation, report)
+	taken := c.view.MergeLoad(e.ID, incarnation, report, true)
 	if taken && report.Leaving {
 		c.onLeaving()
 	}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +23,8 @@
 // Times of the controller.
 const (
 	regionInterval = 2 * time.Second
-	seedInterval   = 5 * time.Second
+	// reconcileInterval is the shortest time between two sendings of full rows.
+	reconcileInterval = 2 * time.Second
 )
 
 // urgentSends bounds the exchanges under way for one urgent change.
@@ -31,9 +33,15 @@
 var (
 	exchanges      = telemetry.NewCounter("peer_exchanges", "exchanges", "soft-state exchanges begun with peers")
 	exchangeErrors = telemetry.NewCounter("peer_exchange_errors", "exchanges", "soft-state exchanges without an answer")
+	suspicions     = telemetry.NewCounter("peer_suspicions", "peers", "peers found here not to answer")
+	refuted        = telemetry.NewCounter("peer_suspicions_refuted", "times", "times this gateway heard that it is suspected")
 	urgentTold     = telemetry.NewCounter("peer_urgent_sends", "exchanges", "exchanges begun at once for a change that can't wait")
 )
 
+// probeTries is the number of exchanges without an answer after which a peer is
+// suspected.
+const probeTries = 2
+
 // Exchanger sends one exchange to a peer.
 type Exchanger interface {
 	Exchange(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, error)
@@ -48,12 +56,16 @@
 	seeds    []string
 	logger   *log.Logger
 
-	beat atomic.Uint64
-	seq  atomic.Uint64
+	beat  atomic.Uint64
+	epoch atomic.Uint64
+	seq   atomic.Uint64
 	// turn rotates through the region summaries.
 	turn atomic.Uint64
 
-	mu sync.Mutex
+	mu            sync.Mutex
+	nextReconcile time.Time
+	// ring holds the ids of the peers still to come in this pass.
+	ring []string
 	// rng picks peers; its seed differs between instances.
 	rng *rand.Rand
 	// urgent is closed when peers are to be told at once.
@@ -91,7 +103,9 @@
 		case <-time.After(pause):
 		}
 		pause = c.exchangeOnce(ctx)
-		c.view.Expire(time.Now())
+		now := time.Now()
+		c.view.Believe(now)
+		c.view.Expire(now)
 	}
 }
 
@@ -116,31 +130,65 @@
 		Ready:         state == blackboard.Serving,
 		Revision:      c.board.Intent.Get().Revision,
 		Beat:          c.beat.Add(1),
+		Epoch:         c.epoch.Load(),
 	}
 }
 
 // HandleExchange takes in a peer's exchange and returns this gateway's answer.
+// A sender that was suspected here is told, so that it can tell the others.
 func (c *Controller) HandleExchange(msg peer.Exchange) peer.Exchange {
 	now := time.Now()
-	unknown := c.absorb(msg, now)
+	old, known := c.board.Peers.Get(msg.From.ID)
+	c.absorb(msg, now)
 	if msg.From.Region != c.board.Self.Region {
 		return c.regional(now)
 	}
 	reply := c.view.Compose(c.Self(), c.turn.Add(1), now)
-	reply.Want = unknown
-	reply.Members = c.view.Members(msg.Want, now)
+	if known && old.Suspected {
+		reply.Suspects = append(reply.Suspects, membership.SuspectRow(old))
+	}
+	if reply.Digest != msg.Digest && c.mayReconcile(now) {
+		reply.Members = c.view.Members(now)
+	}
 	return reply
 }
 
 // absorb takes in an exchange, and tells all peers at once if it brought a
-// leaving mark.
-func (c *Controller) absorb(msg peer.Exchange, now time.Time) (unknown []string) {
+// leaving mark or a suspicion of this gateway.
+func (c *Controller) absorb(msg peer.Exchange, now time.Time) {
 	before := c.board.Retired.Len()
-	unknown = c.view.Absorb(msg, now)
+	suspicion := c.view.Absorb(msg, now)
+	if suspicion != nil && c.refute(suspicion.Epoch) {
+		c.TellPeers()
+	}
 	if c.board.Retired.Len() > before {
 		c.TellPeers()
 	}
-	return unknown
+}
+
+// refute begins an epoch after the suspected one, unless that is past already.
+func (c *Controller) refute(epoch uint64) bool {
+	for {
+		own := c.epoch.Load()
+		if own > epoch {
+			return false
+		}
+		if c.epoch.CompareAndSwap(own, epoch+1) {
+			refuted.Inc()
+			return true
+		}
+	}
+}
+
+// mayReconcile bounds how often full rows are sent.
+func (c *Controller) mayReconcile(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.nextReconcile) {
+		return false
+	}
+	c.nextReconcile = now.Add(reconcileInterval)
+	return true
 }
 
 // TellPeers asks for exchanges with all peers of the region at once.
@@ -153,34 +201,33 @@
 
 // exchangeOnce exchanges with one peer and returns the time until the next.
 func (c *Controller) exchangeOnce(ctx context.Context) time.Duration {
-	address, ok := c.pickPeer(time.Now())
+	p, ok := c.pickPeer(time.Now())
 	if !ok {
 		return c.interval
 	}
 	msg := c.view.Compose(c.Self(), c.turn.Add(1), time.Now())
-	c.converse(ctx, address, msg)
+	c.probe(ctx, p, msg)
 	return msg.Pace(c.interval)
 }
 
-// converse sends msg to a peer. If either lacks full rows that the other has,
-// one more exchange brings them.
-func (c *Controller) converse(ctx context.Context, address string, msg peer.Exchange) {
+// converse sends msg to a peer and takes in its answer. When the two know
+// different gateways, the peer's answer brings its full rows and one more
+// exchange brings it this gateway's.
+func (c *Controller) converse(ctx context.Context, address string, msg peer.Exchange) bool {
 	reply, ok := c.send(ctx, address, msg)
 	if !ok {
-		return
+		return false
 	}
-	unknown := c.absorb(reply, time.Now())
-	if len(unknown) == 0 && len(reply.Want) == 0 {
-		return
+	c.absorb(reply, time.Now())
+	if len(reply.Members) == 0 || reply.Digest == c.view.Digest(c.Self()) {
+		return true
 	}
-	reply, ok = c.send(ctx, address, peer.Exchange{
-		From:    c.Self(),
-		Want:    unknown,
-		Members: c.view.Members(reply.Want, time.Now()),
-	})
+	self := c.Self()
+	reply, ok = c.send(ctx, address, peer.Exchange{From: self, Digest: c.view.Digest(self), Members: c.view.Members(time.Now())})
 	if ok {
 		c.absorb(reply, time.Now())
 	}
+	return true
 }
 
 func (c *Controller) send(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, bool) {
@@ -192,22 +239,58 @@
 	return reply, err == nil
 }
 
-// pickPeer returns a random peer of the region, or a seed while none is known.
-func (c *Controller) pickPeer(now time.Time) (string, bool) {
-	var addresses []string
-	c.board.Peers.Range(func(_ string, p blackboard.PeerState) bool {
-		if p.Region == c.board.Self.Region && now.Sub(p.Heard) < membership.ForgetAfter {
-			addresses = append(addresses, p.Address)
+// probe exchanges with a peer; one that fails to answer twice, the second time
+// on a new connection, is suspected, and all peers are told.
+func (c *Controller) probe(ctx context.Context, p blackboard.PeerState, msg peer.Exchange) {
+	for range probeTries {
+		if c.converse(ctx, p.Address, msg) || ctx.Err() != nil {
+			return
 		}
-		return true
-	})
+	}
+	current, ok := c.board.Peers.Get(p.ID)
+	if ok && c.view.Suspect(membership.SuspectRow(current), time.Now()) {
+		suspicions.Inc()
+		c.logger.Warn("peer does not answer", "peer", p.ID)
+		c.TellPeers()
+	}
+}
+
+// pickPeer returns the next peer of the region, each in turn and in an order
+// that is shuffled for each pass, or a seed while none is known.
+func (c *Controller) pickPeer(now time.Time) (blackboard.PeerState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(addresses) == 0 {
-		addresses = c.seeds
+	for refilled := false; ; refilled = true {
+		for len(c.ring) > 0 {
+			id := c.ring[0]
+			c.ring = c.ring[1:]
+			if p, ok := c.board.Peers.Get(id); ok {
+				return p, true
+			}
+		}
+		if refilled {
+			return c.pickSeed()
+		}
+		c.ring = c.shuffledPeers(now)
 	}
-	if len(addresses) == 0 {
-		return "", false
+}
+
+func (c *Controller) shuffledPeers(now time.Time) []string {
+	var ids []string
+	c.board.Peers.Range(func(id string, p blackboard.PeerState) bool {
+		if p.Region == c.board.Self.Region && now.Sub(p.Heard) < membership.ForgetAfter {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	slices.Sort(ids)
+	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+func (c *Controller) pickSeed() (blackboard.PeerState, bool) {
+	if len(c.seeds) == 0 {
+		return blackboard.PeerState{}, false
 	}
-	return addresses[c.rng.IntN(len(addresses))], true
+	return blackboard.PeerState{Address: c.seeds[c.rng.IntN(len(c.seeds))]}, true
 }
--- a/internal/controller/members/regions.go
+++ b/internal/controller/members/regions.go
@@ -7,14 +7,10 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/peer"
-	"github.com/hickorystage/hickorystage/internal/rendezvous"
 )
 
-// regionSenders is the number of gateways of a region that swap summaries with
-// one other region.
-const regionSenders = 2
-
 // runRegions swaps summaries with each other region for which this gateway is
 // one of the senders: every regionInterval, and sooner with one not yet heard.
 func (c *Controller) runRegions(ctx context.Context, t *tomb.Tomb) error {
@@ -36,7 +32,7 @@
 	now := time.Now()
 	live := c.view.LiveIDs(now)
 	for region, addresses := range c.otherRegions() {
-		if now.Before(next[region]) || !rendezvous.Owns("region/"+region, c.board.Self.ID, live, regionSenders) {
+		if now.Before(next[region]) || !membership.RegionSwap(region).HeldBy(c.board.Self.ID, live) {
 			continue
 		}
 		if c.swap(ctx, addresses) {
--- a/internal/membership/absorb.go
+++ b/internal/membership/absorb.go
@@ -7,10 +7,9 @@
 	"github.com/hickorystage/hickorystage/internal/peer"
 )
 
-// Absorb takes in everything an exchange says and returns the ids of the
-// gateways that it names and that are not known here in their present
-// incarnation.
-func (v *View) Absorb(msg peer.Exchange, now time.Time) (unknown []string) {
+// Absorb takes in everything an exchange says. It returns the suspicion of this
+// gateway itself, or nil.
+func (v *View) Absorb(msg peer.Exchange, now time.Time) (self *peer.Suspect) {
 	from := fromMember(msg.From, now)
 	from.Heard = now
 	v.MergePeer(from, true)
@@ -24,32 +23,58 @@
 	for _, s := range msg.Regions {
 		v.MergeRegion(s, now)
 	}
-	return v.absorbBeats(msg.Beats, msg.From.Revision, now)
-}
-
-// absorbBeats freshens the peers that are known.
-func (v *View) absorbBeats(rows peer.Beats, revision uint64, now time.Time) (unknown []string) {
-	n := min(len(rows.IDs), len(rows.Tags), len(rows.Beats), len(rows.AgesMillis))
-	for i := range n {
-		id := rows.IDs[i]
-		p, known := v.board.Peers.Get(id)
-		if id == v.board.Self.ID {
+	for _, s := range msg.Suspects {
+		if s.ID != v.board.Self.ID {
+			v.Suspect(s, now)
 			continue
 		}
-		if !known || peer.Tag(p.Incarnation) != rows.Tags[i] {
-			unknown = append(unknown, id)
-			continue
+		if s.Tag == peer.Tag(v.board.Self.Incarnation) {
+			self = &s
 		}
-		p.Beat = rows.Beats[i]
-		p.Heard = now.Add(-millis(rows.AgesMillis[i]))
-		p.Ready = true
-		p.Revision = revision
-		if i < len(rows.Revisions) {
-			p.Revision = uint64(int64(revision) + rows.Revisions[i])
+	}
+	return self
+}
+
+// Suspect notes that a peer did not answer, unless a later epoch of it is
+// known, and says whether that is news.
+func (v *View) Suspect(s peer.Suspect, now time.Time) bool {
+	news := false
+	if _, known := v.board.Peers.Get(s.ID); !known {
+		return false
+	}
+	v.board.Peers.Update(s.ID, func(p blackboard.PeerState, ok bool) (blackboard.PeerState, bool) {
+		if !ok || p.Suspected || p.Leaving || p.Epoch > s.Epoch || peer.Tag(p.Incarnation) != s.Tag {
+			return p, ok
 		}
-		v.MergePeer(p, false)
+		p.Suspected = true
+		p.Epoch = s.Epoch
+		p.Heard = now.Add(-SuspectAfter)
+		news = true
+		return p, true
+	})
+	return news
+}
+
+// Believe freshens the peers of the region that nobody suspects: with a few
+// exchanges a second a peer's own sign comes rarely in a large region, while a
+// peer that stops answering is found by whoever next exchanges with it.
+func (v *View) Believe(now time.Time) {
+	var ids []string
+	region := v.board.Self.Region
+	v.board.Peers.Range(func(id string, p blackboard.PeerState) bool {
+		if p.Region == region && p.Beat > 0 && !p.Suspected && !p.Leaving {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	for _, id := range ids {
+		v.board.Peers.Update(id, func(p blackboard.PeerState, ok bool) (blackboard.PeerState, bool) {
+			if ok && !p.Suspected && !p.Leaving {
+				p.Heard = now
+			}
+			return p, ok
+		})
 	}
-	return unknown
 }
 
 func (v *View) absorbLoads(rows peer.Loads, now time.Time) {
@@ -69,7 +94,7 @@
 			DecodeRate:          float64(rows.DecodeRate[i]),
 			MaxBatch:            rows.MaxBatch[i],
 			KVUsed:              float64(rows.KVPercent[i]) / percent,
-		})
+		}, false)
 	}
 }
 
--- a/internal/membership/compose.go
+++ b/internal/membership/compose.go
@@ -4,73 +4,96 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/peer"
 )
 
-// Compose builds an exchange from the freshest rows of each kind. turn rotates
-// through the region summaries, of which few fit.
+// Compose builds an exchange. turn rotates through the region summaries, of
+// which few fit.
 func (v *View) Compose(self peer.Member, turn uint64, now time.Time) peer.Exchange {
 	return peer.Exchange{
-		From:    self,
-		Beats:   v.beats(self.Revision, now),
-		Loads:   v.loads(now),
-		Retired: v.retired(now),
-		Regions: v.regions(turn, now),
+		From:     self,
+		Digest:   v.Digest(self),
+		Suspects: v.suspects(),
+		Loads:    v.loads(now),
+		Retired:  v.retired(now),
+		Regions:  v.regions(turn, now),
 	}
 }
 
-// beats returns the signs of life of the peers that are ready and stay.
-func (v *View) beats(revision uint64, now time.Time) peer.Beats {
-	rows := newFreshest(peer.MaxBeats, func(p blackboard.PeerState) time.Time { return p.Heard })
+// Digest sums up the gateways of the region that have been heard, self
+// included. It does not depend on their order.
+func (v *View) Digest(self peer.Member) uint64 {
+	sum := memberHash(self.ID, self.Incarnation)
 	region := v.board.Self.Region
 	v.board.Peers.Range(func(_ string, p blackboard.PeerState) bool {
-		if p.Region == region && p.Ready && !p.Leaving && now.Sub(p.Heard) < SuspectAfter {
-			rows.offer(p)
+		if p.Region == region && p.Beat > 0 && !p.Leaving {
+			sum += memberHash(p.ID, p.Incarnation)
 		}
 		return true
 	})
-	var out peer.Beats
-	differs := false
-	for _, p := range rows.items {
-		out.IDs = append(out.IDs, p.ID)
-		out.Tags = append(out.Tags, peer.Tag(p.Incarnation))
-		out.Beats = append(out.Beats, p.Beat)
-		out.AgesMillis = append(out.AgesMillis, now.Sub(p.Heard).Milliseconds())
-		out.Revisions = append(out.Revisions, int64(p.Revision)-int64(revision))
-		differs = differs || p.Revision != revision
-	}
-	if !differs {
-		out.Revisions = nil
-	}
+	return sum
+}
+
+func memberHash(id, incarnation string) uint64 { return xxhash.Sum64String(id + "/" + incarnation) }
+
+func (v *View) suspects() []peer.Suspect {
+	var out []peer.Suspect
+	region := v.board.Self.Region
+	v.board.Peers.Range(func(id string, p blackboard.PeerState) bool {
+		if p.Region == region && p.Suspected && !p.Leaving {
+			out = append(out, SuspectRow(p))
+		}
+		return len(out) < peer.MaxSuspects
+	})
 	return out
 }
 
+// SuspectRow is the row that tells peers of a suspicion.
+func SuspectRow(p blackboard.PeerState) peer.Suspect {
+	return peer.Suspect{ID: p.ID, Tag: peer.Tag(p.Incarnation), Epoch: p.Epoch}
+}
+
+// loads returns the load reports that this gateway had from the endpoints
+// themselves, then the freshest of those that peers told.
 func (v *View) loads(now time.Time) peer.Loads {
-	rows := newFreshest(peer.MaxLoads, func(e blackboard.EndpointState) time.Time { return e.Report.At })
+	reportAt := func(e blackboard.EndpointState) time.Time { return e.Report.At }
+	direct := newFreshest(peer.MaxLoads, reportAt)
+	told := newFreshest(peer.MaxLoads, reportAt)
 	v.board.Endpoints.Range(func(_ string, e blackboard.EndpointState) bool {
-		if e.HasReport {
-			rows.offer(e)
+		switch {
+		case !e.HasReport:
+		case e.Direct:
+			direct.offer(e)
+		default:
+			told.offer(e)
 		}
 		return true
 	})
+	rows := append(direct.items, told.items...)
 	var out peer.Loads
-	for _, e := range rows.items {
-		r := e.Report
-		out.IDs = append(out.IDs, e.ID)
-		out.Tags = append(out.Tags, peer.Tag(e.Incarnation))
-		out.AgesMillis = append(out.AgesMillis, now.Sub(r.At).Milliseconds())
-		out.Running = append(out.Running, r.Running)
-		out.Waiting = append(out.Waiting, r.Waiting)
-		out.QueuedPrefill = append(out.QueuedPrefill, r.QueuedPrefillTokens)
-		out.PrefillRate = append(out.PrefillRate, int(r.PrefillRate))
-		out.DecodeRate = append(out.DecodeRate, int(r.DecodeRate))
-		out.MaxBatch = append(out.MaxBatch, r.MaxBatch)
-		out.KVPercent = append(out.KVPercent, int(r.KVUsed*percent))
+	for _, e := range rows[:min(len(rows), peer.MaxLoads)] {
+		addLoad(&out, e, now)
 	}
 	return out
 }
 
+func addLoad(out *peer.Loads, e blackboard.EndpointState, now time.Time) {
+	r := e.Report
+	out.IDs = append(out.IDs, e.ID)
+	out.Tags = append(out.Tags, peer.Tag(e.Incarnation))
+	out.AgesMillis = append(out.AgesMillis, now.Sub(r.At).Milliseconds())
+	out.Running = append(out.Running, r.Running)
+	out.Waiting = append(out.Waiting, r.Waiting)
+	out.QueuedPrefill = append(out.QueuedPrefill, r.QueuedPrefillTokens)
+	out.PrefillRate = append(out.PrefillRate, int(r.PrefillRate))
+	out.DecodeRate = append(out.DecodeRate, int(r.DecodeRate))
+	out.MaxBatch = append(out.MaxBatch, r.MaxBatch)
+	out.KVPercent = append(out.KVPercent, int(r.KVUsed*percent))
+}
+
 const percent = 100
 
 func (v *View) retired(now time.Time) []peer.Retired {
@@ -109,14 +132,16 @@
 	return out
 }
 
-// Members returns the full rows of the peers that are named.
-func (v *View) Members(ids []string, now time.Time) []peer.Member {
+// Members returns the full rows of the region's gateways that have been heard.
+func (v *View) Members(now time.Time) []peer.Member {
 	var out []peer.Member
-	for _, id := range ids[:min(len(ids), peer.MaxMembers)] {
-		if p, ok := v.board.Peers.Get(id); ok {
+	region := v.board.Self.Region
+	v.board.Peers.Range(func(_ string, p blackboard.PeerState) bool {
+		if p.Region == region && p.Beat > 0 && !p.Leaving {
 			out = append(out, toMember(p, now))
 		}
-	}
+		return len(out) < peer.MaxMembers
+	})
 	return out
 }
 
--- a/internal/membership/convert.go
+++ b/internal/membership/convert.go
@@ -57,6 +57,7 @@
 		Ready:         m.Ready,
 		Revision:      m.Revision,
 		Beat:          m.Beat,
+		Epoch:         m.Epoch,
 		Heard:         now.Add(-millis(m.AgeMillis)),
 	}
 }
@@ -72,6 +73,7 @@
 		Ready:         p.Ready,
 		Revision:      p.Revision,
 		Beat:          p.Beat,
+		Epoch:         p.Epoch,
 		AgeMillis:     now.Sub(p.Heard).Milliseconds(),
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -12,9 +12,10 @@
 
 // Times of membership.
 const (
-	// SuspectAfter is the silence after which a peer is no longer counted on.
+	// SuspectAfter is the age of the last reason to believe in a peer from
+	// which it is no longer counted on.
 	SuspectAfter = 6 * time.Second
-	// ForgetAfter is the silence after which a peer is removed.
+	// ForgetAfter is the age from which a peer is removed.
 	ForgetAfter = 2 * time.Minute
 	// RetiredFor is how long a retired incarnation is remembered. It is far
 	// longer than the lag of the instance list.
@@ -106,7 +107,7 @@
 			replaced = old.Incarnation
 			return p, true
 		}
-		return newerPeer(old, p), true
+		return newerPeer(old, p, direct), true
 	})
 	if replaced != "" {
 		v.Retire(p.ID, replaced, p.Heard)
@@ -119,20 +120,25 @@
 		if !ok || old.Incarnation != p.Incarnation {
 			return old, ok
 		}
-		return newerPeer(old, p), true
+		return newerPeer(old, p, false), true
 	})
 }
 
-func newerPeer(old, p blackboard.PeerState) blackboard.PeerState {
-	if p.Beat < old.Beat {
+// newerPeer returns the later of two signs of one incarnation. A suspicion is
+// lifted by a direct sign or by a later epoch.
+func newerPeer(old, p blackboard.PeerState, direct bool) blackboard.PeerState {
+	if p.Beat <= old.Beat {
 		return old
 	}
 	p.Leaving = p.Leaving || old.Leaving
-	if p.Beat == old.Beat && old.Heard.After(p.Heard) {
+	p.Revision = max(p.Revision, old.Revision)
+	if old.Suspected && !direct && p.Epoch <= old.Epoch {
+		p.Suspected = true
 		p.Heard = old.Heard
 	}
-	if p.Revision < old.Revision {
-		p.Revision = old.Revision
+	p.Epoch = max(p.Epoch, old.Epoch)
+	if old.Heard.After(p.Heard) && !old.Suspected {
+		p.Heard = old.Heard
 	}
 	return p
 }
@@ -175,8 +181,9 @@
 
 // MergeLoad takes in a load report of an endpoint that the list has named. An
 // older report than the one held is ignored; one that says leaving retires the
-// incarnation. It says whether the report was taken.
-func (v *View) MergeLoad(id, incarnation string, report blackboard.LoadReport) bool {
+// incarnation. direct says that the report came from the endpoint itself. It
+// returns whether the report was taken.
+func (v *View) MergeLoad(id, incarnation string, report blackboard.LoadReport, direct bool) bool {
 	taken := false
 	current := ""
 	if _, ok := v.board.Endpoints.Get(id); !ok {
@@ -195,6 +202,7 @@
 		}
 		e.Report = report
 		e.HasReport = true
+		e.Direct = direct
 		taken = true
 		return e, true
 	})
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -43,7 +43,7 @@
 				}
 				left[incarnation] = left[incarnation] || leaving
 			case "report":
-				taken := v.MergeLoad("e1", incarnation, blackboard.LoadReport{At: now, Leaving: leaving})
+				taken := v.MergeLoad("e1", incarnation, blackboard.LoadReport{At: now, Leaving: leaving}, true)
 				left[incarnation] = left[incarnation] || taken && leaving
 			case "peer":
 				msg := peer.Exchange{From: peer.Member{ID: "gw2", Incarnation: "x", Region: "tuul"}}
@@ -96,8 +96,8 @@
 		require.NoError(t, err)
 		var msg peer.Exchange
 		require.NoError(t, json.Unmarshal(raw, &msg))
-		unknown := to.Absorb(msg, now)
-		to.Absorb(peer.Exchange{From: msg.From, Members: from.Members(unknown, now)}, now)
+		msg.Members = from.Members(now)
+		to.Absorb(msg, now)
 	}
 	send(a, b)
 	send(b, a)
@@ -164,7 +164,7 @@
 		v.MergeLoad(id, "", blackboard.LoadReport{
 			At: start.Add(time.Duration(i) * time.Millisecond), Running: 12, Waiting: 3, QueuedPrefillTokens: 4096,
 			PrefillRate: 9000, DecodeRate: 55, MaxBatch: 64, KVUsed: 0.61,
-		})
+		}, i%2 == 0)
 	}
 	for i := range 12 {
 		v.MergeRegion(blackboard.RegionSummary{Region: fmt.Sprintf("region-%d", i), From: "x", Seq: 1, Groups: map[string]blackboard.GroupSummary{"planner": {Endpoints: 20}}}, start)
--- /dev/null
+++ b/internal/membership/roles.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+)
+
+// Role is a task that a few gateways of a region do for all of them, chosen by
+// rendezvous hashing. Gateways that see different peers may choose different
+// holders; every role is one in which that is harmless.
+type Role struct {
+	Key string
+	// Holders is the number of gateways that hold the role.
+	Holders int
+}
+
+// StoreWatch is the role of watching the configuration in the store.
+var StoreWatch = Role{Key: "config-watch", Holders: 2}
+
+// LoadPoll is the role of asking an endpoint for its load.
+func LoadPoll(endpoint string) Role { return Role{Key: "load/" + endpoint, Holders: 2} }
+
+// RegionSwap is the role of swapping summaries with another region.
+func RegionSwap(region string) Role { return Role{Key: "region/" + region, Holders: 2} }
+
+// HeldBy says whether the instance is among the role's holders.
+func (r Role) HeldBy(id string, live []string) bool {
+	return rendezvous.Owns(r.Key, id, live, r.Holders)
+}
+
+// Holds says whether this gateway holds the role, as far as it sees.
+func (v *View) Holds(r Role, now time.Time) bool {
+	return r.HeldBy(v.board.Self.ID, v.LiveIDs(now))
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -33,21 +33,18 @@
 	Revision      uint64 `json:"rev"`
 	// Beat grows with each sign of life of this incarnation.
 	Beat uint64 `json:"beat"`
+	// Epoch grows each time this incarnation refutes a suspicion.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// AgeMillis is the time since the sender heard it.
 	AgeMillis int64 `json:"age_ms,omitempty"`
 }
 
-// Beats are the signs of life of a region's gateways, in columns, one row for
-// each gateway, so that a row costs few bytes.
-type Beats struct {
-	IDs []string `json:"i,omitempty"`
-	// Tags are short hashes of the incarnations.
-	Tags  []uint32 `json:"t,omitempty"`
-	Beats []uint64 `json:"b,omitempty"`
-	// AgesMillis are the times since the sender heard each sign.
-	AgesMillis []int64 `json:"a,omitempty"`
-	// Revisions are those in force, as differences to the sender's own.
-	Revisions []int64 `json:"r,omitempty"`
+// Suspect says that a gateway did not answer in the given epoch. The gateway
+// itself lifts the suspicion by beginning a later one.
+type Suspect struct {
+	ID    string `json:"id"`
+	Tag   uint32 `json:"tag"`
+	Epoch uint64 `json:"epoch"`
 }
 
 // Loads are the load reports of endpoints, in columns, one row for each.
@@ -92,21 +89,20 @@
 // Exchange is the soft state that two gateways tell each other. Its size is
 // bounded; nothing in it is agreed on.
 type Exchange struct {
-	From  Member `json:"from"`
-	Beats Beats  `json:"beats"`
-	// Want names gateways whose full rows the sender lacks, Members are full
-	// rows that the receiver lacked.
-	Want    []string                   `json:"want,omitempty"`
-	Members []Member                   `json:"members,omitempty"`
-	Loads   Loads                      `json:"loads"`
-	Retired []Retired                  `json:"retired,omitempty"`
-	Regions []blackboard.RegionSummary `json:"regions,omitempty"`
+	From Member `json:"from"`
+	// Digest sums up the gateways of the region that the sender knows; when it
+	// differs from the receiver's, they send each other their Members.
+	Digest   uint64                     `json:"digest"`
+	Members  []Member                   `json:"members,omitempty"`
+	Suspects []Suspect                  `json:"suspects,omitempty"`
+	Loads    Loads                      `json:"loads"`
+	Retired  []Retired                  `json:"retired,omitempty"`
+	Regions  []blackboard.RegionSummary `json:"regions,omitempty"`
 }
 
 // Sizes of an exchange on the wire, in bytes, that its pace is worked out from.
 const (
-	bytesFixed   = 700
-	bytesBeat    = 26
+	bytesFixed   = 800
 	bytesLoad    = 45
 	bytesRetired = 90
 	bytesRegion  = 700
@@ -119,7 +115,7 @@
 // Pace returns the time until the next exchange that keeps exchanges like this
 // one within their budget of bytes, at least shortest.
 func (e Exchange) Pace(shortest time.Duration) time.Duration {
-	size := bytesFixed + bytesBeat*len(e.Beats.IDs) + bytesLoad*len(e.Loads.IDs) +
+	size := bytesFixed + bytesLoad*len(e.Loads.IDs) +
 		bytesRetired*len(e.Retired) + bytesRegion*len(e.Regions)
 	return max(shortest, time.Duration(size*messagesPerInterval)*time.Second/budgetPerSecond)
 }
@@ -133,13 +129,13 @@
 
 // Limits on one exchange.
 const (
-	// MaxBeats, MaxLoads, MaxMembers, MaxRetired and MaxRegions bound the rows
-	// of an exchange.
-	MaxBeats   = 64
-	MaxLoads   = 16
-	MaxMembers = 16
-	MaxRetired = 16
-	MaxRegions = 1
+	// MaxLoads, MaxMembers, MaxSuspects, MaxRetired and MaxRegions bound the
+	// rows of an exchange.
+	MaxLoads    = 16
+	MaxMembers  = 200
+	MaxSuspects = 16
+	MaxRetired  = 16
+	MaxRegions  = 1
 	// MaxExchangeBytes bounds the body of one exchange.
 	MaxExchangeBytes = 64 << 10
 	// MaxEndpointsBytes bounds the list of a region's endpoints.
