List the steps of publishing and meet each with each fault

Cause: the fault matrix needs the steps as a typed list beside the code. Change: publish.Steps; the drawn histories count which step met which fault, and fail when a cell of 7 steps x 9 kinds (no fault among them) stays empty.

--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -117,7 +117,9 @@
 	if err := a.state.write(a.command.folder); err != nil {
 		return nil, err
 	}
-	a.env.notef("change %s\n", a.change.ID)
+	if !a.change.Resumed {
+		a.env.notef("change %s\n", a.change.ID)
+	}
 	outcome, err = a.pub.Apply(ctx, a.change)
 	if err != nil {
 		return nil, a.mismatch(err)
--- a/internal/intent/publish/fake_test.go
+++ b/internal/intent/publish/fake_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -58,6 +59,10 @@
 type memory struct {
 	entries map[string]platform.Entry
 	heads   []revision.Head
+	// swapped says that the last write of the head took effect.
+	swapped bool
+	// met counts the faults that each step met.
+	met map[Step]map[fault]int
 }
 
 func newMemory() *memory { return &memory{entries: make(map[string]platform.Entry)} }
@@ -72,6 +77,9 @@
 
 func (m *memory) put(key string, value []byte, ifVersion *uint64) (platform.Entry, error) {
 	old := m.entries[key]
+	if key == revision.HeadKey {
+		m.swapped = ifVersion != nil && *ifVersion == old.Version
+	}
 	if ifVersion != nil && *ifVersion != old.Version {
 		return old, &platform.ConflictError{Key: key, Actual: old.Version}
 	}
@@ -129,8 +137,20 @@
 	return c.call(key, true, func() (platform.Entry, error) { return c.mem.put(key, value, o.IfVersion) })
 }
 
+func (m *memory) note(p pendingCall, f fault) {
+	if m.met == nil {
+		return
+	}
+	step := m.stepOf(p)
+	if m.met[step] == nil {
+		m.met[step] = make(map[fault]int)
+	}
+	m.met[step][f]++
+}
+
 // serve answers p under the fault. It returns the effect that comes late.
 func (c *client) serve(p pendingCall, f fault) (later func()) {
+	c.mem.note(p, f)
 	lost := &platform.UnavailableError{Op: p.key, MaybeApplied: p.write, Cause: context.DeadlineExceeded}
 	switch f {
 	case none:
@@ -156,6 +176,25 @@
 	return later
 }
 
+// stepOf tells which step of Apply a call is, by the content of the store.
+func (m *memory) stepOf(p pendingCall) Step {
+	switch {
+	case p.key == revision.HeadKey && p.write:
+		return StepSwapHead
+	case p.key == revision.HeadKey:
+		return StepReadHead
+	case strings.HasPrefix(p.key, revision.BlobPrefix) && p.write:
+		return StepWriteBlob
+	case strings.HasPrefix(p.key, revision.BlobPrefix):
+		return StepReadBlob
+	case !p.write:
+		return StepReadLog
+	case m.swapped:
+		return StepWriteOwnLog
+	}
+	return StepWriteParentLog
+}
+
 // applying is one running Apply.
 type applying struct {
 	*client
--- a/internal/intent/publish/publish_test.go
+++ b/internal/intent/publish/publish_test.go
@@ -221,8 +221,11 @@
 )
 
 func TestRacingOperatorsUnderFaults(t *testing.T) {
+	met := make(map[Step]map[fault]int)
+	defer func() { requireEachCell(t, met) }()
 	rapid.Check(t, func(t *rapid.T) {
 		mem, base := seeded(t)
+		mem.met = met
 		w := &world{t: t, mem: mem, changes: make(map[string]Change), faultsLeft: maxFaults}
 		for i := range rapid.IntRange(2, 4).Draw(t, "operators") {
 			w.ops = append(w.ops, &operator{name: fmt.Sprintf("op%d", i), files: startFiles(), base: base})
@@ -239,6 +242,15 @@
 	})
 }
 
+// requireEachCell checks that each step has met each fault.
+func requireEachCell(t *testing.T, met map[Step]map[fault]int) {
+	for _, s := range Steps {
+		for _, f := range faults {
+			require.NotZero(t, met[s][f], "%s met %s", s, f)
+		}
+	}
+}
+
 // step lets one operator go on, or one late effect come; false at the end.
 func (w *world) step() bool {
 	var live []*operator
