--- a/internal/command/admin.go
+++ b/internal/command/admin.go
@@ -26,18 +26,29 @@
 type adminFlags struct {
 	url   string
 	token string
+	// envToken is the token of the environment. It is not the flag's default,
+	// since flaggy shows defaults in its help.
+	envToken string
+}
+
+// secret returns the token to use.
+func (f *adminFlags) secret() string {
+	if f.token != "" {
+		return f.token
+	}
+	return f.envToken
 }
 
 func (f *adminFlags) attach(sub *flaggy.Subcommand, env *Env) {
 	f.url = env.lookup(envAdmin)
-	f.token = env.lookup(envToken)
+	f.envToken = env.lookup(envToken)
 	sub.String(&f.url, "", "admin", "base URL of a gateway's administration API, or "+envAdmin)
 	sub.String(&f.token, "", "token", "administration token, or better "+envToken)
 }
 
 func (f *adminFlags) problems() []string {
 	problems := urlProblems("--admin", f.url)
-	if f.token == "" {
+	if f.secret() == "" {
 		problems = append(problems, "--token: is missing; set "+envToken)
 	}
 	return problems
@@ -53,7 +64,7 @@
 	if err != nil {
 		return &AdminError{URL: target, Cause: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+f.token)
+	req.Header.Set("Authorization", "Bearer "+f.secret())
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return &AdminError{URL: target, Cause: err}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -96,7 +96,7 @@
 func Run(ctx context.Context, args []string, env *Env) int {
 	parser := flaggy.NewParser("hickorystage")
 	parser.Description = "a multi-region inference gateway and its operators' command"
-	parser.Version = version()
+	parser.DisableShowVersionWithVersion()
 	daemon := flaggy.NewSubcommand(GatewayName)
 	daemon.Description = "run the gateway daemon"
 	parser.AttachSubcommand(daemon, 1)
