--- a/internal/sched/away.go
+++ b/internal/sched/away.go
@@ -22,7 +22,7 @@
 }
 
 // bestAway returns the permitted region with the lowest estimate, if any.
-func bestAway(req *Request, v *View, rnd uint64) awayChoice {
+func bestAway(req *Request, v *View, depth []int, rnd uint64) awayChoice {
 	var best awayChoice
 	for _, name := range sortedRegions(v) {
 		r := v.Regions[name]
@@ -38,7 +38,7 @@
 			if !ok || g.Endpoints == 0 {
 				continue
 			}
-			t := estimateAway(req, r, g)
+			t := estimateAway(req, r, g, cachedAt(depth, r.Index))
 			if best.region == "" || t < best.ttft {
 				best.region, best.ttft, best.cost = name, t, g.CostPerMillionTokens
 			}
--- a/internal/sched/datastore/away.go
+++ b/internal/sched/datastore/away.go
@@ -50,6 +50,7 @@
 }
 
 type regionState struct {
+	index      int
 	summary    blackboard.RegionSummary
 	backAt     time.Time
 	link       decaying
@@ -67,7 +68,7 @@
 	defer a.mu.Unlock()
 	r, ok := a.regions[sum.Region]
 	if !ok {
-		r = &regionState{}
+		r = &regionState{index: s.layout.takeIndex()}
 		a.regions[sum.Region] = r
 	}
 	if ok && sum.Heard.Sub(r.summary.Heard) > lostAfter {
@@ -77,9 +78,14 @@
 	r.sentSince, r.sentTokens = 0, 0
 }
 
-// SentAway notes a request forwarded to another region, with the bytes that it
-// puts on the link.
+// SentAway is SentAwayPrefix for a request without a prefix.
 func (s *Store) SentAway(region string, promptTokens, bytes int, now time.Time) {
+	s.SentAwayPrefix(region, promptTokens, nil, bytes, now)
+}
+
+// SentAwayPrefix notes a request forwarded to another region, with the bytes
+// that it puts on the link. The prompt's blocks count as cached there.
+func (s *Store) SentAwayPrefix(region string, promptTokens int, prefix []uint64, bytes int, now time.Time) {
 	a := &s.away
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -93,6 +99,7 @@
 	r.last = now
 	r.sentSince++
 	r.sentTokens += promptTokens
+	s.cache.insert(prefix, r.index)
 }
 
 // SentLocal notes a caller's request that stays in this region, for the share
@@ -120,7 +127,7 @@
 
 func (r *regionState) view(name, own string, l *layoutSnapshot, now time.Time) *sched.RegionView {
 	rv := &sched.RegionView{
-		Region: name, Heard: r.summary.Heard, Link: linkTo(l.links, own, name),
+		Region: name, Index: r.index, Heard: r.summary.Heard, Link: linkTo(l.links, own, name),
 		LinkBytesPerSecond: r.link.value(linkWindow, now) / linkWindow.Seconds(),
 		SentSince:          r.sentSince, SentTokens: r.sentTokens,
 		Active:      !r.last.IsZero() && now.Sub(r.last) < activeWindow,
--- a/internal/sched/datastore/datastore.go
+++ b/internal/sched/datastore/datastore.go
@@ -28,6 +28,8 @@
 	cache  *index
 	layout layout
 	away   away
+	// announce holds what the other gateways have still to be told.
+	announce announcements
 }
 
 type shard struct {
@@ -91,6 +93,7 @@
 	sh.entries[m.ID] = e
 	sh.mu.Unlock()
 	s.layout.add(m.Group, m.ID, e.slot)
+	s.deal()
 }
 
 // update changes a known endpoint. It returns false when there is none, or
@@ -123,6 +126,7 @@
 	s.layout.remove(e.cur.Group, id)
 	s.cache.removeAll(e.cur.Index)
 	s.layout.freeIndex(e.cur.Index)
+	s.deal()
 }
 
 // MarkLeaving notes that an endpoint is leaving: it gets no new work.
@@ -153,15 +157,7 @@
 		cached := s.cache.depthOf(prefix, e.cur.Index) * sched.BlockTokens
 		uncached := max(promptTokens-cached, 1)
 		e.send(requestID, uncached, estimate.Seconds(), now)
-		s.cache.insert(prefix, e.cur.Index)
-	})
-}
-
-// PeerSent notes that another gateway of the region sent a request with a
-// large uncached prompt to an endpoint at a time, by this gateway's clock.
-func (s *Store) PeerSent(id string, uncachedTokens int, prefix []uint64, at time.Time) {
-	s.with(id, func(e *entry) {
-		e.peerSend(uncachedTokens, at)
+		s.announce.add(id, uncached, now)
 		s.cache.insert(prefix, e.cur.Index)
 	})
 }
--- a/internal/sched/datastore/layout.go
+++ b/internal/sched/datastore/layout.go
@@ -17,8 +17,11 @@
 	free    []int
 	next    int
 	intent  *intent.Intent
-	count   int
-	cur     atomic.Pointer[layoutSnapshot]
+	// self and ids are this gateway and all of the region's, in order.
+	self  string
+	ids   []string
+	count int
+	cur   atomic.Pointer[layoutSnapshot]
 }
 
 type layoutSnapshot struct {
@@ -104,6 +107,7 @@
 		return i
 	}
 	l.next++
+	l.rebuild()
 	return l.next - 1
 }
 
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -74,9 +74,9 @@
 }
 
 // estimateAway estimates the time to first token in another region, in
-// seconds: the link's delay and transfer, the region's mean queue and a cold
-// prefill of the whole prompt.
-func estimateAway(req *Request, r *RegionView, g RegionGroup) float64 {
+// seconds: the link's delay and transfer, the region's mean queue and the
+// prefill of what isn't cached there.
+func estimateAway(req *Request, r *RegionView, g RegionGroup, cached int) float64 {
 	n := float64(max(g.Endpoints, 1))
 	rate := g.PrefillRate
 	if rate <= 0 {
@@ -88,7 +88,7 @@
 		t += float64(req.PromptTokens*BytesPerToken) / free
 	}
 	t += float64(g.QueuedPrefillTokens+r.SentTokens) / rate
-	t += float64(req.PromptTokens) / (rate / n)
+	t += float64(max(req.PromptTokens-cached, 1)) / (rate / n)
 	if over := r.SentSince - g.FreeSlots + 1; over > 0 {
 		service := float64(max(req.OutputTokens, 1)) / defaultDecodeRate
 		t += service * float64(over) / float64(max(g.Running, 1))
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -1,5 +1,7 @@
 package sched
 
+import "time"
+
 // Options switch parts of the scheduler, so that versions can be compared.
 type Options struct {
 	// LagCorrection uses the corrected backlog instead of the report's.
@@ -14,6 +16,10 @@
 	// DeadlineFilter leaves out endpoints that can't answer in time while
 	// others can.
 	DeadlineFilter bool
+	// AwayAffinity counts the prefixes sent to another region as cached there.
+	AwayAffinity bool
+	// OwnMargin is what an endpoint of another gateway's must be better by.
+	OwnMargin time.Duration
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -25,7 +31,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
-		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true,
+		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true, AwayAffinity: true, OwnMargin: 80 * time.Millisecond,
 	}
 }
 
@@ -47,12 +53,13 @@
 // Decide chooses an endpoint or a region for req, or says to wait or to
 // refuse. rnd is a uniform draw that breaks ties.
 func (s *Scheduler) Decide(req *Request, v *View, rnd uint64) Decision {
-	local, full := s.bestLocal(req, v, rnd)
+	depth := s.depths(req, v)
+	local, full := s.bestLocal(req, v, depth, rnd)
 	if local != nil {
-		return s.localOrAway(req, v, local, rnd)
+		return s.localOrAway(req, v, local, s.awayDepths(depth), rnd)
 	}
 	if !full || withinAwayShare(v) {
-		if d, ok := s.awayOnly(req, v, rnd); ok {
+		if d, ok := s.awayOnly(req, v, s.awayDepths(depth), rnd); ok {
 			return d
 		}
 	}
@@ -61,11 +68,11 @@
 
 // bestLocal returns the picked endpoint of this region. full says that there
 // are endpoints but all are at their bound.
-func (s *Scheduler) bestLocal(req *Request, v *View, rnd uint64) (best *candidate, full bool) {
+func (s *Scheduler) bestLocal(req *Request, v *View, depth []int, rnd uint64) (best *candidate, full bool) {
 	if !req.PermittedRegions[v.Region] {
 		return nil, false
 	}
-	cs, full := s.candidates(req, v, rnd)
+	cs, full := s.candidates(req, v, depth, rnd)
 	return pick(&s.opts, req, s.inTime(req, cs), rnd), full
 }
 
@@ -91,8 +98,7 @@
 // candidates returns the endpoints that pass the filters, with estimates. When
 // no endpoint passes the health filters, ejected ones count as usable: the
 // last endpoint of a group is never ejected.
-func (s *Scheduler) candidates(req *Request, v *View, rnd uint64) (cs []candidate, full bool) {
-	depth := s.depths(req, v)
+func (s *Scheduler) candidates(req *Request, v *View, depth []int, rnd uint64) (cs []candidate, full bool) {
 	for _, healthy := range []bool{true, false} {
 		for _, group := range req.Groups {
 			gv, ok := v.Groups[group]
@@ -127,13 +133,29 @@
 	return depth
 }
 
-func (s *Scheduler) score(req *Request, v *View, gv *GroupView, e *Endpoint, depth []int) candidate {
-	cached := 0
-	if e.Index < len(depth) {
-		cached = depth[e.Index] * BlockTokens
+// awayDepths are the depths that count for other regions.
+func (s *Scheduler) awayDepths(depth []int) []int {
+	if !s.opts.AwayAffinity {
+		return nil
+	}
+	return depth
+}
+
+// cachedAt returns the cached prompt tokens at a place of the prefix index.
+func cachedAt(depth []int, i int) int {
+	if i >= len(depth) {
+		return 0
 	}
+	return depth[i] * BlockTokens
+}
+
+func (s *Scheduler) score(req *Request, v *View, gv *GroupView, e *Endpoint, depth []int) candidate {
+	cached := cachedAt(depth, e.Index)
 	t := estimateLocal(&s.opts, req, e, v.Now, cached)
 	work := float64(max(req.PromptTokens-cached, 1)) / prefillRate(e)
+	if !e.Own {
+		work += s.opts.OwnMargin.Seconds() / max(s.opts.WorkWeight, 1)
+	}
 	return candidate{
 		e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens,
 		score: t + s.opts.WorkWeight*work + costSeconds(v, req, gv.CostPerMillionTokens),
@@ -149,10 +171,10 @@
 	return cost * v.Knobs.Cost / v.Knobs.TailLatency
 }
 
-func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, rnd uint64) Decision {
+func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, depth []int, rnd uint64) Decision {
 	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
-		away := bestAway(req, v, rnd)
+		away := bestAway(req, v, depth, rnd)
 		gain := local.ttft + costSeconds(v, req, local.cost) - away.ttft - costSeconds(v, req, away.cost)
 		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
 			if withinAwayShare(v) {
@@ -170,11 +192,11 @@
 // awayOnly chooses a region when this one has no place for req. With no
 // endpoint here at all the share budget doesn't hold, since the alternative is
 // a refusal.
-func (s *Scheduler) awayOnly(req *Request, v *View, rnd uint64) (Decision, bool) {
+func (s *Scheduler) awayOnly(req *Request, v *View, depth []int, rnd uint64) (Decision, bool) {
 	if req.MovesLeft <= 0 {
 		return Decision{}, false
 	}
-	away := bestAway(req, v, rnd)
+	away := bestAway(req, v, depth, rnd)
 	if away.region == "" || late(req, away.ttft, defaultDecodeRate) {
 		return Decision{}, false
 	}
--- a/internal/sched/view.go
+++ b/internal/sched/view.go
@@ -43,6 +43,8 @@
 	// what this gateway sent since, less what the engine can have done.
 	BacklogTokens float64
 	BacklogAt     time.Time
+	// Own says that this gateway goes to the endpoint first.
+	Own bool
 	// SentSince and SentTokens count the requests and the uncached prompt
 	// tokens that this gateway sent after the report was taken.
 	SentSince  int
@@ -104,6 +106,9 @@
 	// SentSince and SentTokens count what this gateway sent there since Heard.
 	SentSince  int
 	SentTokens int
+	// Index is the region's place in the prefix index: what this gateway sent
+	// there.
+	Index int
 	// Active says that requests have been sent there lately (hysteresis).
 	Active bool
 	// ReturnShare bounds traffic after the region was unreachable, 0 to 1.
--- a/internal/standin/experiment/policy.go
+++ b/internal/standin/experiment/policy.go
@@ -14,10 +14,10 @@
 	// Exact says that gateways share one queue a region, for the all-seeing
 	// policy.
 	Exact bool
-	// AnnounceTokens is the uncached part of a prompt from which the other
-	// gateways of the region are told of it; 0 means never.
-	AnnounceTokens int
-	Decide         func(g *gateway, req *sched.Request, rnd uint64) sched.Decision
+	// AnnounceEvery is the time between a gateway's announcements of large
+	// prefills to the region's others; 0 means that it makes none.
+	AnnounceEvery time.Duration
+	Decide        func(g *gateway, req *sched.Request, rnd uint64) sched.Decision
 }
 
 // Policies returns the policies in the order of the table.
@@ -26,7 +26,8 @@
 		{Name: "round-robin", Health: datastore.DefaultHealthOptions(), Decide: roundRobin},
 		{Name: "least-load", Health: datastore.DefaultHealthOptions(), Decide: leastLoad},
 		Product("previous", sched.PreviousOptions(), datastore.PreviousHealthOptions()),
-		Product("ours", sched.DefaultOptions(), datastore.DefaultHealthOptions()),
+		Product("ours-quiet", sched.DefaultOptions(), datastore.DefaultHealthOptions()),
+		announcing(Product("ours", sched.DefaultOptions(), datastore.DefaultHealthOptions())),
 		{Name: "all-seeing", Health: datastore.DefaultHealthOptions(), Exact: true, Decide: allSeeing(sched.New(exactOptions()))},
 	}
 }
@@ -39,6 +40,15 @@
 	}}
 }
 
+// announceEvery is the time between exchanges of the region's gateways.
+const announceEvery = 250 * time.Millisecond
+
+// announcing makes a policy's gateways tell each other of large prefills.
+func announcing(p Policy) Policy {
+	p.AnnounceEvery = announceEvery
+	return p
+}
+
 // usable returns the local endpoints that a simple policy may pick.
 func usable(g *gateway, req *sched.Request) []*sched.Endpoint {
 	v := g.store.View(g.sim.now)
