--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -110,14 +110,16 @@
 	if v := c.limiter.take(item, now); v.Kind == Refuse {
 		return v
 	}
-	if c.mustWait(item) {
+	if c.MustWait(item) {
 		return c.Wait(item, 0, now)
 	}
 	return Verdict{Kind: Run}
 }
 
-// mustWait says that a request at least as important already waits.
-func (c *Controller) mustWait(item Item) bool {
+// MustWait says that a request at least as important already waits. Ask it
+// before an admitted request is dispatched again, after a failure or a refusal
+// by another region; on true, call Wait.
+func (c *Controller) MustWait(item Item) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q, ok := c.queues[item.Group]
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/failure"
@@ -12,14 +13,11 @@
 type queue struct {
 	max   int
 	items itemHeap
-	// rate is the smoothed number of requests that leave in a second.
-	rate    float64
-	lastPop time.Time
-	// undo is the state before the last pop, for an item that is put back.
-	undo struct {
-		rate    float64
-		lastPop time.Time
-	}
+	// popped is the decayed number of requests that left since busyAt, when
+	// the queue was last empty.
+	popped float64
+	at     time.Time
+	busyAt time.Time
 }
 
 func newQueue(limit int) *queue { return &queue{max: limit} }
@@ -31,17 +29,18 @@
 // push adds an item, sheds a less important one for it, or refuses it.
 func (q *queue) push(item Item, estimate time.Duration, now time.Time) Verdict {
 	item.Queued = now
-	wait := q.waitFor(item)
+	wait := q.waitFor(item, now)
 	if !item.Deadline.IsZero() && now.Add(wait+estimate).After(item.Deadline) {
 		return refuse(failure.CodeDeadline, "the queue is too long for the deadline", wait)
 	}
 	if q.len() < q.max {
+		q.start(now)
 		q.insert(item)
 		return Verdict{Kind: Queue}
 	}
 	least := q.least()
 	if !before(item, q.items[least]) || q.items[least].Priority == item.Priority {
-		return refuse(failure.CodeOverloaded, "the queue is full", q.drain())
+		return refuse(failure.CodeOverloaded, "the queue is full", q.drain(now))
 	}
 	shed := q.items[least]
 	heap.Remove(&q.items, least)
@@ -51,44 +50,54 @@
 
 func (q *queue) insert(item Item) { heap.Push(&q.items, item) }
 
-// pop takes the head and learns the rate of leaving.
+// start notes that a queue that was empty is in use.
+func (q *queue) start(now time.Time) {
+	if q.len() == 0 {
+		q.popped, q.at, q.busyAt = 0, now, now
+	}
+}
+
+// pop takes the head out.
 func (q *queue) pop(now time.Time) (Item, bool) {
 	if q.len() == 0 {
 		return Item{}, false
 	}
 	item := heap.Pop(&q.items).(Item)
-	q.undo.rate, q.undo.lastPop = q.rate, q.lastPop
-	q.learn(now)
+	q.popped = q.decayed(now) + 1
+	q.at = now
 	return item, true
 }
 
 // putBack undoes the last pop.
 func (q *queue) putBack(item Item) {
 	q.insert(item)
-	q.rate, q.lastPop = q.undo.rate, q.undo.lastPop
+	q.popped--
 }
 
-// rateWeight is the weight of a new sample in the smoothed rate.
-const rateWeight = 0.1
+// rateWindow is the time constant of the rate of leaving.
+const rateWindow = 5 * time.Second
 
-// maxRate bounds a sample of the rate, in requests a second.
-const maxRate = 1000
+// minRateTime is how long a queue must be in use before its rate is known.
+const minRateTime = time.Second
 
-func (q *queue) learn(now time.Time) {
-	if !q.lastPop.IsZero() {
-		dt := max(now.Sub(q.lastPop).Seconds(), 1.0/maxRate)
-		q.rate += rateWeight * (1/dt - q.rate)
-	}
-	q.lastPop = now
-	if q.len() == 0 {
-		// The time to the next pop will say nothing about the rate.
-		q.lastPop = time.Time{}
+func (q *queue) decayed(now time.Time) float64 {
+	return q.popped * math.Exp(-now.Sub(q.at).Seconds()/rateWindow.Seconds())
+}
+
+// rate is the number of requests that leave in a second; 0 means not known.
+func (q *queue) rate(now time.Time) float64 {
+	busy := now.Sub(q.busyAt)
+	if q.len() == 0 || busy < minRateTime {
+		return 0
 	}
+	window := rateWindow.Seconds() * (1 - math.Exp(-busy.Seconds()/rateWindow.Seconds()))
+	return q.decayed(now) / window
 }
 
 // waitFor estimates how long item would wait behind those before it.
-func (q *queue) waitFor(item Item) time.Duration {
-	if q.rate <= 0 {
+func (q *queue) waitFor(item Item, now time.Time) time.Duration {
+	rate := q.rate(now)
+	if rate <= 0 {
 		return 0
 	}
 	n := 0
@@ -97,18 +106,19 @@
 			n++
 		}
 	}
-	return time.Duration(float64(n) / q.rate * float64(time.Second))
+	return time.Duration(float64(n) / rate * float64(time.Second))
 }
 
 // minRetryAfter is the least time that a caller is told to wait.
 const minRetryAfter = time.Second
 
 // drain estimates how long the whole queue takes.
-func (q *queue) drain() time.Duration {
-	if q.rate <= 0 {
+func (q *queue) drain(now time.Time) time.Duration {
+	rate := q.rate(now)
+	if rate <= 0 {
 		return minRetryAfter
 	}
-	return max(minRetryAfter, time.Duration(float64(q.len())/q.rate*float64(time.Second)))
+	return max(minRetryAfter, time.Duration(float64(q.len())/rate*float64(time.Second)))
 }
 
 // least returns the place of the last item in order.
--- a/internal/sched/away.go
+++ b/internal/sched/away.go
@@ -22,7 +22,7 @@
 }
 
 // bestAway returns the permitted region with the lowest estimate, if any.
-func bestAway(req *Request, v *View, depth []int, rnd uint64) awayChoice {
+func bestAway(o *Options, req *Request, v *View, depth []int, rnd uint64) awayChoice {
 	var best awayChoice
 	for _, name := range sortedRegions(v) {
 		r := v.Regions[name]
@@ -35,7 +35,7 @@
 		}
 		for _, group := range req.Groups {
 			g, ok := r.Groups[group]
-			if !ok || g.Endpoints == 0 {
+			if !ok || g.Endpoints == 0 || o.FreeRegionsOnly && full(v, r, g) {
 				continue
 			}
 			t := estimateAway(req, r, g, cachedAt(depth, r.Index))
@@ -47,6 +47,12 @@
 	return best
 }
 
+// full says that a group of another region has no free place, should the other
+// gateways here have sent as many requests there as this one.
+func full(v *View, r *RegionView, g RegionGroup) bool {
+	return g.FreeSlots <= r.SentSince*max(v.Gateways, 1)
+}
+
 func sortedRegions(v *View) []string {
 	names := make([]string, 0, len(v.Regions))
 	for name := range v.Regions {
--- a/internal/sched/datastore/layout.go
+++ b/internal/sched/datastore/layout.go
@@ -4,6 +4,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/sched"
@@ -150,3 +151,27 @@
 	s.layout.count = max(n, 1)
 	s.layout.rebuild()
 }
+
+// defaultTokenTime is assumed while no endpoint has reported.
+const defaultTokenTime = 40 * time.Millisecond
+
+// TokenTime returns the mean time between the tokens of one answer, as the
+// endpoints of a group report it. An answer of n tokens takes n of it after its
+// first token.
+func (s *Store) TokenTime(group string) time.Duration {
+	g, ok := s.layout.load().groups[group]
+	if !ok {
+		return defaultTokenTime
+	}
+	sum, n := 0.0, 0
+	for _, slot := range g.Slots {
+		if e := slot.Load(); e.DecodeRate > 0 && !e.Leaving && e.Health != sched.Ejected {
+			sum += 1 / e.DecodeRate
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultTokenTime
+	}
+	return time.Duration(sum / float64(n) * float64(time.Second))
+}
--- a/internal/sched/filter.go
+++ b/internal/sched/filter.go
@@ -29,10 +29,21 @@
 	return float64(draw>>11)/(1<<53) < e.ReturnShare
 }
 
-func withinConcurrency(_ *Request, e *Endpoint, _ uint64) bool {
-	return e.MaxConcurrent <= 0 || e.Occupancy() < e.MaxConcurrent
+// withinConcurrency says whether e may take one more request. A part of its
+// places is kept for higher priorities, so that they need not wait in one
+// gateway while another, whose view lags, still sends lower ones.
+func withinConcurrency(o *Options, req *Request, e *Endpoint) bool {
+	if e.MaxConcurrent <= 0 {
+		return true
+	}
+	below := float64(maxPriority-min(req.Priority, maxPriority)) / maxPriority
+	places := float64(e.MaxConcurrent) * (1 - o.PriorityHeadroom*below)
+	return e.Occupancy() < max(int(places), 1)
 }
 
+// maxPriority is the highest priority of a request.
+const maxPriority = 9
+
 // fixedFilters hold whatever else is the case.
 var fixedFilters = []filter{notLeaving, notExcluded}
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -20,6 +20,11 @@
 	AwayAffinity bool
 	// OwnMargin is what an endpoint of another gateway's must be better by.
 	OwnMargin time.Duration
+	// PriorityHeadroom is the part of an endpoint's places that the lowest
+	// priority may not use, 0 to 1.
+	PriorityHeadroom float64
+	// FreeRegionsOnly sends no request to a region without free places.
+	FreeRegionsOnly bool
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -32,6 +37,7 @@
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
 		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true, AwayAffinity: true, OwnMargin: 80 * time.Millisecond,
+		PriorityHeadroom: 0.25, FreeRegionsOnly: true,
 	}
 }
 
@@ -110,7 +116,7 @@
 				if !passes(fixedFilters, req, e, rnd) || healthy && !passes(healthFilters, req, e, rnd) {
 					continue
 				}
-				if !withinConcurrency(req, e, rnd) {
+				if !withinConcurrency(&s.opts, req, e) {
 					full = true
 					continue
 				}
@@ -174,7 +180,7 @@
 func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, depth []int, rnd uint64) Decision {
 	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
-		away := bestAway(req, v, depth, rnd)
+		away := bestAway(&s.opts, req, v, depth, rnd)
 		gain := local.ttft + costSeconds(v, req, local.cost) - away.ttft - costSeconds(v, req, away.cost)
 		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
 			if withinAwayShare(v) {
@@ -196,7 +202,7 @@
 	if req.MovesLeft <= 0 {
 		return Decision{}, false
 	}
-	away := bestAway(req, v, depth, rnd)
+	away := bestAway(&s.opts, req, v, depth, rnd)
 	if away.region == "" || late(req, away.ttft, defaultDecodeRate) {
 		return Decision{}, false
 	}
--- a/internal/standin/experiment/call.go
+++ b/internal/standin/experiment/call.go
@@ -73,15 +73,11 @@
 	return child
 }
 
-// tokenTime is the assumed time for one token, to know when the first token
-// must come.
-const tokenTime = 40 * time.Millisecond
-
 func (c *call) item() admit.Item {
 	return admit.Item{
 		ID: c.id, Customer: c.req.Customer, Group: group, Priority: c.req.Priority,
 		Tokens:   c.req.PromptTokens + c.req.OutputTokens,
-		Deadline: c.caller.deadline.Add(-time.Duration(c.req.OutputTokens) * tokenTime),
+		Deadline: c.caller.deadline.Add(-time.Duration(c.req.OutputTokens) * c.gw.store.TokenTime(group)),
 	}
 }
 
@@ -145,7 +141,7 @@
 			c.refuse(failure.CodeEndpointFailed, time.Second)
 			return
 		}
-		c.gw.dispatch(c)
+		c.gw.redispatch(c)
 	})
 }
 
@@ -164,7 +160,7 @@
 	p.child = nil
 	c.gw.sim.after(c.gw.sim.dep.Link.OneWay.D(), func() {
 		if !p.ended {
-			p.gw.dispatch(p)
+			p.gw.redispatch(p)
 		}
 	})
 }
@@ -211,7 +207,7 @@
 			s.after(silenceLimit, func() {
 				p.child = nil
 				if !p.ended {
-					p.gw.dispatch(p)
+					p.gw.redispatch(p)
 				}
 			})
 		}
--- a/internal/standin/experiment/gateway.go
+++ b/internal/standin/experiment/gateway.go
@@ -140,6 +140,15 @@
 	g.execute(c, d)
 }
 
+// redispatch dispatches a call again, after those that are more important.
+func (g *gateway) redispatch(c *call) {
+	if g.ctl.MustWait(c.item()) {
+		g.act(c, g.ctl.Wait(c.item(), 0, g.sim.now))
+		return
+	}
+	g.dispatch(c)
+}
+
 func (g *gateway) decide(c *call) sched.Decision {
 	c.req.Remaining = c.caller.deadline.Sub(g.sim.now)
 	return g.sim.policy.Decide(g, &c.req, g.sim.rnd.Uint64())
