Drive random histories of actions and count real executions

A lease for finished claims was granted under a lock held over the store call, so that one slow grant held up every outcome (found by the test: the virtual clock stood still); callers at once now share one grant without the lock.

--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -113,6 +113,7 @@
 // executeClaim claims the key, runs the call, and writes the outcome into the
 // claim.
 func (m *Manager) executeClaim(ctx context.Context, c Call, k recordKey, rec *record, f *flight) {
+	m.at(ctx, StepReserve)
 	found, err := m.claim(ctx, k, rec)
 	if err != nil {
 		m.abandonClaim(k, rec, err)
@@ -123,6 +124,7 @@
 		return
 	}
 	claimsMade.Inc()
+	m.at(ctx, StepClaimed)
 	m.execute(ctx, c, k, rec, f)
 	m.pending.add(k, rec)
 	m.settle(ctx, k, rec)
--- a/internal/action/manager.go
+++ b/internal/action/manager.go
@@ -13,8 +13,8 @@
 	"github.com/hickorystage/hickorystage/internal/platform"
 )
 
-// Config is what a Manager works with. Forwarder, Handover, Admitter, Store
-// and Log may be nil; Now is time.Now if nil.
+// Config is what a Manager works with. Forwarder, Handover, Admitter, Store,
+// Observe and Log may be nil; Now is time.Now if nil.
 type Config struct {
 	Incarnation string
 	Limits      Limits
@@ -24,7 +24,9 @@
 	Handover    Handover
 	Admitter    Admitter
 	Now         func() time.Time
-	Log         *log.Logger
+	// Observe is called at each local step, before the next one is taken.
+	Observe func(Step)
+	Log     *log.Logger
 }
 
 // Manager runs the actions of one gateway incarnation and remembers them.
--- a/internal/action/result.go
+++ b/internal/action/result.go
@@ -74,6 +74,7 @@
 	}
 	var res *result
 	m.records.with(k, func(bool) { res = rec.result })
+	m.at(ctx, StepReply)
 	return m.answer(c, res, f, way)
 }
 
--- a/internal/action/run.go
+++ b/internal/action/run.go
@@ -21,7 +21,10 @@
 	}
 	var f *flight
 	if fresh {
-		f = m.launch(ctx, c, func(run context.Context, f *flight) { m.execute(run, c, k, rec, f) })
+		f = m.launch(ctx, c, func(run context.Context, f *flight) {
+			m.at(run, StepReserve)
+			m.execute(run, c, k, rec, f)
+		})
 	}
 	return m.await(ctx, c, k, rec, f, WayTicket)
 }
@@ -100,6 +103,7 @@
 // execute admits and dispatches a reserved record and ends it.
 func (m *Manager) execute(ctx context.Context, c Call, k recordKey, rec *record, f *flight) {
 	res := m.dispatch(ctx, c, k, rec, f.before)
+	m.at(ctx, StepResult)
 	f.body = m.trimBody(res)
 	m.records.finish(k, rec, res).count()
 }
@@ -124,7 +128,7 @@
 		ActionID:    m.actionID(k),
 		Fencing:     fencingNumber,
 		Timeout:     m.timeoutOf(c),
-		Commit:      func() error { return m.commit(k, rec, before) },
+		Commit:      func() error { return m.commit(ctx, k, rec, before) },
 	})
 	if err == nil {
 		return replyResult(reply)
@@ -163,7 +167,7 @@
 
 // commit notes that the record's order is about to be sent. It succeeds once
 // at most, and not after the seal or the caller's deadline.
-func (m *Manager) commit(k recordKey, rec *record, before time.Time) error {
+func (m *Manager) commit(ctx context.Context, k recordKey, rec *record, before time.Time) error {
 	var err error
 	m.records.with(k, func(closed bool) {
 		switch {
@@ -178,6 +182,9 @@
 			dispatched.Inc()
 		}
 	})
+	if err == nil {
+		m.at(ctx, StepCommit)
+	}
 	return err
 }
 
--- a/internal/action/seal.go
+++ b/internal/action/seal.go
@@ -82,6 +82,7 @@
 	defer cancel()
 	m.Settle(send, settleAtSeal)
 	s := m.makeSeal()
+	m.at(ctx, StepSealClose)
 	report.Runs = len(s.Runs)
 	var both sync.WaitGroup
 	both.Go(func() { report.Peer = m.sendSeal(send, s) })
--- a/internal/action/settle.go
+++ b/internal/action/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/platform"
@@ -247,29 +248,54 @@
 	mu      sync.Mutex
 	id      platform.LeaseID
 	granted time.Duration
+	grants  singleflight.Group
 }
 
 // claimLeaseAge is how long one lease is given to claims.
 const claimLeaseAge = time.Hour
 
+// current returns the lease if it is still given to claims at now.
+func (l *claimLeases) current(now time.Duration) platform.LeaseID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.id == "" || now >= l.granted+claimLeaseAge {
+		return ""
+	}
+	return l.id
+}
+
+func (l *claimLeases) set(id platform.LeaseID, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id = id
+	l.granted = now
+}
+
 // claimLease returns the lease for claims with an outcome, or none if the
 // store grants none; the reaper then removes the claim.
 func (m *Manager) claimLease(ctx context.Context) platform.LeaseID {
-	m.leases.mu.Lock()
-	defer m.leases.mu.Unlock()
-	now := m.elapsed()
-	if m.leases.id != "" && now < m.leases.granted+claimLeaseAge {
-		return m.leases.id
+	if id := m.leases.current(m.elapsed()); id != "" {
+		return id
+	}
+	// The lock isn't held over the call; callers at once share one grant.
+	id, _, _ := m.leases.grants.Do("", func() (any, error) { return m.grantLease(ctx), nil })
+	return id.(platform.LeaseID)
+}
+
+// grantLease asks the store for a lease, and returns none if it gives none.
+func (m *Manager) grantLease(ctx context.Context) platform.LeaseID {
+	if m.cfg.Store == nil {
+		return ""
 	}
 	claimCalls.Inc()
+	now := m.elapsed()
 	ctx, cancel := context.WithTimeout(ctx, m.limits.StoreTimeout)
 	defer cancel()
 	id, err := m.cfg.Store.Grant(ctx, m.limits.ClaimMemory+claimLeaseAge)
 	if err != nil {
 		return ""
 	}
-	m.leases.id = id
-	m.leases.granted = now
+	m.leases.set(id, now)
 	return id
 }
 
--- /dev/null
+++ b/internal/action/world_test.go
@@ -0,0 +1,496 @@
+package action_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/failure"
+)
+
+// faultKind is what goes wrong at a step.
+type faultKind string
+
+const (
+	requestLost faultKind = "request lost"
+	answerLost  faultKind = "answer lost after the effect"
+	late        faultKind = "late"
+	twice       faultKind = "twice"
+	silent      faultKind = "silent"
+	killBefore  faultKind = "killed before"
+	killAfter   faultKind = "killed after"
+	pauseBefore faultKind = "paused before"
+	pauseAfter  faultKind = "paused after"
+	cutOff      faultKind = "cut off"
+	storeAway   faultKind = "store away"
+)
+
+var (
+	remoteFaults = []faultKind{requestLost, answerLost, late, twice, silent, killBefore, killAfter, pauseBefore, pauseAfter, cutOff, storeAway}
+	localFaults  = []faultKind{killBefore, pauseBefore, cutOff, storeAway}
+)
+
+// injection is a fault at the nth time that a node takes a step.
+type injection struct {
+	node int
+	step action.Step
+	nth  int
+	kind faultKind
+	// lasts is the length of a pause, a cut, an outage or a delay.
+	lasts time.Duration
+}
+
+const (
+	hop     = 2 * time.Millisecond
+	giveUp  = 300 * time.Millisecond
+	maxHeld = 2
+)
+
+// world holds the gateways, the store and the service of one history.
+type world struct {
+	mu       sync.Mutex
+	nodes    []*node
+	plan     []injection
+	taken    map[string]int
+	fired    int
+	executed map[string]int
+	fenced   map[string]bool
+	// checksFencing makes the service refuse an action's second delivery.
+	checksFencing bool
+	store         *memStore
+	over          chan struct{}
+	limits        action.Limits
+	running       sync.WaitGroup
+}
+
+// node is one gateway incarnation.
+type node struct {
+	w           *world
+	index       int
+	incarnation string
+	m           *action.Manager
+	dead        bool
+	pausedUntil time.Time
+	cutUntil    time.Time
+}
+
+// lostError is an answer that didn't come.
+type lostError struct{ sent bool }
+
+func (e *lostError) Error() string { return fmt.Sprintf("lost (sent: %t)", e.sent) }
+
+func newWorld(nodes int, plan []injection) *world {
+	w := &world{
+		plan:     plan,
+		taken:    map[string]int{},
+		executed: map[string]int{},
+		fenced:   map[string]bool{},
+		over:     make(chan struct{}),
+		limits: action.Limits{
+			TicketValidity: 30 * time.Second, Retention: 90 * time.Second, ClaimRetention: 5 * time.Second,
+			ClaimTimeout: 2 * time.Second, StoreTimeout: giveUp, DefaultTimeout: time.Second, MaxRecords: 64, MaxVoids: 64,
+		},
+	}
+	w.store = &memStore{w: w, items: map[string]*memItem{}, leases: map[string]time.Time{}}
+	for range nodes {
+		w.start()
+	}
+	return w
+}
+
+// start adds a fresh gateway.
+func (w *world) start() *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := &node{w: w, index: len(w.nodes), incarnation: fmt.Sprintf("inc%d", len(w.nodes))}
+	n.m = action.New(action.Config{
+		Incarnation: n.incarnation,
+		Limits:      w.limits,
+		Dispatcher:  serviceOf{n},
+		Store:       storeOf{n: n},
+		Forwarder:   peersOf{n},
+		Handover:    peersOf{n},
+		Observe:     n.observe,
+	})
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// end lets everything that is blocked go on, without effects, and waits.
+func (w *world) end() {
+	w.mu.Lock()
+	for _, n := range w.nodes {
+		n.dead = true
+	}
+	w.mu.Unlock()
+	close(w.over)
+	w.running.Wait()
+	for _, n := range w.nodes {
+		_ = n.m.Stop()
+	}
+}
+
+// take returns the fault for this time that the node takes the step.
+func (w *world) take(n *node, s action.Step) (injection, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := strconv.Itoa(n.index) + string(s)
+	w.taken[id]++
+	for _, in := range w.plan {
+		if in.node == n.index && in.step == s && in.nth == w.taken[id] {
+			w.fired++
+			return in, true
+		}
+	}
+	return injection{}, false
+}
+
+// gate holds a paused or dead process; false means that it is dead.
+func (n *node) gate() bool {
+	for {
+		n.w.mu.Lock()
+		dead, wait := n.dead, time.Until(n.pausedUntil)
+		n.w.mu.Unlock()
+		if dead {
+			<-n.w.over
+			return false
+		}
+		if wait <= 0 {
+			return true
+		}
+		select {
+		case <-time.After(wait):
+		case <-n.w.over:
+			return false
+		}
+	}
+}
+
+func (n *node) kill()                 { n.set(func() { n.dead = true }) }
+func (n *node) pause(d time.Duration) { n.set(func() { n.pausedUntil = time.Now().Add(d) }) }
+func (n *node) cut(d time.Duration)   { n.set(func() { n.cutUntil = time.Now().Add(d) }) }
+
+func (n *node) set(fn func()) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	fn()
+}
+
+// alone reports whether the node is cut off or dead.
+func (n *node) alone() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.dead || time.Now().Before(n.cutUntil)
+}
+
+// observe is a local step.
+func (n *node) observe(s action.Step) {
+	if in, ok := n.w.take(n, s); ok {
+		n.strike(in)
+	}
+	n.gate()
+}
+
+// strike makes a fault of the process or its surroundings happen.
+func (n *node) strike(in injection) {
+	switch in.kind {
+	case killBefore, killAfter:
+		n.kill()
+	case pauseBefore, pauseAfter:
+		n.pause(in.lasts)
+	case cutOff:
+		n.cut(in.lasts)
+	case storeAway:
+		n.w.store.away(in.lasts)
+	}
+}
+
+// remote runs the effect of a remote step with the fault planned for it.
+func (n *node) remote(ctx context.Context, s action.Step, effect func() error) error {
+	if !n.gate() {
+		return &lostError{}
+	}
+	in, faulty := n.w.take(n, s)
+	if faulty && in.kind != killAfter && in.kind != pauseAfter {
+		n.strike(in)
+		if !n.gate() {
+			return &lostError{}
+		}
+	}
+	if !sleep(ctx, hop) {
+		return &lostError{sent: true}
+	}
+	err := n.perform(ctx, in, effect)
+	if faulty && (in.kind == killAfter || in.kind == pauseAfter) {
+		n.strike(in)
+	}
+	if !n.gate() {
+		return &lostError{sent: true}
+	}
+	return err
+}
+
+func (n *node) perform(ctx context.Context, in injection, effect func() error) error {
+	switch in.kind {
+	case requestLost:
+		sleep(ctx, giveUp)
+		return &lostError{sent: true}
+	case answerLost:
+		_ = effect()
+		sleep(ctx, giveUp)
+		return &lostError{sent: true}
+	case late:
+		n.w.later(in.lasts, effect)
+		sleep(ctx, giveUp)
+		return &lostError{sent: true}
+	case twice:
+		n.w.later(in.lasts, effect)
+		return effect()
+	case silent:
+		<-ctx.Done()
+		return &lostError{sent: true}
+	}
+	return effect()
+}
+
+// later runs an effect that the network has held back.
+func (w *world) later(d time.Duration, effect func() error) {
+	w.running.Go(func() {
+		select {
+		case <-time.After(d):
+			_ = effect()
+		case <-w.over:
+		}
+	})
+}
+
+// sleep waits and reports whether ctx is alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serviceOf is the plain service as a node reaches it.
+type serviceOf struct{ n *node }
+
+func (s serviceOf) Dispatch(ctx context.Context, o action.Order) (action.Reply, error) {
+	err := s.n.remote(ctx, action.StepDial, func() error { return nil })
+	if err != nil {
+		return action.Reply{}, &action.NotSentError{Cause: err}
+	}
+	if err := o.Commit(); err != nil {
+		return action.Reply{}, &action.NotSentError{Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	var reply action.Reply
+	err = s.n.remote(ctx, action.StepSend, func() error {
+		reply.Status = s.n.w.execute(o)
+		return nil
+	})
+	if err != nil {
+		return action.Reply{}, &action.MaybeSentError{Cause: err}
+	}
+	reply.Body = o.Body
+	return reply, nil
+}
+
+// execute runs an order for real and counts it; the order's body names the
+// action.
+func (w *world) execute(o action.Order) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.checksFencing && w.fenced[o.ActionID] {
+		return 409
+	}
+	w.fenced[o.ActionID] = true
+	w.executed[o.RequestID]++
+	return 200
+}
+
+// peersOf is the other gateways as a node reaches them.
+type peersOf struct{ n *node }
+
+// reach runs fn at the gateway of an incarnation.
+func (p peersOf) reach(ctx context.Context, s action.Step, incarnation string, fn func(*node) error) error {
+	w := p.n.w
+	w.mu.Lock()
+	var target *node
+	for _, n := range w.nodes {
+		if n.incarnation == incarnation && !n.dead {
+			target = n
+		}
+	}
+	w.mu.Unlock()
+	if target == nil {
+		return &action.PeerUnknownError{Incarnation: incarnation}
+	}
+	if target.alone() || p.n.alone() {
+		return &action.PeerUnreachableError{Incarnation: incarnation}
+	}
+	done := make(chan error, 2)
+	err := p.n.remote(ctx, s, func() error {
+		w.running.Go(func() {
+			if target.gate() {
+				done <- fn(target)
+			}
+		})
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+		case <-w.over:
+		}
+		return &lostError{sent: true}
+	})
+	if _, lost := err.(*lostError); lost {
+		return &action.PeerUnreachableError{Incarnation: incarnation, Sent: true, Cause: err}
+	}
+	return err
+}
+
+func (p peersOf) ForwardAction(ctx context.Context, incarnation string, c action.Call) (a action.Answer, err error) {
+	c.Forwarded = true
+	out := make(chan action.Answer, 2)
+	err = p.reach(ctx, action.StepForward, incarnation, func(n *node) error {
+		a, err := n.m.Do(ctx, c)
+		out <- a
+		return err
+	})
+	if err != nil {
+		return a, err
+	}
+	return <-out, nil
+}
+
+func (p peersOf) ForwardOutcome(ctx context.Context, incarnation string, q action.Query) (r action.Record, err error) {
+	q.Forwarded = true
+	out := make(chan action.Record, 2)
+	err = p.reach(ctx, action.StepForward, incarnation, func(n *node) error {
+		r, err := n.m.Outcome(ctx, q)
+		out <- r
+		return err
+	})
+	if err != nil {
+		return r, err
+	}
+	return <-out, nil
+}
+
+// holders are the peers that keep the seal of an incarnation.
+func (p peersOf) holders(incarnation string) []string {
+	p.n.w.mu.Lock()
+	defer p.n.w.mu.Unlock()
+	var ids []string
+	for _, n := range p.n.w.nodes {
+		if !n.dead && n.incarnation != incarnation {
+			ids = append(ids, n.incarnation)
+		}
+	}
+	return action.SealHolders(incarnation, ids, maxHeld)
+}
+
+func (p peersOf) FindSeal(ctx context.Context, incarnation string) (action.Seal, error) {
+	for _, id := range p.holders(incarnation) {
+		out := make(chan action.Seal, 2)
+		err := p.reach(ctx, action.StepSealRead, id, func(n *node) error {
+			s, ok := n.m.HeldSeal(incarnation)
+			if !ok {
+				return &action.PeerUnknownError{Incarnation: incarnation}
+			}
+			out <- s
+			return nil
+		})
+		if err == nil {
+			return <-out, nil
+		}
+	}
+	return action.Seal{}, &action.PeerUnknownError{Incarnation: incarnation}
+}
+
+func (p peersOf) Send(ctx context.Context, s action.Seal) (err error) {
+	err = &action.PeerUnknownError{}
+	for _, id := range p.holders(s.Incarnation) {
+		one := p.reach(ctx, action.StepSealSend, id, func(n *node) error {
+			n.m.Import(s)
+			return nil
+		})
+		if one == nil {
+			err = nil
+		}
+	}
+	return err
+}
+
+// told is what a caller was told of an action.
+type told struct {
+	outcome failure.Outcome
+	code    failure.Code
+	way     action.Way
+}
+
+// ask has a caller send a call to a gateway, and returns what it is told; ok
+// is false when the gateway gave no answer.
+func (w *world) ask(n *node, timeout time.Duration, fn func(context.Context, *action.Manager) told) (told, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	out := make(chan told, 1)
+	w.running.Go(func() {
+		defer cancel()
+		if n.gate() && sleep(ctx, hop) {
+			out <- fn(ctx, n.m)
+		}
+	})
+	select {
+	case t := <-out:
+		return t, !n.isDead()
+	case <-time.After(timeout + time.Second):
+		return told{}, false
+	}
+}
+
+func (n *node) isDead() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.dead
+}
+
+// do sends a call.
+func do(c action.Call) func(context.Context, *action.Manager) told {
+	return func(ctx context.Context, m *action.Manager) told {
+		a, err := m.Do(ctx, c)
+		if err != nil {
+			r := failure.AsRefusal(err)
+			return told{outcome: r.Outcome, code: r.Code}
+		}
+		return told{outcome: a.Outcome, way: a.Way}
+	}
+}
+
+// outcome asks for the outcome of a key.
+func outcome(q action.Query) func(context.Context, *action.Manager) told {
+	return func(ctx context.Context, m *action.Manager) told {
+		r, err := m.Outcome(ctx, q)
+		if err != nil {
+			f := failure.AsRefusal(err)
+			return told{outcome: f.Outcome, code: f.Code}
+		}
+		return told{outcome: r.Outcome, code: r.Reason, way: r.Way}
+	}
+}
+
+// asking is a request to a gateway.
+type asking func(context.Context, *action.Manager) told
+
+// runs returns how often an action was executed.
+func (w *world) runs(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executed[key]
+}
