--- a/internal/action/history_test.go
+++ b/internal/action/history_test.go
@@ -262,7 +262,7 @@
 func (p *play) tempt() {
 	var all sync.WaitGroup
 	for i := range p.keys {
-		for _, n := range p.w.nodes {
+		for _, n := range p.w.gateways() {
 			all.Go(func() {
 				if p.h.closing {
 					p.hear(i, n, 5*time.Second, outcome(action.Query{Customer: customer, Key: p.keys[i]}))
--- a/internal/action/memstore_test.go
+++ b/internal/action/memstore_test.go
@@ -134,14 +134,22 @@
 	}
 }
 
-func (s storeOf) Grant(ctx context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
-	err = s.call(ctx, "grant", "grant", true, func() error {
-		st := s.n.w.store
-		st.mu.Lock()
-		defer st.mu.Unlock()
-		id = platform.LeaseID(strconv.Itoa(len(st.leases) + 1))
-		st.leases[string(id)] = time.Now().Add(ttl)
+func (s storeOf) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	out := make(chan platform.LeaseID, 2)
+	err := s.call(ctx, "grant", "grant", true, func() error {
+		out <- s.n.w.store.grant(ttl)
 		return nil
 	})
-	return id, err
+	if err != nil {
+		return "", err
+	}
+	return <-out, nil
+}
+
+func (s *memStore) grant(ttl time.Duration) platform.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := platform.LeaseID(strconv.Itoa(len(s.leases) + 1))
+	s.leases[string(id)] = time.Now().Add(ttl)
+	return id
 }
--- a/internal/action/world_test.go
+++ b/internal/action/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -119,6 +120,13 @@
 	return n
 }
 
+// gateways returns every gateway so far.
+func (w *world) gateways() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.nodes)
+}
+
 // end lets everything that is blocked go on, without effects, and waits.
 func (w *world) end() {
 	w.mu.Lock()
@@ -128,7 +136,7 @@
 	w.mu.Unlock()
 	close(w.over)
 	w.running.Wait()
-	for _, n := range w.nodes {
+	for _, n := range w.gateways() {
 		_ = n.m.Stop()
 	}
 }
@@ -290,16 +298,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
-	var reply action.Reply
+	status := make(chan int, 2)
 	err = s.n.remote(ctx, action.StepSend, func() error {
-		reply.Status = s.n.w.execute(o)
+		status <- s.n.w.execute(o)
 		return nil
 	})
 	if err != nil {
 		return action.Reply{}, &action.MaybeSentError{Cause: err}
 	}
-	reply.Body = o.Body
-	return reply, nil
+	return action.Reply{Status: <-status, Body: o.Body}, nil
 }
 
 // execute runs an order for real and counts it; the order's body names the
