--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -58,9 +58,9 @@
 func (s *session) relayStream(x *exchange, body io.Reader) error {
 	reader := newStreamReader(body, s.r.settings.MaxLine)
 	var chunk Chunk
-	progress := true
+	waiting := false
 	for {
-		if progress && !reader.buffered() {
+		if !waiting {
 			x.dog.arm(s.waitPhase(x))
 		}
 		kind, data, err := reader.next()
@@ -74,7 +74,7 @@
 			x.dog.disarm()
 			return s.complete(x, body)
 		case eventChunk:
-			progress, err = s.take(x, &chunk, data, reader.buffered())
+			waiting, err = s.take(x, &chunk, data, reader.more())
 		}
 		if err != nil {
 			return err
@@ -89,7 +89,8 @@
 	return PhaseNextToken, s.r.settings.NextTokenTimeout
 }
 
-// take checks one chunk and delivers it. It returns whether it was a new one.
+// take checks one chunk and delivers it. It returns whether the wait for the
+// next chunk goes on, since this one was a repeat.
 func (s *session) take(x *exchange, c *Chunk, data []byte, more bool) (bool, error) {
 	if err := parseChunk(c, data); err != nil {
 		return false, err
@@ -99,7 +100,7 @@
 	}
 	if c.Seq < s.next {
 		chunksRepeated.Inc()
-		return false, nil
+		return true, nil
 	}
 	if c.Seq > s.next || s.final != nil {
 		return false, &MissingChunkError{Want: s.next, Got: c.Seq}
@@ -107,9 +108,9 @@
 	x.dog.disarm()
 	if c.FinishReason != "" {
 		s.final = append([]byte(nil), data...)
-		return true, nil
+		return false, nil
 	}
-	return true, s.deliver(x, c, more)
+	return false, s.deliver(x, c, more)
 }
 
 // deliver passes one chunk to the caller and notes it.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -139,7 +139,7 @@
 		x.dog.disarm()
 	}
 	x.cancel(nil)
-	if kind == ResultConnSilent || kind == ResultSilent {
+	if kind.suspect() {
 		x.pool.closeIdle()
 	}
 	if x.workLeft(kind) && x.info.Target.Route == nil {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -4,17 +4,20 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/standin/fault"
 )
 
 // memNet is a network in memory: each address is a listener whose
@@ -155,6 +158,8 @@
 // further ones.
 type fakeEngine struct {
 	t       *testing.T
+	running sync.WaitGroup
+	faults  *fault.Switches
 	mu      sync.Mutex
 	scripts []script
 	// got lists the attempts, cancelled the cancel orders.
@@ -164,6 +169,8 @@
 }
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.running.Add(1)
+	defer e.running.Done()
 	if id, ok := strings.CutPrefix(r.URL.Path, CancelPath); ok {
 		e.mu.Lock()
 		e.cancelled = append(e.cancelled, id)
@@ -174,6 +181,12 @@
 		Stream bool    `json:"stream"`
 		Resume *Resume `json:"resume"`
 	}
+	if r.URL.Path != ChatPath {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
+		e.record(r, nil)(&engineWriter{ResponseWriter: w, ctx: r.Context(), id: r.Header.Get(HeaderAttemptID)})
+		return
+	}
 	err := json.NewDecoder(r.Body).Decode(&body)
 	run := e.record(r, body.Resume)
 	ew := &engineWriter{ResponseWriter: w, ctx: r.Context(), id: r.Header.Get(HeaderAttemptID)}
@@ -222,22 +235,22 @@
 
 func newWorld(t *testing.T, s Settings) *world {
 	w := &world{t: t, net: newMemNet(), seen: &recorder{}, engines: make(map[string]*fakeEngine)}
-	n := 0
+	var n atomic.Int64
 	s.Dial = w.net.dial
 	s.Observer = w.seen
-	s.NewID = func() string { n++; return fmt.Sprintf("attempt-%d", n) }
+	s.NewID = func() string { return fmt.Sprintf("attempt-%d", n.Add(1)) }
 	w.relay = New(s)
 	return w
 }
 
 // engine adds an engine; the picker tries engines in the order of their adding.
 func (w *world) engine(name string, scripts ...script) *fakeEngine {
-	e := &fakeEngine{t: w.t, scripts: scripts}
+	e := &fakeEngine{t: w.t, scripts: scripts, faults: fault.New()}
 	w.engines[name] = e
 	w.order = append(w.order, name)
 	srv := &http.Server{Handler: e}
 	w.servers = append(w.servers, srv)
-	go srv.Serve(w.net.listen(name))
+	go srv.Serve(e.faults.Listener(w.net.listen(name)))
 	return e
 }
 
@@ -246,6 +259,9 @@
 	for _, s := range w.servers {
 		s.Close()
 	}
+	for _, e := range w.engines {
+		e.running.Wait()
+	}
 }
 
 func (w *world) pick(_ context.Context, tried map[string]bool) (Target, error) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -43,15 +43,16 @@
 	return &streamReader{br: bufio.NewReaderSize(r, streamBufferBytes), max: maxLine}
 }
 
-// buffered returns whether at least one whole line can be read without
-// waiting for the connection.
-func (s *streamReader) buffered() bool {
+// more returns whether another data line can be read without waiting for the
+// connection.
+func (s *streamReader) more() bool {
 	n := s.br.Buffered()
 	if n == 0 {
 		return false
 	}
 	b, _ := s.br.Peek(n)
-	return bytes.IndexByte(b, '\n') >= 0
+	b = bytes.TrimLeft(b, "\r\n")
+	return bytes.HasPrefix(b, fieldData) && bytes.IndexByte(b, '\n') >= 0
 }
 
 // next returns the next event. At the end of the input it returns io.EOF or
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -137,6 +137,17 @@
 	ResultDeadline ResultKind = "deadline"
 )
 
+// suspect returns whether connections to the endpoint may be out of step or
+// dead, so that idle ones are closed.
+func (k ResultKind) suspect() bool {
+	switch k {
+	case ResultOK, ResultDialFailed, ResultBusy, ResultRejected, ResultCallerGone, ResultDeadline:
+		return false
+	default:
+		return true
+	}
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	Kind ResultKind
