--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"os"
 	"testing"
-
-	_ "pgregory.net/rapid"
 )
 
 // TestMain fixes rapid's seed, so that CI is the same every run; a seed given
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -33,13 +34,15 @@
 		http.Error(w, refusal.Message, refusal.Status())
 		return
 	}
+	ctx, done := s.track(r.Context(), j.id)
+	defer done()
 	s.stats.begin(j.id, r.Header.Get(relay.HeaderRequestID), j.from, time.Now())
 	whole := false
 	defer func() { s.stats.end(j.id, whole) }()
 	if j.chat.Stream {
-		whole = s.stream(w, r, j)
+		whole = s.stream(ctx, w, j)
 	} else {
-		whole = s.plain(w, r, j)
+		whole = s.plain(ctx, w, j)
 	}
 	if !whole {
 		s.drop(j.id)
@@ -112,9 +115,9 @@
 }
 
 // plain sends the whole answer as one document.
-func (s *Server) plain(w http.ResponseWriter, r *http.Request, j *job) bool {
+func (s *Server) plain(ctx context.Context, w http.ResponseWriter, j *job) bool {
 	for {
-		token, err := j.tokens.next(r.Context())
+		token, err := j.tokens.next(ctx)
 		if err != nil {
 			return false
 		}
@@ -128,15 +131,15 @@
 }
 
 // stream sends the answer token by token; false means that it isn't whole.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, j *job) bool {
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, j *job) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	out := &chunkWriter{server: s, w: w, rc: http.NewResponseController(w), ctx: r.Context(), job: j}
+	out := &chunkWriter{server: s, w: w, rc: http.NewResponseController(w), ctx: ctx, job: j}
 	if out.rc.Flush() != nil {
 		return false
 	}
 	for seq := j.from; ; seq++ {
-		token, err := j.tokens.next(r.Context())
+		token, err := j.tokens.next(ctx)
 		if err != nil {
 			return false
 		}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -29,13 +30,20 @@
 	mu sync.Mutex
 	// previous is the id of the attempt before the last one, for late chunks.
 	previous string
+	running  map[string]context.CancelFunc
 	fencing  uint64
 	orders   []Order
 }
 
 // New returns a running engine. Close ends it.
 func New(cfg Config) *Server {
-	s := &Server{Faults: fault.New(), ChunkFaults: &ChunkFaults{}, cfg: cfg.withDefaults(), stats: newStats()}
+	s := &Server{
+		Faults:      fault.New(),
+		ChunkFaults: &ChunkFaults{},
+		cfg:         cfg.withDefaults(),
+		stats:       newStats(),
+		running:     make(map[string]context.CancelFunc),
+	}
 	if s.cfg.TokenInterval > 0 {
 		s.generator = newPaced(s.cfg)
 		return s
@@ -91,6 +99,25 @@
 func (s *Server) drop(attempt string) {
 	s.generator.cancel(attempt)
 	s.stats.cancelled(attempt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel, ok := s.running[attempt]; ok {
+		cancel()
+	}
+}
+
+// track makes the attempt's context one that a cancel order ends.
+func (s *Server) track(ctx context.Context, attempt string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[attempt] = cancel
+	return ctx, func() {
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, attempt)
+	}
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
