--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -171,15 +171,13 @@
 	case <-ctx.Done():
 	case <-a.drain:
 	case <-a.tomb.Dying():
+		a.close()
 		return a.tomb.Wait()
 	}
 	cut := a.shutdown(hurry)
 	a.tomb.Kill(nil)
-	err = a.tomb.Wait()
-	for _, closeIdle := range a.closers {
-		closeIdle()
-	}
-	if err != nil {
+	a.close()
+	if err := a.tomb.Wait(); err != nil {
 		return err
 	}
 	if cut > 0 {
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -37,11 +37,19 @@
 	cut += a.sealActions()
 	a.linger(hurry)
 	a.board.Lifecycle.Set(blackboard.Stopped)
+	a.logger.Info("stopped", "cut_off", cut)
+	return cut
+}
+
+// close ends what is left: the listeners, the parts' own goroutines and the
+// idle connections.
+func (a *App) close() {
 	a.closeServers()
 	_ = a.actions.Stop()
 	_ = a.relay.Close()
-	a.logger.Info("stopped", "cut_off", cut)
-	return cut
+	for _, closeIdle := range a.closers {
+		closeIdle()
+	}
 }
 
 // finishInFlight waits until no request is under way.
