--- a/internal/standin/experiment/scenario.go
+++ b/internal/standin/experiment/scenario.go
@@ -69,7 +69,7 @@
 			Faults: []Fault{{Kind: CrashEngines, Region: 0, Engines: 5, From: 60 * time.Second, To: 120 * time.Second}},
 		},
 		{
-			Name: "partition", Length: 210 * time.Second, Warm: warm, Rate: peakIn(0, 1.5, 0.7), Peak: 1.5,
+			Name: "partition", Length: 210 * time.Second, Warm: warm, Rate: peakIn(0, 1.6, 0.6), Peak: 1.6,
 			Faults: []Fault{{Kind: CutRegion, Region: 0, From: 60 * time.Second, To: 120 * time.Second}},
 		},
 		{
