--- a/internal/controller/configsync/holders.go
+++ b/internal/controller/configsync/holders.go
@@ -3,31 +3,23 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
 )
 
 // watchHolders is the number of a region's gateways that hold a watch.
 const watchHolders = 2
 
-// holdsWatch says whether this gateway is among the region's holders, chosen
-// by rendezvous hashing over the live gateways. Gateways that see different
-// peers may choose more holders or fewer; more are harmless, and the polls
-// cover fewer.
+// watchKey is the key whose owners among a region's gateways hold the watch.
+const watchKey = "config-watch"
+
+// holdsWatch says whether this gateway is among the region's holders. Gateways
+// that see different peers may choose more holders or fewer; more are harmless,
+// and the polls make up for fewer.
 func (c *Controller) holdsWatch() bool {
-	own := holderScore(c.Board.Self.ID)
-	ahead := 0
-	for _, id := range c.liveIDs() {
-		if holderScore(id) > own {
-			ahead++
-		}
-	}
-	return ahead < watchHolders
+	return rendezvous.Owns(watchKey, c.Board.Self.ID, c.liveIDs(), watchHolders)
 }
 
-func holderScore(id string) uint64 { return xxhash.Sum64String("config-watch/" + id) }
-
 // liveIDs returns the ids of the region's live gateways, this one included.
 func (c *Controller) liveIDs() []string {
 	ids := []string{c.Board.Self.ID}
