Tell peers of large prefills and of demand; spare the instance list

Cause: the scheduler's announcements, its dealing out of endpoints and the limits that hold over all gateways had no carrier; reading the whole list each second would cost 43 KB/s at 285 endpoints (150 bytes each). Change: a controller that announces large prefills at no more than four sends a second; exchanges carry the demand of the eight customers that use a gateway most; the list answers 304 when nothing has changed; in large regions one gateway polls an endpoint, four polls a second at most. Result: the packages' tests pass.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/controller"
+	"github.com/hickorystage/hickorystage/internal/controller/announce"
 	"github.com/hickorystage/hickorystage/internal/controller/configsync"
 	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
 	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
@@ -115,6 +116,7 @@
 	a.actions = a.newActions(store)
 	a.gateway.Actions = a.actions
 	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
+	a.exchange.ShareDemand(admission)
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
@@ -122,6 +124,7 @@
 		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
 		a.exchange,
+		announce.New(a.board, data, a.peers),
 		dispatcher,
 	}
 	a.newServers(signer)
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
 
 // Limits of the listeners.
@@ -27,6 +28,7 @@
 		Exchange:  a.exchange.HandleExchange,
 		Snapshot:  a.snapshot,
 		Endpoints: func() []peer.Endpoint { return a.gateway.View.Endpoints(time.Now()) },
+		Announce:  func(list []datastore.Announcement) { a.gateway.Store.HearAnnouncements(list, time.Now()) },
 		Owner:     a.gateway.OwnerHandlers(),
 		Forward:   a.gateway.ForwardHandler(),
 	})
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -24,7 +24,7 @@
 const (
 	// maxPollsPerSecond bounds what one gateway spends on polling; with more
 	// endpoints to ask the interval grows.
-	maxPollsPerSecond = 8
+	maxPollsPerSecond = 4
 	pollTimeout       = 1 * time.Second
 	pollsAtOnce       = 8
 	maxReportBytes    = 16 << 10
@@ -113,7 +113,7 @@
 	self := c.board.Self.ID
 	var out []blackboard.EndpointState
 	c.board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
-		if !e.Leaving && membership.LoadPoll(id).HeldBy(self, live) {
+		if !e.Leaving && membership.LoadPoll(id, len(live)).HeldBy(self, live) {
 			out = append(out, e)
 		}
 		return true
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/peer"
@@ -47,9 +48,16 @@
 	Exchange(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, error)
 }
 
+// Demand is what a gateway tells and hears of customers' use of their limits.
+type Demand interface {
+	Usage(limit int, now time.Time) []admit.Usage
+	Hear(gateway string, usage []admit.Usage, now time.Time)
+}
+
 // Controller exchanges soft state with peers.
 type Controller struct {
 	board    *blackboard.Board
+	demand   Demand
 	view     *membership.View
 	client   Exchanger
 	interval time.Duration
@@ -77,6 +85,7 @@
 func New(board *blackboard.Board, client Exchanger, interval time.Duration, seeds []string, seed uint64, logger *log.Logger) *Controller {
 	return &Controller{
 		board:    board,
+		demand:   noDemand{},
 		view:     membership.New(board),
 		client:   client,
 		interval: interval,
@@ -87,6 +96,15 @@
 	}
 }
 
+// ShareDemand makes exchanges carry customers' use of their limits. Call it
+// before Run.
+func (c *Controller) ShareDemand(d Demand) { c.demand = d }
+
+type noDemand struct{}
+
+func (noDemand) Usage(int, time.Time) []admit.Usage    { return nil }
+func (noDemand) Hear(string, []admit.Usage, time.Time) {}
+
 // Name implements controller.Controller.
 func (c *Controller) Name() string { return "members" }
 
@@ -143,7 +161,7 @@
 	if msg.From.Region != c.board.Self.Region {
 		return c.regional(now)
 	}
-	reply := c.view.Compose(c.Self(), c.turn.Add(1), now)
+	reply := c.compose(now)
 	if known && old.Suspected {
 		reply.Suspects = append(reply.Suspects, membership.SuspectRow(old))
 	}
@@ -153,11 +171,20 @@
 	return reply
 }
 
+func (c *Controller) compose(now time.Time) peer.Exchange {
+	msg := c.view.Compose(c.Self(), c.turn.Add(1), now)
+	msg.Usage = c.demand.Usage(peer.MaxUsage, now)
+	return msg
+}
+
 // absorb takes in an exchange, and tells all peers at once if it brought a
 // leaving mark or a suspicion of this gateway.
 func (c *Controller) absorb(msg peer.Exchange, now time.Time) {
 	before := c.board.Retired.Len()
 	suspicion := c.view.Absorb(msg, now)
+	if len(msg.Usage) > 0 {
+		c.demand.Hear(msg.From.ID, msg.Usage, now)
+	}
 	if suspicion != nil && c.refute(suspicion.Epoch) {
 		c.TellPeers()
 	}
@@ -205,7 +232,7 @@
 	if !ok {
 		return c.interval
 	}
-	msg := c.view.Compose(c.Self(), c.turn.Add(1), time.Now())
+	msg := c.compose(time.Now())
 	c.probe(ctx, p, msg)
 	return msg.Pace(c.interval)
 }
--- a/internal/controller/schedsync/schedsync.go
+++ b/internal/controller/schedsync/schedsync.go
@@ -82,7 +82,7 @@
 			now := time.Now()
 			c.store.Tick(now)
 			live := c.view.LiveIDs(now)
-			c.store.SetGateways(len(live))
+			c.store.SetGatewayIDs(c.board.Self.ID, live)
 			c.admit.SetGateways(live)
 		}
 	}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -18,8 +18,18 @@
 // StoreWatch is the role of watching the configuration in the store.
 var StoreWatch = Role{Key: "config-watch", Holders: 2}
 
-// LoadPoll is the role of asking an endpoint for its load.
-func LoadPoll(endpoint string) Role { return Role{Key: "load/" + endpoint, Holders: 2} }
+// smallRegion is the number of gateways up to which a region is small.
+const smallRegion = 8
+
+// LoadPoll is the role of asking an endpoint for its load: of two gateways in a
+// small region, of one in a large region, where a peer that does not answer is
+// found before its reports are missed.
+func LoadPoll(endpoint string, gateways int) Role {
+	if gateways > smallRegion {
+		return Role{Key: "load/" + endpoint, Holders: 1}
+	}
+	return Role{Key: "load/" + endpoint, Holders: 2}
+}
 
 // RegionSwap is the role of swapping summaries with another region.
 func RegionSwap(region string) Role { return Role{Key: "region/" + region, Holders: 2} }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
 
 // Times of calls between gateways.
@@ -130,6 +132,13 @@
 	return snapshot, err
 }
 
+// Announce tells the peer at address of large prefills.
+func (c *Client) Announce(ctx context.Context, address string, list []datastore.Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return c.postJSON(ctx, address, PathAnnounce, list, nil, MaxExchangeBytes)
+}
+
 // FetchEndpoints returns the endpoints of the region as the peer knows them.
 func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]Endpoint, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 )
 
@@ -16,7 +17,9 @@
 	PathSnapshot = "/peer/v1/snapshot"
 	// PathEndpoints tells the endpoints of the region.
 	PathEndpoints = "/peer/v1/endpoints"
-	PathHandover  = "/peer/v1/handover"
+	// PathAnnounce tells of large prefills before load reports show them.
+	PathAnnounce = "/peer/v1/announce"
+	PathHandover = "/peer/v1/handover"
 	// PathForward precedes the path of a forwarded caller's request.
 	PathForward = "/peer/v1/forward"
 )
@@ -98,6 +101,8 @@
 	Loads    Loads                      `json:"loads"`
 	Retired  []Retired                  `json:"retired,omitempty"`
 	Regions  []blackboard.RegionSummary `json:"regions,omitempty"`
+	// Usage is the sender's own demand of the customers that use it most.
+	Usage []admit.Usage `json:"usage,omitempty"`
 }
 
 // Sizes of an exchange on the wire, in bytes, that its pace is worked out from.
@@ -106,17 +111,18 @@
 	bytesLoad    = 45
 	bytesRetired = 90
 	bytesRegion  = 700
+	bytesUsage   = 50
 	// messagesPerInterval are an exchange's request and reply, sent and received.
 	messagesPerInterval = 4
 	// budgetPerSecond is what exchanges may take, sent and received together.
-	budgetPerSecond = 5000
+	budgetPerSecond = 4000
 )
 
 // Pace returns the time until the next exchange that keeps exchanges like this
 // one within their budget of bytes, at least shortest.
 func (e Exchange) Pace(shortest time.Duration) time.Duration {
 	size := bytesFixed + bytesLoad*len(e.Loads.IDs) +
-		bytesRetired*len(e.Retired) + bytesRegion*len(e.Regions)
+		bytesRetired*len(e.Retired) + bytesRegion*len(e.Regions) + bytesUsage*len(e.Usage)
 	return max(shortest, time.Duration(size*messagesPerInterval)*time.Second/budgetPerSecond)
 }
 
@@ -136,6 +142,7 @@
 	MaxSuspects = 16
 	MaxRetired  = 16
 	MaxRegions  = 1
+	MaxUsage    = 8
 	// MaxExchangeBytes bounds the body of one exchange.
 	MaxExchangeBytes = 64 << 10
 	// MaxEndpointsBytes bounds the list of a region's endpoints.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"goji.io/pat"
 
 	"github.com/hickorystage/hickorystage/internal/intent/revision"
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -23,6 +24,8 @@
 	Snapshot func() ([]byte, uint64)
 	// Endpoints returns the endpoints of the region.
 	Endpoints func() []Endpoint
+	// Announce takes in a peer's large prefills.
+	Announce func([]datastore.Announcement)
 	// Owner serves requests about actions.
 	Owner OwnerHandlers
 	// Forward serves a forwarded request; its path is that of the caller's.
@@ -48,6 +51,7 @@
 	mux.HandleFunc(pat.Post(PathExchange), s.exchange)
 	mux.HandleFunc(pat.Post(PathSnapshot), s.snapshot)
 	mux.HandleFunc(pat.Post(PathEndpoints), s.endpoints)
+	mux.HandleFunc(pat.Post(PathAnnounce), s.announce)
 	mux.HandleFunc(pat.Post(PathHandover), s.handover)
 	mux.HandleFunc(pat.Post(PathActionRun), s.askOwner(s.handlers.Owner.Run))
 	mux.HandleFunc(pat.Post(PathActionOutcome), s.askOwner(s.handlers.Owner.Outcome))
@@ -116,6 +120,20 @@
 	writeJSON(w, s.handlers.Endpoints())
 }
 
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	body, _, ok := s.verified(w, r, MaxExchangeBytes)
+	if !ok {
+		return
+	}
+	var list []datastore.Announcement
+	if err := json.Unmarshal(body, &list); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.handlers.Announce(list)
+	writeJSON(w, struct{}{})
+}
+
 func (s *Server) forward(w http.ResponseWriter, r *http.Request) {
 	body, sender, ok := s.verified(w, r, MaxForwardBytes)
 	if !ok {
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -102,6 +102,9 @@
 	// write says that the call changes something, so that it must not be sent
 	// twice.
 	write bool
+	// etag is that of the answer at hand; a service whose answer is still the
+	// same says so in place of repeating it.
+	etag string
 	// limit bounds the whole call on one connection.
 	limit    time.Duration
 	maxBytes int64
@@ -110,6 +113,7 @@
 // answer is what a service answered.
 type answer struct {
 	status int
+	etag   string
 	body   []byte
 }
 
@@ -117,14 +121,22 @@
 // A read whose connection failed or went silent is tried once more on a new
 // connection. A write is sent once.
 func (c *caller) do(ctx context.Context, k call, out any) error {
+	a, err := c.answer(ctx, k)
+	if err != nil {
+		return err
+	}
+	return k.decode(a, out)
+}
+
+func (c *caller) answer(ctx context.Context, k call) (answer, error) {
 	a, sent, err := c.attempt(ctx, k)
 	if err != nil && !k.write && sent && ctx.Err() == nil {
 		a, sent, err = c.attempt(ctx, k)
 	}
 	if err != nil {
-		return unavailable(k, sent, err)
+		return answer{}, unavailable(k, sent, err)
 	}
-	return k.decode(a, out)
+	return a, nil
 }
 
 func unavailable(k call, sent bool, err error) error {
@@ -167,6 +179,9 @@
 	if err != nil {
 		return answer{}, err
 	}
+	if k.etag != "" {
+		req.Header.Set("If-None-Match", k.etag)
+	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return answer{}, err
@@ -186,7 +201,7 @@
 	if int64(len(body)) > limit {
 		return answer{}, &TooLargeError{Limit: limit}
 	}
-	return answer{status: resp.StatusCode, body: body}, nil
+	return answer{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: body}, nil
 }
 
 // conflictBody is the body of a 409.
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -81,32 +82,69 @@
 	return out, err
 }
 
-// HTTPInstanceList is the HTTP client of the instance list.
-type HTTPInstanceList struct{ caller *caller }
+// HTTPInstanceList is the HTTP client of the instance list. It keeps the last
+// list of each region, so that one that has not changed costs few bytes.
+type HTTPInstanceList struct {
+	caller *caller
+
+	mu   sync.Mutex
+	last map[string]listed
+}
+
+// listed is an answer of the list and its entity tag.
+type listed struct {
+	etag      string
+	instances []Instance
+}
 
 // NewHTTPInstanceList returns a client of the instance list at baseURL.
 func NewHTTPInstanceList(baseURL string, o Options) *HTTPInstanceList {
-	return &HTTPInstanceList{caller: newCaller(baseURL, o)}
+	return &HTTPInstanceList{caller: newCaller(baseURL, o), last: make(map[string]listed)}
 }
 
 // Close closes the idle connections.
 func (l *HTTPInstanceList) Close() { l.caller.Close() }
 
-// Instances implements InstanceList.
+// Instances implements InstanceList. The caller must not change the result.
 func (l *HTTPInstanceList) Instances(ctx context.Context, region string) ([]Instance, error) {
 	listCalls.Inc()
 	query := url.Values{}
 	if region != "" {
 		query.Set("region", region)
 	}
-	var out []Instance
-	err := l.caller.do(ctx, call{
+	last := l.lastOf(region)
+	k := call{
 		op:       "instance list",
 		method:   http.MethodGet,
 		path:     instancesPath,
 		query:    query,
+		etag:     last.etag,
 		limit:    l.caller.opts.AnswerTimeout,
 		maxBytes: maxDirectoryBytes,
-	}, &out)
-	return out, err
+	}
+	a, err := l.caller.answer(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	if a.status == http.StatusNotModified && last.etag != "" {
+		return last.instances, nil
+	}
+	var out []Instance
+	if err := k.decode(a, &out); err != nil {
+		return nil, err
+	}
+	l.keep(region, listed{etag: a.etag, instances: out})
+	return out, nil
+}
+
+func (l *HTTPInstanceList) lastOf(region string) listed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last[region]
+}
+
+func (l *HTTPInstanceList) keep(region string, x listed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last[region] = x
 }
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"goji.io"
 	"goji.io/pat"
 
@@ -113,8 +114,21 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// instances answers 304 when the caller has the present list already.
 func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
-	answer(w, s.Instances(r.URL.Query().Get("region")))
+	list := s.Instances(r.URL.Query().Get("region"))
+	etag := etagOf(list)
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	answer(w, list)
+}
+
+func etagOf(list []platform.Instance) string {
+	raw, _ := json.Marshal(list)
+	return strconv.Quote(strconv.FormatUint(xxhash.Sum64(raw), 16))
 }
 
 // Instances returns the lagging list of a region, or of all when region is "".
--- a/internal/telemetry/histogram.go
+++ b/internal/telemetry/histogram.go
@@ -11,7 +11,7 @@
 
 // Range and precision of latency histograms.
 const (
-	histogramMin    = int64(time.Microsecond / time.Microsecond)
+	histogramMin    = int64(1)
 	histogramMax    = int64(10 * time.Minute / time.Microsecond)
 	histogramDigits = 2
 )
