Queue retries behind more important requests; keep secrets out of help

Cause: a retry was dispatched ahead of waiting requests of the same or a higher priority; the parser's help prints a flag's default, which held the environment's secrets (found in the operators' command). Change: Dispatcher.Retry waits its turn; the flags' defaults stay empty and the environment is read after them.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -73,37 +73,43 @@
 	w := d.addWaiter(item, req)
 	verdict := d.admit.Arrive(item, time.Now())
 	d.refuseShed(verdict.Shed)
-	switch verdict.Kind {
-	case admit.Refuse:
+	if verdict.Kind == admit.Refuse {
 		d.removeWaiter(item.ID)
 		refused.Inc()
 		return sched.Decision{}, verdict.Refusal()
-	case admit.Queue:
+	}
+	decision, err := d.place(ctx, w, verdict.Kind == admit.Queue)
+	if err != nil {
+		d.Release(item, 0)
+		refused.Inc()
+	}
+	return decision, err
+}
+
+// place decides for an admitted request, or waits for its turn in the queue.
+func (d *Dispatcher) place(ctx context.Context, w *waiter, queued bool) (sched.Decision, error) {
+	if queued {
 		return d.await(ctx, w)
-	case admit.Run:
 	}
-	decision := d.decide(req)
+	decision := d.decide(w.req)
 	if decision.Kind == sched.Wait {
 		return d.enqueue(ctx, w, decision)
 	}
-	d.removeWaiter(item.ID)
+	d.removeWaiter(w.item.ID)
 	if decision.Kind == sched.Refuse {
-		d.Release(item, 0)
-		refused.Inc()
 		return decision, refusalOf(decision)
 	}
 	return decision, nil
 }
 
-// Retry finds another place for a request whose attempt has failed.
-func (d *Dispatcher) Retry(req *sched.Request) (sched.Decision, error) {
-	decision := d.decide(req)
-	switch decision.Kind {
-	case sched.Serve, sched.Away:
-		return decision, nil
-	case sched.Wait, sched.Refuse:
+// Retry finds another place for an admitted request whose attempt has failed.
+// It waits behind requests that are at least as important.
+func (d *Dispatcher) Retry(ctx context.Context, item admit.Item, req *sched.Request) (sched.Decision, error) {
+	w := d.addWaiter(item, req)
+	if d.admit.MustWait(item) {
+		return d.enqueue(ctx, w, sched.Decision{Kind: sched.Wait})
 	}
-	return decision, refusalOf(decision)
+	return d.place(ctx, w, false)
 }
 
 // Release gives back the place of a request that has ended. extraTokens
@@ -146,36 +152,33 @@
 	d.refuseShed(verdict.Shed)
 	if verdict.Kind == admit.Refuse {
 		d.removeWaiter(w.item.ID)
-		d.Release(w.item, 0)
-		refused.Inc()
 		return decision, verdict.Refusal()
 	}
 	return d.await(ctx, w)
 }
 
+// await waits until the queue has served or refused the request, or until the
+// caller's own wait is over.
 func (d *Dispatcher) await(ctx context.Context, w *waiter) (sched.Decision, error) {
 	queued.Inc()
 	d.wake()
 	select {
 	case out := <-w.result:
-		return d.settle(w, out)
+		return out.split()
 	case <-ctx.Done():
 	}
 	d.admit.Cancel(w.item.Group, w.item.ID)
 	if !d.removeWaiter(w.item.ID) {
-		return d.settle(w, <-w.result)
+		return (<-w.result).split()
 	}
-	d.Release(w.item, 0)
 	return sched.Decision{}, failure.Refuse(failure.CodeDeadline, "the request ended while it waited").WithCause(ctx.Err())
 }
 
-func (d *Dispatcher) settle(w *waiter, out outcome) (sched.Decision, error) {
-	if out.refusal == nil {
-		return out.decision, nil
+func (o outcome) split() (sched.Decision, error) {
+	if o.refusal == nil {
+		return o.decision, nil
 	}
-	d.Release(w.item, 0)
-	refused.Inc()
-	return out.decision, out.refusal
+	return o.decision, o.refusal
 }
 
 func (d *Dispatcher) addWaiter(item admit.Item, req *sched.Request) *waiter {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	p := &picker{g: g, call: c, req: req, next: &first}
+	p := &picker{g: g, call: c, req: req, item: item, next: &first}
 	summary, err := g.Relay.Chat(ctx, relay.ChatRequest{
 		RequestID: c.id,
 		Customer:  c.customerName,
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -22,6 +22,7 @@
 	g    *Gateway
 	call *call
 	req  *sched.Request
+	item admit.Item
 	// next is a decision not yet used.
 	next *sched.Decision
 	// moved says that the request has used its move to another region.
@@ -29,14 +30,14 @@
 }
 
 // pick implements relay.Picker.
-func (p *picker) pick(_ context.Context, tried map[string]bool) (relay.Target, error) {
+func (p *picker) pick(ctx context.Context, tried map[string]bool) (relay.Target, error) {
 	p.req.Exclude = tried
 	p.req.Remaining = p.call.remaining()
 	if p.moved {
 		p.req.MovesLeft = 0
 	}
 	for {
-		decision, err := p.decision()
+		decision, err := p.decision(ctx)
 		if err != nil {
 			return relay.Target{}, err
 		}
@@ -47,13 +48,13 @@
 }
 
 // decision returns the decision at hand or asks for another one.
-func (p *picker) decision() (sched.Decision, error) {
+func (p *picker) decision(ctx context.Context) (sched.Decision, error) {
 	if p.next != nil {
 		d := *p.next
 		p.next = nil
 		return d, nil
 	}
-	return p.g.Dispatcher.Retry(p.req)
+	return p.g.Dispatcher.Retry(ctx, p.item, p.req)
 }
 
 // close gives back a decision that no attempt has used.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,10 +72,9 @@
 	g := &Gateway{}
 	opts := gatewayOptions(g)
 	faults := &Faults{}
+	// The flags' own defaults stay empty: the parser's help prints them, and a
+	// variable may hold a secret.
 	raw := make([]string, len(opts))
-	for i, o := range opts {
-		raw[i] = o.initial(env)
-	}
 	parser := flaggy.NewParser("hickorystage gateway")
 	parser.ShowHelpOnUnexpected = false
 	for i, o := range opts {
@@ -86,6 +85,9 @@
 		return nil, faults
 	}
 	for i, o := range opts {
+		if raw[i] == "" {
+			raw[i] = o.initial(env)
+		}
 		o.apply(raw[i], faults)
 	}
 	g.fillDefaults()
