--- a/internal/controller/configsync/fleet_test.go
+++ b/internal/controller/configsync/fleet_test.go
@@ -449,51 +449,11 @@
 	}
 }
 
-<<<<<<< HEAD
 // travel waits for the network's delay one way.
 func (g *gateway) travel(to *gateway) {
 	if to.region == g.region {
 		time.Sleep(time.Millisecond)
 		return
-=======
-func (f *fleet) exchangeWithin(r *region) {
-	for _, from := range r.gateways {
-		if !from.life.Alive() {
-			continue
-		}
-		state := blackboard.PeerState{
-			ID: from.id, Region: r.name, Address: from.id,
-			Revision: from.board.Intent.Get().Revision, Heard: time.Now(),
-		}
-		if from.spoil {
-			state.Revision += 1000
-		}
-		for _, to := range r.gateways {
-			if to != from {
-				to.board.Peers.Set(from.id, state)
-			}
-		}
-	}
-}
-
-func (f *fleet) exchangeAcross(from *region) {
-	summary := blackboard.RegionSummary{Region: from.name, Heard: time.Now()}
-	for _, g := range from.gateways {
-		summary.Revision = max(summary.Revision, g.board.Intent.Get().Revision)
-	}
-	for _, g := range from.gateways {
-		if g.board.Intent.Get().Revision == summary.Revision && len(summary.Gateways) < 2 {
-			summary.Gateways = append(summary.Gateways, blackboard.GatewayAddress{ID: g.id, Peer: g.id})
-		}
-	}
-	for _, to := range f.regions {
-		if to == from || to.cutOff || from.cutOff {
-			continue
-		}
-		for _, g := range to.gateways {
-			g.board.Regions.Set(from.name, summary)
-		}
->>>>>>> main
 	}
 	time.Sleep(oneWay)
 }
