Read only the changed files of a configuration

Ruled out: keeping trees with places (about 20 MB); skipping the validation of what a publisher has validated (a gateway must not trust the store). Change: intent.Parser keeps trees without places by content digest, one node for each distinct value or list; gateways use it (internal/app/parts.go). Tests: the fuzz target wants the same result from a parser that has seen other files; TestParserReadsOnlyChangedFiles.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -116,7 +116,7 @@
 	a.gateway.Actions = a.actions
 	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.controllers = []controller.Controller{
-		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
+		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: newIntentParser(), Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
 		endpoints.New(a.board, list, a.peers, logger),
 		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -21,17 +21,21 @@
 // Error implements error.
 func (e *InvalidIntentError) Error() string { return e.Findings.String() }
 
-// parseIntent makes an intent of a revision's files.
-func parseIntent(files []revision.File) (*intent.Intent, error) {
-	in := make([]intent.File, 0, len(files))
-	for _, f := range files {
-		in = append(in, intent.File{Name: f.Name, Content: f.Content})
-	}
-	parsed, findings := intent.Parse(in)
-	if findings.HasFaults() {
-		return nil, &InvalidIntentError{Findings: findings}
+// newIntentParser returns a function that makes an intent of a revision's
+// files. It reads only the files that have changed since the revision before.
+func newIntentParser() func(files []revision.File) (*intent.Intent, error) {
+	parser := intent.NewParser()
+	return func(files []revision.File) (*intent.Intent, error) {
+		in := make([]intent.File, 0, len(files))
+		for _, f := range files {
+			in = append(in, intent.File{Name: f.Name, Content: f.Content})
+		}
+		parsed, findings := parser.Parse(in)
+		if findings.HasFaults() {
+			return nil, &InvalidIntentError{Findings: findings}
+		}
+		return parsed, nil
 	}
-	return parsed, nil
 }
 
 func (a *App) newActions(store platform.Store) *action.Manager {
--- a/internal/intent/parse.go
+++ b/internal/intent/parse.go
@@ -23,15 +23,10 @@
 // Parse merges the files in the order of their names, applies the defaults and
 // checks the result. The intent is nil if and only if a finding is a fault.
 // Parse finds every fault at once, in overridden values too.
-func Parse(files []File) (*Intent, Diagnostics) {
-	if in, diags := parse(files, noPaths); len(diags) == 0 {
-		return in, nil
-	}
-	return parse(files, allPaths)
-}
+func Parse(files []File) (*Intent, Diagnostics) { return NewParser().Parse(files) }
 
-func parse(files []File, with paths) (*Intent, Diagnostics) {
-	p := &parser{paths: with}
+func parse(files []File, with paths, trees treeSource) (*Intent, Diagnostics) {
+	p := &parser{paths: with, trees: trees}
 	merged, complete := p.merge(files)
 	in, places := p.decode(merged)
 	if complete {
@@ -47,9 +42,14 @@
 
 type parser struct {
 	paths paths
+	trees treeSource
 	diags Diagnostics
 }
 
+// treeSource returns a file's tree, nil when the file can't be read, and the
+// findings of the file by itself.
+type treeSource func(File) (*node, Diagnostics)
+
 // merge returns the merged tree and whether every file could be read.
 func (p *parser) merge(files []File) (*node, bool) {
 	merged := newMapping(Position{})
@@ -65,13 +65,12 @@
 			complete = false
 			continue
 		}
-		tree, diags := readTree(f, p.paths)
+		tree, diags := p.trees(f)
 		p.diags = append(p.diags, diags...)
 		if tree == nil {
 			complete = false
 			continue
 		}
-		p.checkShape(tree)
 		merged = m.apply(merged, tree, "")
 	}
 	p.diags = append(p.diags, m.diags...)
@@ -117,16 +116,8 @@
 	})
 }
 
-// checkShape reports unknown fields and bad values of one file, also those
-// that a later file overrides.
-func (p *parser) checkShape(tree *node) {
-	d := newDecoder(p.paths)
-	d.value(tree, reflect.ValueOf(&Intent{}).Elem(), "", "")
-	p.diags = append(p.diags, d.diags...)
-}
-
 // decode fills an intent from the merged tree. Its findings are those of
-// checkShape again, so they are dropped.
+// the files again, so they are dropped.
 func (p *parser) decode(merged *node) (*Intent, map[string]Position) {
 	d := newDecoder(p.paths)
 	in := &Intent{}
--- a/internal/intent/parse_test.go
+++ b/internal/intent/parse_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"runtime"
 	"strings"
 	"testing"
@@ -189,9 +190,15 @@
 		files := []File{{Name: "1.yaml", Content: first}, {Name: "2.yaml", Content: second}}
 		in, diags := Parse(files)
 		require.Equal(t, diags.HasFaults(), in == nil)
-		_, withoutPaths := parse(files, noPaths)
-		_, withPaths := parse(files, allPaths)
-		require.Equal(t, len(withPaths) > 0, len(withoutPaths) > 0)
+		warm := NewParser()
+		warm.Parse([]File{{Name: "1.yaml", Content: second}, {Name: "2.yaml", Content: first}})
+		again, againDiags := warm.Parse(files)
+		require.Equal(t, diags, againDiags)
+		changes, err := Compare(in, again)
+		require.NoError(t, err)
+		require.Empty(t, changes)
+		_, withPaths := parse(files, allPaths, func(f File) (*node, Diagnostics) { return readFile(f, allPaths) })
+		require.Equal(t, diags, withPaths)
 		if in == nil {
 			return
 		}
@@ -237,6 +244,35 @@
 	return files
 }
 
+func TestParserReadsOnlyChangedFiles(t *testing.T) {
+	p := NewParser()
+	files := manyCustomers(1000)
+	first, diags := p.Parse(files)
+	require.Empty(t, diags)
+	kept := maps.Clone(p.trees)
+	require.Len(t, kept, 3)
+
+	files[2].Content = []byte(strings.Replace(string(files[2].Content), "priority: 4", "priority: 6", 1))
+	second, diags := p.Parse(files)
+	require.Empty(t, diags)
+	changes, err := Compare(first, second)
+	require.NoError(t, err)
+	require.Equal(t, []FieldChange{{Path: "customers.customer-500.priority", Old: "4", New: "6"}}, changes)
+	require.Len(t, p.trees, 3, "the old file is forgotten")
+	same := 0
+	for digest, tree := range p.trees {
+		if kept[digest] == tree {
+			same++
+		}
+	}
+	require.Equal(t, 2, same, "unchanged files are not read again")
+
+	whole, _ := Parse(files)
+	changes, err = Compare(whole, second)
+	require.NoError(t, err)
+	require.Empty(t, changes)
+}
+
 // liveBytes is the heap in use after a collection.
 func liveBytes() int64 {
 	runtime.GC()
@@ -262,3 +298,26 @@
 		})
 	}
 }
+
+// BenchmarkParserOneFileChanged parses a configuration of which one file, with
+// 500 customers, has changed.
+func BenchmarkParserOneFileChanged(b *testing.B) {
+	for _, n := range []int{750, 1500, 3000, 6000} {
+		b.Run(fmt.Sprintf("customers=%d", n), func(b *testing.B) {
+			files := manyCustomers(n)
+			original := files[1].Content
+			before := liveBytes()
+			p := NewParser()
+			var kept *Intent
+			p.Parse(files)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				files[1].Content = fmt.Appendf(nil, "%s# %d", original, i)
+				kept, _ = p.Parse(files)
+			}
+			b.ReportMetric(float64(liveBytes()-before), "live-B")
+			require.Len(b, kept.Customers, n)
+			runtime.KeepAlive(p)
+		})
+	}
+}
--- /dev/null
+++ b/internal/intent/parser.go
@@ -0,0 +1,58 @@
+package intent
+
+import (
+	"crypto/sha256"
+	"reflect"
+	"sync"
+)
+
+// Parser parses one configuration after another and reads only the files that
+// have changed since the one before. It may be used by several goroutines.
+type Parser struct {
+	mu sync.Mutex
+	// trees holds the files without findings of the newest configuration, by
+	// the digest of their content. They are never changed.
+	trees map[[sha256.Size]byte]*node
+}
+
+// NewParser returns a parser that knows no file yet.
+func NewParser() *Parser { return &Parser{} }
+
+// Parse does what the function Parse does.
+func (p *Parser) Parse(files []File) (*Intent, Diagnostics) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := make(map[[sha256.Size]byte]*node, len(files))
+	in, diags := parse(files, noPaths, func(f File) (*node, Diagnostics) { return p.tree(f, used) })
+	p.trees = used
+	if len(diags) == 0 {
+		return in, nil
+	}
+	return parse(files, allPaths, func(f File) (*node, Diagnostics) { return readFile(f, allPaths) })
+}
+
+// tree returns a file's tree from the cache or reads it, and notes it in used.
+func (p *Parser) tree(f File, used map[[sha256.Size]byte]*node) (*node, Diagnostics) {
+	digest := sha256.Sum256(f.Content)
+	if tree, ok := p.trees[digest]; ok {
+		used[digest] = tree
+		return tree, nil
+	}
+	tree, diags := readFile(f, noPaths)
+	if len(diags) == 0 {
+		used[digest] = tree
+	}
+	return tree, diags
+}
+
+// readFile reads one file and checks it against the types: unknown fields and
+// bad values, also those that a later file overrides.
+func readFile(f File, p paths) (*node, Diagnostics) {
+	tree, diags := readTree(f, p)
+	if tree == nil {
+		return nil, diags
+	}
+	d := newDecoder(p)
+	d.value(tree, reflect.ValueOf(&Intent{}).Elem(), "", "")
+	return tree, append(diags, d.diags...)
+}
--- a/internal/intent/tree.go
+++ b/internal/intent/tree.go
@@ -81,11 +81,14 @@
 	file  string
 	paths paths
 	diags Diagnostics
+	// shared holds one node for each distinct value and list of values. Nodes
+	// with places are not shared.
+	shared map[string]*node
 }
 
 // readTree returns the file's mapping, or nil when the file can't be read.
 func readTree(f File, p paths) (*node, Diagnostics) {
-	r := &treeReader{file: f.Name, paths: p}
+	r := &treeReader{file: f.Name, paths: p, shared: make(map[string]*node)}
 	root := r.document(f.Content)
 	return root, r.diags
 }
@@ -161,7 +164,11 @@
 	})
 }
 
+// pos returns where n stands; without paths it is not kept.
 func (r *treeReader) pos(n *yaml.Node) Position {
+	if !r.paths {
+		return Position{}
+	}
 	return Position{File: r.file, Line: n.Line, Column: n.Column}
 }
 
@@ -187,9 +194,50 @@
 	default:
 		r.scalar(n, y)
 	}
+	return r.share(n)
+}
+
+// share returns the first node that was equal to n, if n is a value or a list
+// of values, so that a large configuration takes little memory.
+func (r *treeReader) share(n *node) *node {
+	key, ok := n.shareKey()
+	if bool(r.paths) || !ok {
+		return n
+	}
+	if first, ok := r.shared[key]; ok {
+		return first
+	}
+	r.shared[key] = n
 	return n
 }
 
+// shareKey returns a text that only equal nodes have; ok is false for nodes
+// that are not shared.
+func (n *node) shareKey() (key string, ok bool) {
+	switch n.kind {
+	case kindNull, kindScalar:
+		return n.tag + " " + n.text, true
+	case kindList:
+		return n.listKey()
+	}
+	return "", false
+}
+
+func (n *node) listKey() (key string, ok bool) {
+	var b strings.Builder
+	for _, item := range n.items {
+		if item.kind != kindScalar {
+			return "", false
+		}
+		b.WriteByte('[')
+		b.WriteString(item.tag)
+		b.WriteString(strconv.Itoa(len(item.text)))
+		b.WriteByte(' ')
+		b.WriteString(item.text)
+	}
+	return "[" + b.String(), true
+}
+
 func (r *treeReader) scalar(n *node, y *yaml.Node) {
 	n.tag = y.ShortTag()
 	n.text = y.Value
@@ -207,7 +255,9 @@
 			continue
 		}
 		child := r.value(y.Content[i+1], r.paths.field(path, key.Value), depth+1)
-		child.pos = r.pos(key)
+		if r.paths {
+			child.pos = r.pos(key)
+		}
 		n.set(key.Value, child)
 	}
 }
