Leave warnings out when a gateway parses

Cause: a configuration with a lasting warning, such as a customer whose region lacks a model, made every gateway parse it twice, the second time in full. Change: Parser.Parse returns findings only with a fault; Parse is unchanged. Tests: TestParserReadsOnlyChangedFiles, fuzz target.

--- a/internal/intent/parse.go
+++ b/internal/intent/parse.go
@@ -23,7 +23,18 @@
 // Parse merges the files in the order of their names, applies the defaults and
 // checks the result. The intent is nil if and only if a finding is a fault.
 // Parse finds every fault at once, in overridden values too.
-func Parse(files []File) (*Intent, Diagnostics) { return NewParser().Parse(files) }
+func Parse(files []File) (*Intent, Diagnostics) {
+	in, diags := parse(files, noPaths, func(f File) (*node, Diagnostics) { return readFile(f, noPaths) })
+	if len(diags) == 0 {
+		return in, nil
+	}
+	return parseWithPaths(files)
+}
+
+// parseWithPaths parses with the places and paths of all findings.
+func parseWithPaths(files []File) (*Intent, Diagnostics) {
+	return parse(files, allPaths, func(f File) (*node, Diagnostics) { return readFile(f, allPaths) })
+}
 
 func parse(files []File, with paths, trees treeSource) (*Intent, Diagnostics) {
 	p := &parser{paths: with, trees: trees}
--- a/internal/intent/parser.go
+++ b/internal/intent/parser.go
@@ -18,17 +18,19 @@
 // NewParser returns a parser that knows no file yet.
 func NewParser() *Parser { return &Parser{} }
 
-// Parse does what the function Parse does.
+// Parse does what the function Parse does, but leaves out the warnings of a
+// configuration without faults: finding their places takes a whole parse, and
+// operators have seen them when they published it.
 func (p *Parser) Parse(files []File) (*Intent, Diagnostics) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	used := make(map[[sha256.Size]byte]*node, len(files))
 	in, diags := parse(files, noPaths, func(f File) (*node, Diagnostics) { return p.tree(f, used) })
 	p.trees = used
-	if len(diags) == 0 {
+	if !diags.HasFaults() {
 		return in, nil
 	}
-	return parse(files, allPaths, func(f File) (*node, Diagnostics) { return readFile(f, allPaths) })
+	return parseWithPaths(files)
 }
 
 // tree returns a file's tree from the cache or reads it, and notes it in used.
