Say only what is known of a change begun before an edit

Cause: 'was not published' could turn wrong when the killed run's write came late; the new change would then meet it as a conflict or rebase.

--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -184,7 +184,7 @@
 	outcome, err := a.pub.Apply(ctx, publish.Change{ID: p.ID, Files: a.files, Base: p.Base, Resumed: true})
 	var mismatch *publish.MismatchError
 	if errors.As(err, &mismatch) {
-		a.env.notef("change %s, begun before the folder was edited, was not published\n", p.ID)
+		a.env.notef("change %s, begun before the folder was edited, is in no revision so far\n", p.ID)
 		a.state.Pending = nil
 		return nil, nil
 	}
