--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,159 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hickorystage/hickorystage/internal/admit"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/intent"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestHigherPriorityLeavesFirstAndTheLowestIsShed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := admit.New("g1", admit.Options{MaxQueue: 5, RetryBurst: 1})
+		waiting := make(map[string]int)
+		for i, p := range rapid.SliceOfN(rapid.IntRange(0, 9), 1, 20).Draw(t, "priorities") {
+			item := admit.Item{ID: fmt.Sprint(i), Customer: "c", Group: "g", Priority: p}
+			v := c.Wait(item, 0, start.Add(time.Duration(i)*time.Millisecond))
+			if v.Kind == admit.Refuse {
+				require.Equal(t, failure.CodeOverloaded, v.Code)
+				require.Equal(t, failure.NotRun, v.Refusal().Outcome)
+				for _, other := range waiting {
+					require.GreaterOrEqual(t, other, p, "a refused request is the least important")
+				}
+				continue
+			}
+			if v.Shed != nil {
+				require.Less(t, v.Shed.Priority, p)
+				delete(waiting, v.Shed.ID)
+			}
+			waiting[item.ID] = p
+		}
+		last := 9
+		for {
+			item, ok, _ := c.Next("g", start.Add(time.Second))
+			if !ok {
+				break
+			}
+			require.LessOrEqual(t, item.Priority, last)
+			last = item.Priority
+			delete(waiting, item.ID)
+		}
+		require.Empty(t, waiting)
+	})
+}
+
+func TestAnArrivalWaitsBehindItsEqualsAndOvertakesTheRest(t *testing.T) {
+	c := admit.New("g1", admit.DefaultOptions())
+	c.Wait(admit.Item{ID: "a", Group: "g", Priority: 5}, 0, start)
+	require.Equal(t, admit.Queue, c.Arrive(admit.Item{ID: "b", Group: "g", Priority: 5}, start).Kind)
+	require.Equal(t, admit.Queue, c.Arrive(admit.Item{ID: "c", Group: "g", Priority: 1}, start).Kind)
+	require.Equal(t, admit.Run, c.Arrive(admit.Item{ID: "d", Group: "g", Priority: 6}, start).Kind)
+}
+
+func TestWhatCannotMeetItsDeadlineIsRefusedEarly(t *testing.T) {
+	c := admit.New("g1", admit.DefaultOptions())
+	for i := range 40 {
+		c.Wait(admit.Item{ID: fmt.Sprint(i), Group: "g", Priority: 5}, 0, start)
+	}
+	now := start
+	for range 10 {
+		now = now.Add(500 * time.Millisecond)
+		_, ok, _ := c.Next("g", now)
+		require.True(t, ok)
+	}
+	v := c.Wait(admit.Item{ID: "late", Group: "g", Priority: 5, Deadline: now.Add(5 * time.Second)}, 0, now)
+	require.Equal(t, admit.Refuse, v.Kind, "30 wait and 2 leave in a second")
+	require.Equal(t, failure.CodeDeadline, v.Code)
+	v = c.Wait(admit.Item{ID: "urgent", Group: "g", Priority: 9, Deadline: now.Add(5 * time.Second)}, 0, now)
+	require.Equal(t, admit.Queue, v.Kind, "nobody is before it")
+	_, _, expired := c.Next("g", now.Add(6*time.Second))
+	require.Len(t, expired, 1)
+}
+
+func TestRetriesNeverMultiplyWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0.01, 1).Draw(t, "ratio")
+		b := admit.NewRetryBudget(5)
+		b.SetRatio(ratio)
+		successes, retries := 0, 0
+		for _, ok := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "calls") {
+			if ok {
+				b.Earn()
+				successes++
+			} else if b.Spend() {
+				retries++
+			}
+			require.LessOrEqual(t, float64(retries), 5+ratio*float64(successes)+1e-6)
+		}
+	})
+}
+
+// spread plays 20 s of a customer's calls at twice its limit over n gateways
+// and returns the calls let in, as a multiple of the limit, from second 5 on.
+func spread(n int, exchange bool, gateway func(i int, order []string) string) float64 {
+	const limit = 100
+	in := &intent.Intent{Customers: map[string]intent.Customer{"c": {Limits: intent.Limits{RequestsPerSecond: limit}}}}
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("g%d", i))
+	}
+	gs := make(map[string]*admit.Controller)
+	for _, id := range ids {
+		gs[id] = admit.New(id, admit.DefaultOptions())
+		gs[id].Configure(in)
+		gs[id].SetGateways(ids)
+	}
+	order := admit.Rank("c", ids)
+	admitted := 0
+	for i := range 20 * 2 * limit {
+		now := start.Add(time.Duration(i) * time.Second / (2 * limit))
+		item := admit.Item{ID: fmt.Sprint(i), Customer: "c", Group: "g"}
+		if gs[gateway(i, order)].Arrive(item, now).Kind == admit.Run && i >= 5*2*limit {
+			admitted++
+		}
+		if exchange && i%(limit/2) == 0 {
+			for _, from := range ids {
+				for _, to := range ids {
+					gs[to].Hear(from, gs[from].Usage(16, now), now)
+				}
+			}
+		}
+	}
+	return float64(admitted) / (15 * limit)
+}
+
+func TestLimitsHoldOverAllGateways(t *testing.T) {
+	first := func(_ int, order []string) string { return order[0] }
+	twoGateways := func(i int, order []string) string {
+		if i%5 == 0 {
+			return order[1]
+		}
+		return order[0]
+	}
+	all := func(i int, order []string) string { return order[i%len(order)] }
+	for _, n := range []int{2, 8, 30} {
+		for name, f := range map[string]func(int, []string) string{"first": first, "two": twoGateways, "all": all} {
+			require.InDelta(t, 1, spread(n, true, f), 0.05, "%s of %d", name, n)
+		}
+	}
+	require.InDelta(t, 0.97, spread(8, false, first), 0.05, "one gateway needs no exchange")
+}
+
+func TestConcurrentLimitAndItsReturn(t *testing.T) {
+	c := admit.New("g1", admit.DefaultOptions())
+	c.Configure(&intent.Intent{Customers: map[string]intent.Customer{"c": {Limits: intent.Limits{Concurrent: 2}}}})
+	item := admit.Item{ID: "a", Customer: "c", Group: "g"}
+	require.Equal(t, admit.Run, c.Arrive(item, start).Kind)
+	require.Equal(t, admit.Run, c.Arrive(item, start).Kind)
+	require.Equal(t, failure.CodeLimited, c.Arrive(item, start).Code)
+	c.Finish(item, 0, start)
+	require.Equal(t, admit.Run, c.Arrive(item, start).Kind)
+}
--- /dev/null
+++ b/internal/sched/datastore/bench_test.go
@@ -0,0 +1,61 @@
+package datastore_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/sched"
+)
+
+// BenchmarkDecide measures a view and a decision for a prompt of 100 blocks by
+// the number of endpoints in the region.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{10, 50, 100, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newStore(n)
+			for _, region := range []string{"r2", "r3"} {
+				s.RegionSummary(blackboard.RegionSummary{Region: region, Heard: start, Groups: map[string]blackboard.GroupSummary{
+					"g": {Endpoints: n, PrefillRate: 8000 * float64(n), FreeSlots: n},
+				}})
+			}
+			req := longRequest()
+			for i := range 3 {
+				s.Sent(fmt.Sprintf("e%d", i), fmt.Sprint(i), req.PromptTokens, req.Prefix, start)
+			}
+			sc := sched.New(sched.DefaultOptions())
+			b.ReportAllocs()
+			rnd := rand.New(rand.NewPCG(1, 1))
+			for b.Loop() {
+				sc.Decide(req, s.View(start), rnd.Uint64())
+			}
+		})
+	}
+}
+
+// BenchmarkSentDone measures the accounts of one request.
+func BenchmarkSentDone(b *testing.B) {
+	s := newStore(300)
+	req := longRequest()
+	b.ReportAllocs()
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		s.Sent("e0", "a", req.PromptTokens, req.Prefix, now)
+		s.FirstToken("e0", "a", now)
+		s.Done("e0", "a", 0, now)
+		s.Apply("e0", blackboard.LoadReport{At: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}, now)
+	}
+}
+
+func longRequest() *sched.Request {
+	req := request()
+	req.PromptTokens = 6400
+	for i := range uint64(100) {
+		req.Prefix = append(req.Prefix, (i+1)*0x9e3779b97f4a7c15)
+	}
+	req.PermittedRegions["r2"], req.PermittedRegions["r3"] = true, true
+	return req
+}
--- a/internal/sched/datastore/datastore_test.go
+++ b/internal/sched/datastore/datastore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -108,3 +109,119 @@
 		require.Equal(t, d.Endpoint, sc.Decide(req, s.View(now), rnd).Endpoint)
 	}
 }
+
+func TestCacheEventsFollowTheEngine(t *testing.T) {
+	s := newStore(2)
+	prefix := longRequest().Prefix
+	var events []datastore.CacheEvent
+	for i, block := range prefix {
+		events = append(events, datastore.CacheEvent{Seq: uint64(i + 1), Op: datastore.Stored, Block: block})
+	}
+	depth := func() int {
+		d := make([]int, 2)
+		s.View(start).Cache.Match(prefix, d)
+		return d[1]
+	}
+	s.CacheEvents("e1", events, start)
+	require.Greater(t, depth(), 90)
+	last := uint64(len(prefix))
+	s.CacheEvents("e1", []datastore.CacheEvent{{Seq: last + 1, Op: datastore.Removed, Block: prefix[50]}, {Seq: last + 2, Op: datastore.Removed, Block: prefix[51]}, {Seq: last + 3, Op: datastore.Removed, Block: prefix[52]}, {Seq: last + 4, Op: datastore.Removed, Block: prefix[53]}}, start)
+	require.LessOrEqual(t, depth(), 54)
+	s.CacheEvents("e1", events, start)
+	require.LessOrEqual(t, depth(), 54, "events seen before change nothing")
+	s.CacheEvents("e1", []datastore.CacheEvent{{Seq: last + 5, Op: datastore.Cleared}}, start)
+	require.Zero(t, depth())
+}
+
+func TestOldReportIsNoProof(t *testing.T) {
+	s := newStore(2)
+	sc := sched.New(sched.DefaultOptions())
+	now := start.Add(time.Hour)
+	s.Tick(now)
+	s.Apply("e1", blackboard.LoadReport{At: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}, now)
+	seen := make(map[string]bool)
+	for rnd := range uint64(100) {
+		seen[sc.Decide(request(), s.View(now), rnd).Endpoint] = true
+	}
+	require.True(t, seen["e0"], "an endpoint without fresh reports is still used")
+}
+
+func TestSlowEndpointIsEjected(t *testing.T) {
+	s := newStore(2)
+	now := start
+	for i := range 12 {
+		id := fmt.Sprint(i)
+		s.SentEstimated("e0", id, 10, nil, 50*time.Millisecond, now)
+		now = now.Add(5 * time.Second / 10)
+		s.FirstToken("e0", id, now.Add(4*time.Second))
+		s.Done("e0", id, datastore.Success, now.Add(5*time.Second))
+	}
+	for rnd := range uint64(50) {
+		require.Equal(t, "e1", sched.New(sched.DefaultOptions()).Decide(request(), s.View(now), rnd).Endpoint)
+	}
+}
+
+func TestAnnouncedWorkCountsUntilAReport(t *testing.T) {
+	from, to := newStore(2), newStore(2)
+	sc := sched.New(sched.DefaultOptions())
+	from.Sent("e0", "a", 8000, nil, start.Add(time.Millisecond))
+	now := start.Add(20 * time.Millisecond)
+	to.HearAnnouncements(from.Announcements(now), now)
+	require.Empty(t, from.Announcements(now), "told once")
+	for rnd := range uint64(50) {
+		require.Equal(t, "e1", sc.Decide(request(), to.View(now), rnd).Endpoint)
+	}
+	to.Apply("e0", blackboard.LoadReport{At: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}, now)
+	require.Zero(t, to.View(now).Groups["g"].Slots[0].Load().SentTokens)
+}
+
+func TestEveryEndpointIsDealtOut(t *testing.T) {
+	for _, gateways := range []int{1, 3, 8, 13} {
+		var ids []string
+		for i := range gateways {
+			ids = append(ids, fmt.Sprintf("g%02d", i))
+		}
+		owned := make(map[string]int)
+		for _, id := range ids {
+			s := newStore(8)
+			s.SetGatewayIDs(id, ids)
+			own := 0
+			for _, slot := range s.View(start).Groups["g"].Slots {
+				if e := slot.Load(); e.Own {
+					owned[e.ID]++
+					own++
+				}
+			}
+			require.Positive(t, own, "gateway %s of %d", id, gateways)
+		}
+		require.Len(t, owned, 8, "%d gateways", gateways)
+	}
+}
+
+func TestConcurrentUse(t *testing.T) {
+	s := newStore(8)
+	sc := sched.New(sched.DefaultOptions())
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := range 300 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				id := fmt.Sprintf("%d-%d", w, i)
+				req := longRequest()
+				d := sc.Decide(req, s.View(now), uint64(i))
+				s.Sent(d.Endpoint, id, req.PromptTokens, req.Prefix, now)
+				s.FirstToken(d.Endpoint, id, now)
+				s.Done(d.Endpoint, id, datastore.Success, now)
+				s.Apply(d.Endpoint, blackboard.LoadReport{At: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}, now)
+				if i%50 == w {
+					s.Remove("e7")
+					s.Upsert(datastore.Member{ID: "e7", Incarnation: id, Group: "g", Region: "r1"}, now)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, slot := range s.View(start).Groups["g"].Slots {
+		require.Zero(t, slot.Load().InFlight)
+	}
+}
--- a/internal/sched/datastore/index.go
+++ b/internal/sched/datastore/index.go
@@ -1,6 +1,9 @@
 package datastore
 
-import "sync"
+import (
+	"math/bits"
+	"sync"
+)
 
 // Bounds of the prefix index.
 const (
@@ -150,39 +153,52 @@
 	for i := range alive {
 		alive[i] = ^uint64(0)
 	}
+	reached := 0
 	for b, block := range prefix {
 		if !sampled(block) {
 			continue
 		}
-		if !x.intersect(block, alive) {
+		if !x.intersect(block, alive, depth, reached) {
 			return
 		}
-		for i := range depth {
-			if alive.has(i) {
-				depth[i] = b + 1
-			}
-		}
+		reached = b + 1
+	}
+	for w, left := range alive {
+		setDepth(depth, w, left, reached)
 	}
 }
 
-// intersect narrows alive to the holders of block; false says none is left.
-func (x *index) intersect(block uint64, alive holders) bool {
+// intersect narrows alive to the holders of block and gives those that fall
+// out the depth reached; false says none is left.
+func (x *index) intersect(block uint64, alive holders, depth []int, reached int) bool {
 	sh := x.shard(block)
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
 	h := sh.blocks[block]
 	left := uint64(0)
-	for i := range alive {
-		w := uint64(0)
-		if i < len(h) {
-			w = h[i]
+	for w := range alive {
+		held := uint64(0)
+		if w < len(h) {
+			held = h[w]
 		}
-		alive[i] &= w
-		left |= alive[i]
+		setDepth(depth, w, alive[w]&^held, reached)
+		alive[w] &= held
+		left |= alive[w]
 	}
 	return left != 0
 }
 
+// setDepth sets the depth of the endpoints in word w of a set.
+func setDepth(depth []int, w int, set uint64, d int) {
+	for d > 0 && set != 0 {
+		i := w*wordBits + bits.TrailingZeros64(set)
+		set &= set - 1
+		if i < len(depth) {
+			depth[i] = d
+		}
+	}
+}
+
 // depthOf is Match for one endpoint.
 func (x *index) depthOf(prefix []uint64, i int) int {
 	depth := 0
--- /dev/null
+++ b/internal/sched/decide_test.go
@@ -0,0 +1,154 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hickorystage/hickorystage/internal/sched"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawEndpoint(t *rapid.T, i int) *sched.Endpoint {
+	return &sched.Endpoint{
+		ID: fmt.Sprintf("e%d", i), Group: "g", Region: "r1", Index: i,
+		Leaving:     rapid.IntRange(0, 3).Draw(t, "leaving") == 0,
+		Health:      sched.Health(rapid.IntRange(0, 2).Draw(t, "health")),
+		ReturnShare: rapid.Float64Range(0, 1).Draw(t, "share"),
+		ReportAt:    now, BacklogAt: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32,
+		BacklogTokens: rapid.Float64Range(0, 50000).Draw(t, "backlog"),
+		Running:       rapid.IntRange(0, 40).Draw(t, "running"),
+		MaxConcurrent: rapid.SampledFrom([]int{0, 36}).Draw(t, "bound"),
+		Own:           rapid.Bool().Draw(t, "own"),
+	}
+}
+
+func drawView(t *rapid.T) *sched.View {
+	gv := &sched.GroupView{}
+	for i := range rapid.IntRange(0, 6).Draw(t, "endpoints") {
+		gv.Slots = append(gv.Slots, sched.NewSlot(drawEndpoint(t, i)))
+	}
+	v := &sched.View{
+		Now: now, Region: "r1", Groups: map[string]*sched.GroupView{"g": gv}, Regions: make(map[string]*sched.RegionView), Gateways: 2,
+		Knobs:     sched.Knobs{TailLatency: 1, AwayShare: 1, AwayMargin: 50 * time.Millisecond, MaxAwayShare: 0.5},
+		AwayShare: rapid.Float64Range(0, 1).Draw(t, "away"),
+	}
+	for _, name := range []string{"r2", "r3"} {
+		v.Regions[name] = &sched.RegionView{
+			Region: name, Heard: now.Add(-time.Duration(rapid.IntRange(0, 9).Draw(t, "age")) * time.Second), ReturnShare: 1,
+			Link:   sched.Link{OneWay: 55 * time.Millisecond, BytesPerSecond: 1e7},
+			Groups: map[string]sched.RegionGroup{"g": {Endpoints: rapid.IntRange(0, 3).Draw(t, "remote"), FreeSlots: 20, PrefillRate: 24000}},
+		}
+	}
+	return v
+}
+
+func drawRequest(t *rapid.T) *sched.Request {
+	req := &sched.Request{
+		ID: "q", Groups: []string{"g"}, PromptTokens: rapid.IntRange(1, 9000).Draw(t, "prompt"), OutputTokens: 50,
+		Priority: rapid.IntRange(0, 9).Draw(t, "priority"), MovesLeft: rapid.IntRange(0, 1).Draw(t, "moves"),
+		Remaining:        time.Duration(rapid.IntRange(0, 20).Draw(t, "remaining")) * time.Second,
+		PermittedRegions: make(map[string]bool), Exclude: make(map[string]bool),
+	}
+	for _, r := range []string{"r1", "r2", "r3"} {
+		req.PermittedRegions[r] = rapid.Bool().Draw(t, "permitted")
+	}
+	for i := range 6 {
+		req.Exclude[fmt.Sprintf("e%d", i)] = rapid.IntRange(0, 4).Draw(t, "tried") == 0
+	}
+	return req
+}
+
+func TestDecisionKeepsTheRules(t *testing.T) {
+	s := sched.New(sched.DefaultOptions())
+	rapid.Check(t, func(t *rapid.T) {
+		v, req := drawView(t), drawRequest(t)
+		rnd := rapid.Uint64().Draw(t, "rnd")
+		d := s.Decide(req, v, rnd)
+		require.Equal(t, d, s.Decide(req, v, rnd), "the same input gives the same decision")
+		switch d.Kind {
+		case sched.Away:
+			require.True(t, req.PermittedRegions[d.Region])
+			require.NotEqual(t, v.Region, d.Region)
+			require.Positive(t, req.MovesLeft)
+			require.LessOrEqual(t, now.Sub(v.Regions[d.Region].Heard), 5*time.Second)
+		case sched.Serve:
+			require.True(t, req.PermittedRegions[v.Region])
+			requireUsable(t, v, req, d.Endpoint)
+		}
+	})
+}
+
+// requireUsable checks a picked endpoint: it is not leaving, tried or full, and
+// not ejected while the group has one that is not.
+func requireUsable(t *rapid.T, v *sched.View, req *sched.Request, id string) {
+	healthy := false
+	var picked *sched.Endpoint
+	for _, slot := range v.Groups["g"].Slots {
+		e := slot.Load()
+		if e.ID == id {
+			picked = e
+		}
+		if !e.Leaving && !req.Exclude[e.ID] && e.Health != sched.Ejected {
+			healthy = true
+		}
+	}
+	require.NotNil(t, picked)
+	require.False(t, picked.Leaving)
+	require.False(t, req.Exclude[id])
+	require.True(t, picked.MaxConcurrent == 0 || picked.Occupancy() < picked.MaxConcurrent)
+	if healthy {
+		require.NotEqual(t, sched.Ejected, picked.Health)
+	}
+}
+
+func TestAwayNeedsAGainBeyondTheMargin(t *testing.T) {
+	s := sched.New(sched.DefaultOptions())
+	busy := &sched.Endpoint{ID: "e0", Group: "g", ReportAt: now, BacklogAt: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32, Own: true}
+	v := &sched.View{
+		Now: now, Region: "r1", Groups: map[string]*sched.GroupView{"g": {Slots: []*sched.Slot{sched.NewSlot(busy)}}}, Gateways: 1,
+		Knobs: sched.Knobs{TailLatency: 1, AwayMargin: 300 * time.Millisecond, MaxAwayShare: 0.5, MaxLinkShare: 0.5},
+		Regions: map[string]*sched.RegionView{"r2": {
+			Region: "r2", Heard: now, ReturnShare: 1, Link: sched.Link{OneWay: 55 * time.Millisecond, BytesPerSecond: 1e7},
+			Groups: map[string]sched.RegionGroup{"g": {Endpoints: 2, FreeSlots: 20, PrefillRate: 16000}},
+		}},
+	}
+	req := &sched.Request{Groups: []string{"g"}, PromptTokens: 100, MovesLeft: 1, PermittedRegions: map[string]bool{"r1": true, "r2": true}}
+	decide := func(backlog float64, change func(v *sched.View)) sched.Decision {
+		e, w, r := *busy, *v, *v.Regions["r2"]
+		e.BacklogTokens = backlog
+		w.Groups = map[string]*sched.GroupView{"g": {Slots: []*sched.Slot{sched.NewSlot(&e)}}}
+		w.Regions = map[string]*sched.RegionView{"r2": &r}
+		change(&w)
+		return s.Decide(req, &w, 1)
+	}
+	nothing := func(*sched.View) {}
+	require.Equal(t, sched.Serve, decide(2400, nothing).Kind, "0.3 s of queue: no gain beyond the margin")
+	require.Equal(t, sched.Away, decide(8000, nothing).Kind, "1 s of queue")
+	require.Equal(t, sched.Away, decide(2400, func(v *sched.View) { v.Regions["r2"].Active = true }).Kind, "hysteresis")
+	for name, change := range map[string]func(v *sched.View){
+		"share budget":   func(v *sched.View) { v.AwayShare = 0.6 },
+		"link budget":    func(v *sched.View) { v.Regions["r2"].LinkBytesPerSecond = 6e6 },
+		"stale summary":  func(v *sched.View) { v.Regions["r2"].Heard = now.Add(-6 * time.Second) },
+		"weight":         func(v *sched.View) { v.Knobs.AwayShare = 9 },
+		"no free places": func(v *sched.View) { v.Regions["r2"].SentSince = 20 },
+		"just healed":    func(v *sched.View) { v.Regions["r2"].ReturnShare = 0 },
+	} {
+		require.Equal(t, sched.Serve, decide(8000, change).Kind, name)
+	}
+}
+
+func TestPrefixHashesCoverEverythingBefore(t *testing.T) {
+	a, b := make([]byte, 1024), make([]byte, 1024)
+	b[300] = 1
+	ha, hb := sched.PrefixHashes(a), sched.PrefixHashes(b)
+	require.Len(t, ha, 4)
+	require.Equal(t, ha[0], hb[0])
+	for i := 1; i < 4; i++ {
+		require.NotEqual(t, ha[i], hb[i])
+	}
+}
--- a/internal/sched/filter.go
+++ b/internal/sched/filter.go
@@ -47,8 +47,8 @@
 // fixedFilters hold whatever else is the case.
 var fixedFilters = []filter{notLeaving, notExcluded}
 
-// healthFilters hold while they leave an endpoint to choose.
-var healthFilters = []filter{notEjected, withinReturn}
+// healthFilters are tried in their order until some endpoint passes.
+var healthFilters = [][]filter{{notEjected, withinReturn}, {notEjected}, nil}
 
 func passes(fs []filter, req *Request, e *Endpoint, rnd uint64) bool {
 	for _, f := range fs {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -101,26 +101,15 @@
 	return cs[:n]
 }
 
-// candidates returns the endpoints that pass the filters, with estimates. When
-// no endpoint passes the health filters, ejected ones count as usable: the
-// last endpoint of a group is never ejected.
+// candidates returns the endpoints that pass the filters, with estimates. The
+// health filters are loosened step by step while no endpoint passes them, so
+// the last endpoint of a group is never ejected.
 func (s *Scheduler) candidates(req *Request, v *View, depth []int, rnd uint64) (cs []candidate, full bool) {
-	for _, healthy := range []bool{true, false} {
+	cs = make([]candidate, 0, s.places(req, v))
+	for _, filters := range healthFilters {
 		for _, group := range req.Groups {
-			gv, ok := v.Groups[group]
-			if !ok {
-				continue
-			}
-			for _, slot := range gv.Slots {
-				e := slot.Load()
-				if !passes(fixedFilters, req, e, rnd) || healthy && !passes(healthFilters, req, e, rnd) {
-					continue
-				}
-				if !withinConcurrency(&s.opts, req, e) {
-					full = true
-					continue
-				}
-				cs = append(cs, s.score(req, v, gv, e, depth))
+			if gv, ok := v.Groups[group]; ok {
+				cs, full = s.collect(cs, full, filters, req, v, gv, depth, rnd)
 			}
 		}
 		if len(cs) > 0 || full {
@@ -130,6 +119,22 @@
 	return cs, full
 }
 
+// collect adds the endpoints of one group that pass the filters to cs.
+func (s *Scheduler) collect(cs []candidate, full bool, filters []filter, req *Request, v *View, gv *GroupView, depth []int, rnd uint64) ([]candidate, bool) {
+	for _, slot := range gv.Slots {
+		e := slot.Load()
+		if !passes(fixedFilters, req, e, rnd) || !passes(filters, req, e, rnd) {
+			continue
+		}
+		if !withinConcurrency(&s.opts, req, e) {
+			full = true
+			continue
+		}
+		cs = append(cs, s.score(req, v, gv, e, depth))
+	}
+	return cs, full
+}
+
 func (s *Scheduler) depths(req *Request, v *View) []int {
 	if !s.opts.PrefixAffinity || v.Cache == nil || len(req.Prefix) == 0 {
 		return nil
@@ -139,6 +144,17 @@
 	return depth
 }
 
+// places is the number of endpoints that a request may go to.
+func (s *Scheduler) places(req *Request, v *View) int {
+	n := 0
+	for _, group := range req.Groups {
+		if gv, ok := v.Groups[group]; ok {
+			n += len(gv.Slots)
+		}
+	}
+	return n
+}
+
 // awayDepths are the depths that count for other regions.
 func (s *Scheduler) awayDepths(depth []int) []int {
 	if !s.opts.AwayAffinity {
