--- a/internal/sched/datastore/datastore_test.go
+++ b/internal/sched/datastore/datastore_test.go
@@ -90,7 +90,9 @@
 	require.Equal(t, "e1", sc.Decide(request(), s.View(now), 3).Endpoint)
 	stale := blackboard.LoadReport{At: start, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}
 	s.Apply("e0", stale, now)
-	require.Equal(t, "e1", sc.Decide(request(), s.View(now), 3).Endpoint, "a report from before the request doesn't undo it")
+	for rnd := range uint64(50) {
+		require.Equal(t, "e1", sc.Decide(request(), s.View(now), rnd).Endpoint, "a report from before the request doesn't undo it")
+	}
 }
 
 func TestPrefixIsFollowed(t *testing.T) {
@@ -106,7 +108,9 @@
 	s.Sent(d.Endpoint, "a", req.PromptTokens, req.Prefix, start)
 	now := start.Add(5 * time.Second)
 	for rnd := range uint64(50) {
-		require.Equal(t, d.Endpoint, sc.Decide(req, s.View(now), rnd).Endpoint)
+		again := sc.Decide(req, s.View(now), rnd)
+		require.Equal(t, d.Endpoint, again.Endpoint)
+		require.Greater(t, again.CachedTokens, req.PromptTokens/2)
 	}
 }
 
@@ -148,17 +152,19 @@
 
 func TestSlowEndpointIsEjected(t *testing.T) {
 	s := newStore(2)
-	now := start
 	for i := range 12 {
-		id := fmt.Sprint(i)
-		s.SentEstimated("e0", id, 10, nil, 50*time.Millisecond, now)
-		now = now.Add(5 * time.Second / 10)
-		s.FirstToken("e0", id, now.Add(4*time.Second))
-		s.Done("e0", id, datastore.Success, now.Add(5*time.Second))
+		for _, e := range []string{"e0", "e1"} {
+			s.SentEstimated(e, fmt.Sprint(i), 10, nil, 50*time.Millisecond, start)
+		}
 	}
-	for rnd := range uint64(50) {
-		require.Equal(t, "e1", sched.New(sched.DefaultOptions()).Decide(request(), s.View(now), rnd).Endpoint)
+	now := start.Add(4 * time.Second)
+	for i := range 12 {
+		s.FirstToken("e1", fmt.Sprint(i), start.Add(60*time.Millisecond))
+		s.FirstToken("e0", fmt.Sprint(i), now)
 	}
+	slots := s.View(now).Groups["g"].Slots
+	require.Equal(t, sched.Ejected, slots[0].Load().Health)
+	require.Equal(t, sched.Healthy, slots[1].Load().Health)
 }
 
 func TestAnnouncedWorkCountsUntilAReport(t *testing.T) {
--- a/internal/sched/decide_test.go
+++ b/internal/sched/decide_test.go
@@ -152,3 +152,16 @@
 		require.NotEqual(t, ha[i], hb[i])
 	}
 }
+
+func TestFullEndpointsKeepPlacesForHigherPriorities(t *testing.T) {
+	s := sched.New(sched.DefaultOptions())
+	for _, c := range []struct {
+		running, priority int
+		want              sched.Kind
+	}{{31, 9, sched.Serve}, {32, 9, sched.Wait}, {23, 0, sched.Serve}, {24, 0, sched.Wait}, {24, 9, sched.Serve}} {
+		e := &sched.Endpoint{ID: "e0", Group: "g", ReportAt: now, PrefillRate: 8000, Running: c.running, MaxConcurrent: 32, MaxBatch: 64}
+		v := &sched.View{Now: now, Region: "r1", Groups: map[string]*sched.GroupView{"g": {Slots: []*sched.Slot{sched.NewSlot(e)}}}}
+		req := &sched.Request{Groups: []string{"g"}, PromptTokens: 10, Priority: c.priority, PermittedRegions: map[string]bool{"r1": true}}
+		require.Equal(t, c.want, s.Decide(req, v, 1).Kind, "%+v", c)
+	}
+}
