--- a/cmd/hickorystage/gateway.go
+++ b/cmd/hickorystage/gateway.go
@@ -40,7 +40,7 @@
 	}
 	defer flush()
 	ctx, hurry := signals()
-	if err := app.New(s, logger).Run(ctx, hurry); err != nil {
+	if err := app.New(s, app.TCP{}, logger).Run(ctx, hurry); err != nil {
 		var cut *app.CutOffError
 		if errors.As(err, &cut) {
 			logger.Warn("stopped before all requests were done", "cut_off", cut.Requests)
--- a/internal/action/result.go
+++ b/internal/action/result.go
@@ -74,6 +74,7 @@
 	}
 	var res *result
 	m.records.with(k, func(bool) { res = rec.result })
+	m.at(ctx, StepReply)
 	return m.answer(c, res, f, way)
 }
 
@@ -81,7 +82,7 @@
 func (m *Manager) answer(c Call, res *result, f *flight, way Way) (Answer, error) {
 	if !res.answered() {
 		r := res.refusal()
-		if res.outcome == failure.NotRun {
+		if res.outcome == failure.NotRun || res == storeAway {
 			r = m.withTicket(c.Customer, r)
 		}
 		return Answer{}, r
--- /dev/null
+++ b/internal/controller/configsync/export_test.go
@@ -0,0 +1,7 @@
+package configsync
+
+// What the tests need to know of the choice of holders.
+const (
+	WatchKey     = watchKey
+	WatchHolders = watchHolders
+)
--- /dev/null
+++ b/internal/controller/configsync/fleet_test.go
@@ -0,0 +1,456 @@
+package configsync_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/controller/configsync"
+	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/intent/revision"
+	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+	"github.com/hickorystage/hickorystage/internal/standin/fault"
+	"github.com/hickorystage/hickorystage/internal/standin/kv"
+	"github.com/hickorystage/hickorystage/internal/standin/memnet"
+)
+
+const (
+	oneWay       = 55 * time.Millisecond
+	exchangeTick = 500 * time.Millisecond
+	listTick     = 2 * time.Second
+	peerTimeout  = 2 * time.Second
+	inForceLimit = 9 * time.Second
+)
+
+// fleet is a store, regions with a path to it each, and their gateways.
+type fleet struct {
+	t        *testing.T
+	store    *kv.Store
+	regions  []*region
+	mu       sync.Mutex
+	revision uint64
+	parent   string
+	// took is how long each gateway took to hold each published revision or a
+	// higher one.
+	published map[uint64]time.Time
+	took      []time.Duration
+	// peerBytes counts the bytes of the snapshots that peers sent, exchanges
+	// the exchanges of soft state.
+	peerBytes int
+	exchanges int
+}
+
+// region is a region's path to the store and its gateways.
+type region struct {
+	name     string
+	server   *kv.Server
+	listener *memnet.Listener
+	gateways []*gateway
+	// cutOff says that no peer of another region can be reached.
+	cutOff bool
+}
+
+type gateway struct {
+	fleet  *fleet
+	region *region
+	id     string
+	board  *blackboard.Board
+	peers  *members.Controller
+	life   *tomb.Tomb
+	// noStore makes dials to the store fail; silentPeer makes the gateway
+	// never answer peers.
+	noStore    bool
+	silentPeer bool
+	// spoil makes it claim far higher revisions and spoil its snapshots.
+	spoil bool
+}
+
+// newFleet starts sizes[i] gateways in region i. The store stands in the first.
+func newFleet(t *testing.T, sizes ...int) *fleet {
+	f := &fleet{t: t, store: kv.NewStore(), published: map[uint64]time.Time{}}
+	// Calls under way and idle connections end within a minute.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+	for i, n := range sizes {
+		f.newRegion(i, n)
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) newRegion(index, gateways int) {
+	r := &region{name: fmt.Sprintf("r%02d", index), server: kv.New(kv.Limits{}), listener: memnet.Listen("store")}
+	f.set(func() { f.regions = append(f.regions, r) })
+	r.server.Store = f.store
+	handler := r.server.Handler()
+	if index > 0 {
+		handler = farAway(handler)
+	}
+	httpServer := &http.Server{Handler: handler}
+	go func() { _ = httpServer.Serve(r.server.Faults.Listener(r.listener)) }()
+	f.t.Cleanup(func() { _ = httpServer.Close() })
+	for i := range gateways {
+		g := &gateway{fleet: f, region: r, id: fmt.Sprintf("%s-g%02d", r.name, i)}
+		g.start()
+		f.set(func() { r.gateways = append(r.gateways, g) })
+	}
+}
+
+// farAway adds the network's delay each way.
+func farAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(oneWay)
+		rec := httptest.NewRecorder()
+		next.ServeHTTP(rec, r)
+		time.Sleep(oneWay)
+		for k, v := range rec.Header() {
+			w.Header()[k] = v
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	})
+}
+
+func (f *fleet) stop() {
+	for _, g := range f.all() {
+		g.stop()
+	}
+}
+
+func (f *fleet) all() []*gateway {
+	var out []*gateway
+	for _, r := range f.regions {
+		out = append(out, r.gateways...)
+	}
+	return out
+}
+
+// start starts the gateway with an empty blackboard.
+func (g *gateway) start() {
+	self := blackboard.Self{ID: g.id, Region: g.region.name, PeerAddress: g.id, Incarnation: time.Now().String()}
+	board := blackboard.New(self)
+	life := &tomb.Tomb{}
+	store := platform.NewHTTPStore("http://store", platform.Options{Dial: g.dialStore})
+	logger := log.New(io.Discard)
+	c := configsync.New(configsync.Config{Board: board, Store: store, Peers: g, Parse: parse, Log: logger})
+	peers := members.New(board, g, exchangeTick, nil, rendezvous.Weight(self.ID, self.Incarnation), logger)
+	g.fleet.set(func() { g.board, g.peers, g.life = board, peers, life })
+	life.Go(func() error { return c.Run(life) })
+	life.Go(func() error { return peers.Run(life) })
+	life.Go(func() error { return g.readList(board, life) })
+	life.Go(func() error { return g.observe(board, life) })
+}
+
+// readList tells the gateway of the listed ones every few seconds, as the
+// controller of the instance list does, unless its region is cut off.
+func (g *gateway) readList(board *blackboard.Board, life *tomb.Tomb) error {
+	view := membership.New(board)
+	for {
+		for _, other := range g.fleet.listed(g) {
+			if _, known := board.Peers.Get(other.ID); !known && other.ID != g.id {
+				view.MergePeer(other, false)
+			}
+		}
+		select {
+		case <-time.After(listTick):
+		case <-life.Dying():
+			return nil
+		}
+	}
+}
+
+// listed returns the gateways of the region and one of each other region.
+func (f *fleet) listed(g *gateway) []blackboard.PeerState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []blackboard.PeerState
+	if g.region.cutOff {
+		return nil
+	}
+	for _, r := range f.regions {
+		for i, other := range r.gateways {
+			if r == g.region || i == 0 {
+				self := other.board.Self
+				heard := time.Now().Add(-membership.SuspectAfter)
+				out = append(out, blackboard.PeerState{
+					ID: self.ID, Incarnation: self.Incarnation, Region: self.Region, Address: self.PeerAddress, Heard: heard,
+				})
+			}
+		}
+	}
+	return out
+}
+
+func (g *gateway) stop() {
+	g.life.Kill(nil)
+	_ = g.life.Wait()
+}
+
+func (g *gateway) dialStore(ctx context.Context, network, address string) (net.Conn, error) {
+	g.fleet.mu.Lock()
+	refused := g.noStore
+	g.fleet.mu.Unlock()
+	if refused {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
+	return g.region.listener.Dial(ctx, network, address)
+}
+
+// observe fails the test when the gateway's revision goes down, and notes how
+// long each revision took.
+func (g *gateway) observe(board *blackboard.Board, life *tomb.Tomb) error {
+	var last uint64
+	for {
+		state, changed := board.Intent.Watch()
+		if state.Revision < last {
+			g.fleet.t.Errorf("%s went from revision %d back to %d", g.id, last, state.Revision)
+		}
+		g.fleet.note(last, state.Revision)
+		if state.Revision > 0 {
+			board.Lifecycle.Set(blackboard.Serving)
+		}
+		last = state.Revision
+		select {
+		case <-changed:
+		case <-life.Dying():
+			return nil
+		}
+	}
+}
+
+func (f *fleet) note(from, to uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from == 0 {
+		return
+	}
+	for r := from + 1; r <= to; r++ {
+		f.took = append(f.took, time.Since(f.published[r]))
+	}
+}
+
+// parse is a parser that refuses files that say so.
+func parse(files []revision.File) (*intent.Intent, error) {
+	for _, f := range files {
+		if strings.Contains(string(f.Content), "invalid") {
+			return nil, &revision.InvalidError{Reason: f.Name}
+		}
+	}
+	return &intent.Intent{}, nil
+}
+
+// publish puts the next revision into the store.
+func (f *fleet) publish(contents ...string) uint64 {
+	f.mu.Lock()
+	f.revision++
+	next := f.revision
+	f.published[next] = time.Now()
+	f.mu.Unlock()
+	raw := f.write(next, f.parent, append(contents, fmt.Sprintf("file of revision %d", next))...)
+	f.parent = revision.Digest(raw)
+	return next
+}
+
+// write writes blobs and a head, whatever the store holds.
+func (f *fleet) write(rev uint64, parent string, contents ...string) []byte {
+	head := revision.Head{Revision: rev, ChangeID: fmt.Sprint("change-", rev), Parent: parent, At: time.Now()}
+	for i, content := range contents {
+		digest := revision.Digest([]byte(content))
+		head.Files = append(head.Files, revision.FileRef{Name: fmt.Sprintf("%02d.yaml", i), SHA256: digest})
+		_, err := f.store.Put(revision.BlobKey(digest), []byte(content), platform.PutOptions{})
+		require.NoError(f.t, err)
+	}
+	raw, err := head.Encode()
+	require.NoError(f.t, err)
+	_, err = f.store.Put(revision.HeadKey, raw, platform.PutOptions{})
+	require.NoError(f.t, err)
+	return raw
+}
+
+// requireInForce checks that the gateways hold the revision within the limit
+// from now, and returns how long the last one took.
+func (f *fleet) requireInForce(rev uint64, gateways []*gateway) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for {
+		missing := f.below(rev, gateways)
+		if len(missing) == 0 {
+			return time.Since(start)
+		}
+		if time.Since(start) > inForceLimit {
+			require.Empty(f.t, missing, "without revision %d after %s", rev, inForceLimit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *fleet) below(rev uint64, gateways []*gateway) []string {
+	var out []string
+	for _, g := range gateways {
+		if g.held() < rev {
+			out = append(out, fmt.Sprintf("%s at %d", g.id, g.held()))
+		}
+	}
+	return out
+}
+
+func (g *gateway) held() uint64 {
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
+	return g.board.Intent.Get().Revision
+}
+
+// set changes the fleet under its lock.
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// restart replaces the gateway by one with an empty blackboard.
+func (g *gateway) restart() {
+	g.stop()
+	time.Sleep(time.Second)
+	g.start()
+}
+
+// cutHolders cuts the region's holders from the store, but for one gateway.
+func (f *fleet) cutHolders(r *region) {
+	cut := 0
+	for _, g := range r.gateways {
+		if g.holdsWatch() && cut < len(r.gateways)-1 {
+			cut++
+			f.set(func() { g.noStore = true })
+		}
+	}
+	require.NoError(f.t, r.server.Faults.Set(fault.Setting{Kind: fault.Silent}))
+}
+
+// holdsWatch says whether the gateway is among its region's two holders.
+func (g *gateway) holdsWatch() bool {
+	var ids []string
+	for _, other := range g.region.gateways {
+		ids = append(ids, other.id)
+	}
+	return rendezvous.Owns(configsync.WatchKey, g.id, ids, configsync.WatchHolders)
+}
+
+func (f *fleet) calls() int64 {
+	var total int64
+	for _, r := range f.regions {
+		for _, n := range r.server.Calls().Calls {
+			total += n
+		}
+	}
+	return total
+}
+
+// logTimes logs the times from a publication to a gateway's adoption.
+func (f *fleet) logTimes() {
+	f.t.Logf("time to in force: p50 %s, p99 %s, max %s", f.quantile(0.5), f.quantile(0.99), f.quantile(1))
+}
+
+// quantile returns the q-quantile of the times to in force.
+func (f *fleet) quantile(q float64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.took) == 0 {
+		return 0
+	}
+	sort.Slice(f.took, func(i, j int) bool { return f.took[i] < f.took[j] })
+	return f.took[int(q*float64(len(f.took)-1))]
+}
+
+// errNoAnswer is what a peer's failure looks like.
+var errNoAnswer = errors.New("no answer")
+
+// FetchSnapshot implements configsync.PeerSource.
+func (g *gateway) FetchSnapshot(ctx context.Context, address string, minRevision uint64) ([]byte, error) {
+	return g.FetchDelta(ctx, address, minRevision, nil)
+}
+
+// FetchDelta implements configsync.DeltaSource.
+func (g *gateway) FetchDelta(ctx context.Context, address string, minRevision uint64, have []string) ([]byte, error) {
+	from, reachable := g.fleet.find(g, address)
+	if !reachable {
+		return nil, silence(ctx)
+	}
+	g.travel(from)
+	state := from.board.Intent.Get()
+	if state.Revision < minRevision && !from.spoil {
+		return nil, errNoAnswer
+	}
+	raw, err := revision.Reduce(state.Snapshot, have)
+	g.fleet.set(func() { g.fleet.peerBytes += len(raw) })
+	if from.spoil {
+		raw = bytes.ReplaceAll(raw, []byte(`"head"`), []byte(`"Head "`))
+	}
+	g.travel(from)
+	return raw, err
+}
+
+func (f *fleet) find(from *gateway, address string) (*gateway, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.all() {
+		if g.id == address {
+			far := g.region != from.region && (g.region.cutOff || from.region.cutOff)
+			return g, g.life.Alive() && !g.silentPeer && !from.silentPeer && !far
+		}
+	}
+	return nil, false
+}
+
+// Exchange implements members.Exchanger.
+func (g *gateway) Exchange(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, error) {
+	to, reachable := g.fleet.find(g, address)
+	if !reachable {
+		return peer.Exchange{}, silence(ctx)
+	}
+	g.travel(to)
+	if g.spoil {
+		msg.From.Revision += 1000
+	}
+	var handler *members.Controller
+	g.fleet.set(func() { g.fleet.exchanges++; handler = to.peers })
+	reply := handler.HandleExchange(msg)
+	g.travel(to)
+	return reply, nil
+}
+
+// silence is a call on a peer that doesn't answer.
+func silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(peerTimeout):
+		return errNoAnswer
+	}
+}
+
+// travel waits for the network's delay one way.
+func (g *gateway) travel(to *gateway) {
+	if to.region == g.region {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	time.Sleep(oneWay)
+}
--- a/internal/intent/publish/fake_test.go
+++ b/internal/intent/publish/fake_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,8 +22,10 @@
 // TestMain fixes the seed of the property tests. By hand, -rapid.seed=0 takes
 // a free one and -rapid.checks sets the number of histories.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
@@ -38,18 +43,26 @@
 	late
 	killBefore
 	killAfter
+	// killLate: the operator is killed, and the effect comes at a later step.
+	killLate
+	// outage: as late, and this run's further calls all fail.
+	outage
 )
 
-var faults = []fault{none, refused, lostRequest, lostAnswer, late, killBefore, killAfter}
+var faults = []fault{none, refused, lostRequest, lostAnswer, late, killBefore, killAfter, killLate, outage}
 
 func (f fault) String() string {
-	return [...]string{"none", "refused", "lost request", "lost answer", "late", "kill before", "kill after"}[f]
+	return [...]string{"none", "refused", "lost request", "lost answer", "late", "kill before", "kill after", "kill late", "outage"}[f]
 }
 
 // memory is the store's content. It is used by one goroutine at a time.
 type memory struct {
 	entries map[string]platform.Entry
 	heads   []revision.Head
+	// swapped says that the last write of the head took effect.
+	swapped bool
+	// met counts the faults that each step met.
+	met map[Step]map[fault]int
 }
 
 func newMemory() *memory { return &memory{entries: make(map[string]platform.Entry)} }
@@ -64,6 +77,9 @@
 
 func (m *memory) put(key string, value []byte, ifVersion *uint64) (platform.Entry, error) {
 	old := m.entries[key]
+	if key == revision.HeadKey {
+		m.swapped = ifVersion != nil && *ifVersion == old.Version
+	}
 	if ifVersion != nil && *ifVersion != old.Version {
 		return old, &platform.ConflictError{Key: key, Actual: old.Version}
 	}
@@ -99,11 +115,13 @@
 	mem   *memory
 	kill  context.CancelFunc
 	dead  bool
+	// down says that the store can't be reached any more.
+	down bool
 }
 
 func (c *client) call(key string, write bool, effect func() (platform.Entry, error)) (platform.Entry, error) {
-	if c.dead {
-		return platform.Entry{}, &platform.UnavailableError{Op: "dead", Cause: context.Canceled}
+	if c.dead || c.down {
+		return platform.Entry{}, &platform.UnavailableError{Op: "down", Cause: context.Canceled}
 	}
 	p := pendingCall{key: key, write: write, effect: effect, reply: make(chan reply)}
 	c.calls <- p
@@ -119,8 +137,20 @@
 	return c.call(key, true, func() (platform.Entry, error) { return c.mem.put(key, value, o.IfVersion) })
 }
 
+func (m *memory) note(p pendingCall, f fault) {
+	if m.met == nil {
+		return
+	}
+	step := m.stepOf(p)
+	if m.met[step] == nil {
+		m.met[step] = make(map[fault]int)
+	}
+	m.met[step][f]++
+}
+
 // serve answers p under the fault. It returns the effect that comes late.
 func (c *client) serve(p pendingCall, f fault) (later func()) {
+	c.mem.note(p, f)
 	lost := &platform.UnavailableError{Op: p.key, MaybeApplied: p.write, Cause: context.DeadlineExceeded}
 	switch f {
 	case none:
@@ -132,12 +162,13 @@
 		return nil
 	case lostAnswer, killAfter:
 		_, _ = p.effect()
-	case late:
+	case late, killLate, outage:
 		if p.write {
 			later = func() { _, _ = p.effect() }
 		}
 	}
-	if f == killBefore || f == killAfter {
+	c.down = f == outage
+	if f == killBefore || f == killAfter || f == killLate {
 		c.dead = true
 		c.kill()
 	}
@@ -145,6 +176,25 @@
 	return later
 }
 
+// stepOf tells which step of Apply a call is, by the content of the store.
+func (m *memory) stepOf(p pendingCall) Step {
+	switch {
+	case p.key == revision.HeadKey && p.write:
+		return StepSwapHead
+	case p.key == revision.HeadKey:
+		return StepReadHead
+	case strings.HasPrefix(p.key, revision.BlobPrefix) && p.write:
+		return StepWriteBlob
+	case strings.HasPrefix(p.key, revision.BlobPrefix):
+		return StepReadBlob
+	case !p.write:
+		return StepReadLog
+	case m.swapped:
+		return StepWriteOwnLog
+	}
+	return StepWriteParentLog
+}
+
 // applying is one running Apply.
 type applying struct {
 	*client
@@ -185,20 +235,21 @@
 	}
 }
 
-// run serves every call, with the fault at call number at (from 1), and
-// returns the number of calls.
-func (a *applying) run(at int, f fault) (calls int, later func()) {
+// script names the faults by the number of the call, from 1.
+type script map[int]fault
+
+// run serves every call by the script and returns the number of calls and the
+// effects that come late.
+func (a *applying) run(faults script) (calls int, later []func()) {
 	for {
 		p, ok := a.next()
 		if !ok {
 			return calls, later
 		}
 		calls++
-		if calls == at {
-			later = a.serve(p, f)
-			continue
+		if effect := a.serve(p, faults[calls]); effect != nil {
+			later = append(later, effect)
 		}
-		a.serve(p, none)
 	}
 }
 
@@ -237,12 +288,17 @@
 	return ch
 }
 
-// seeded returns a store that holds startFiles as revision 1.
-func seeded(t require.TestingT) (*memory, *Base) {
+// seed is a store that holds startFiles as revision 1.
+var seed = sync.OnceValue(func() *memory {
 	mem := newMemory()
-	a := startApply(mem, newChange("seed", startFiles(), nil))
-	a.run(0, none)
-	require.Equal(t, uint64(1), a.outcome.(Accepted).Revision)
+	startApply(mem, newChange("seed", startFiles(), nil)).run(nil)
+	return mem
+})
+
+// seeded returns a store of its own that holds startFiles as revision 1.
+func seeded(t require.TestingT) (*memory, *Base) {
+	mem := &memory{entries: maps.Clone(seed().entries), heads: slices.Clone(seed().heads)}
+	require.Len(t, mem.heads, 1)
 	return mem, &Base{Revision: 1, Files: Refs(startFiles())}
 }
 
@@ -276,7 +332,14 @@
 	return ids
 }
 
+// knownValid holds the lists of files that were found valid.
+var knownValid sync.Map
+
 func checkValid(t require.TestingT, mem *memory, h revision.Head) {
+	list := fmt.Sprint(h.Files)
+	if _, ok := knownValid.Load(list); ok {
+		return
+	}
 	var files []intent.File
 	for _, f := range h.Files {
 		e, ok := mem.entries[revision.BlobKey(f.SHA256)]
@@ -285,6 +348,7 @@
 	}
 	in, diags := intent.Parse(files)
 	require.NotNil(t, in, "revision %d is valid: %s", h.Revision, diags)
+	knownValid.Store(list, true)
 }
 
 func checkOwnChange(t require.TestingT, ch Change, before, after listing) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
 
 // Times of calls between gateways.
@@ -58,16 +60,27 @@
 	single *http.Client
 }
 
-// NewClient returns a client that signs with signer.
-func NewClient(signer *Signer) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that signs with signer and connects by dial; nil
+// dials TCP.
+func NewClient(signer *Signer, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         bounded,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 	}
 	single := &http.Transport{
-		DialContext:       dialer.DialContext,
+		DialContext:       bounded,
 		DisableKeepAlives: true,
 	}
 	return &Client{
@@ -119,6 +132,22 @@
 	return snapshot, err
 }
 
+// Announce tells the peer at address of large prefills.
+func (c *Client) Announce(ctx context.Context, address string, list []datastore.Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return c.postJSON(ctx, address, PathAnnounce, list, nil, MaxExchangeBytes)
+}
+
+// FetchEndpoints returns the endpoints of the region as the peer knows them.
+func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]Endpoint, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var out []Endpoint
+	err := c.postJSON(ctx, address, PathEndpoints, struct{}{}, &out, MaxEndpointsBytes)
+	return out, err
+}
+
 // Forward sends a caller's request on to the peer at address and returns the
 // answer as it comes. The call goes out on a connection of its own, so that
 // the transport never sends it twice.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -43,7 +43,7 @@
 		"previous": {"the-secret-before-it", true},
 		"foreign":  {"some-other-secret", false},
 	} {
-		client := NewClient(NewSigner("client", []string{c.secret}))
+		client := NewClient(NewSigner("client", []string{c.secret}), nil)
 		reply, err := client.Exchange(ctx, address, Exchange{From: Member{ID: "client", Beat: 4}})
 		if !c.ok {
 			var status *StatusError
@@ -76,7 +76,7 @@
 	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
 	require.Empty(t, *got)
 
-	client := NewClient(signer)
+	client := NewClient(signer, nil)
 	resp, err = client.Forward(context.Background(), address, http.MethodPost, "/v1/x", nil, Forward{Customer: "a"}, []byte("{}"))
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
@@ -84,7 +84,7 @@
 }
 
 func TestForwardTellsNotSentFromLost(t *testing.T) {
-	client := NewClient(NewSigner("client", []string{testSecret}))
+	client := NewClient(NewSigner("client", []string{testSecret}), nil)
 	_, err := client.Forward(context.Background(), "127.0.0.1:1", http.MethodPost, "/v1/x", nil, Forward{}, nil)
 	var notSent *NotSentError
 	require.True(t, errors.As(err, &notSent))
