--- a/internal/action/manager_test.go
+++ b/internal/action/manager_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -55,3 +59,148 @@
 	_, err = m.Do(t.Context(), call)
 	require.Equal(t, failure.CodeBadTicket, failure.AsRefusal(err).Code)
 }
+
+// dispatchFunc is a dispatcher made of a function.
+type dispatchFunc func(o action.Order) (action.Reply, error)
+
+func (f dispatchFunc) Dispatch(_ context.Context, o action.Order) (action.Reply, error) { return f(o) }
+
+// TestDispatcherIsNotTrusted: an order is committed once, and a dispatcher that
+// says that nothing was sent after a commit isn't believed.
+func TestDispatcherIsNotTrusted(t *testing.T) {
+	m := action.New(action.Config{Incarnation: "a", Dispatcher: dispatchFunc(func(o action.Order) (action.Reply, error) {
+		require.NoError(t, o.Commit())
+		var refused *action.CommitError
+		require.ErrorAs(t, o.Commit(), &refused)
+		return action.Reply{}, &action.NotSentError{Cause: refused}
+	})})
+	defer func() { require.NoError(t, m.Stop()) }()
+	tickets, err := m.Issue("c", 1)
+	require.NoError(t, err)
+	_, err = m.Do(t.Context(), action.Call{Customer: "c", Key: tickets.Key(tickets.First)})
+	require.Equal(t, failure.Unknown, failure.AsRefusal(err).Outcome)
+}
+
+// TestRefusalsOfTickets: a bad ticket gets a typed refusal and runs nothing.
+func TestRefusalsOfTickets(t *testing.T) {
+	d := &countingDispatcher{}
+	m := action.New(action.Config{Incarnation: "a", Dispatcher: d})
+	defer func() { require.NoError(t, m.Stop()) }()
+	tickets, err := m.Issue("c", 2)
+	require.NoError(t, err)
+	good := strings.Split(tickets.Key(tickets.First), ".")
+	forged := func(payload string) string {
+		return strings.Join([]string{good[0], base64.RawURLEncoding.EncodeToString([]byte(payload)), good[2], good[3]}, ".")
+	}
+	cases := map[string]struct {
+		key     string
+		code    failure.Code
+		outcome failure.Outcome
+	}{
+		"out of range":      {tickets.Key(3), failure.CodeBadTicket, failure.NotRun},
+		"no number":         {tickets.Token, failure.CodeBadTicket, failure.NotRun},
+		"negative number":   {tickets.Token + ".-1", failure.CodeBadTicket, failure.NotRun},
+		"padded number":     {tickets.Token + ".01", failure.CodeBadTicket, failure.NotRun},
+		"not base64":        {"t1.!.!.1", failure.CodeBadTicket, failure.NotRun},
+		"not a payload":     {forged("[]"), failure.CodeBadTicket, failure.NotRun},
+		"wider range":       {forged(`{"o":"a","c":"c","f":1,"l":9,"e":900000}`), failure.CodeBadTicket, failure.NotRun},
+		"another signature": {strings.Join([]string{good[0], good[1], "AAAA", good[3]}, "."), failure.CodeBadTicket, failure.NotRun},
+		"owner not known":   {forged(`{"o":"b","c":"c","f":1,"l":9,"e":900000}`), failure.CodeOwnerUnreachable, failure.Unknown},
+		"empty key":         {"", failure.CodeBadRequest, failure.NotRun},
+		"long key":          {strings.Repeat("x", 256), failure.CodeBadRequest, failure.NotRun},
+		"line break in key": {"a\nb", failure.CodeBadRequest, failure.NotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := m.Do(t.Context(), action.Call{Customer: "c", Key: c.key})
+			r := failure.AsRefusal(err)
+			require.Equal(t, c.code, r.Code)
+			require.Equal(t, c.outcome, r.Outcome)
+			_, err = m.Outcome(t.Context(), action.Query{Customer: "c", Key: c.key})
+			require.Equal(t, c.code, failure.AsRefusal(err).Code)
+		})
+	}
+	require.Empty(t, d.runs)
+}
+
+// TestMemoryIsBounded: when no record is free, a ticket is refused for good;
+// when even that can't be noted, the outcome told is unknown. Memory comes back.
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &countingDispatcher{}
+		limits := action.Limits{MaxRecords: 1, MaxVoids: 1, MaxKeptBytes: 4}
+		m := action.New(action.Config{Incarnation: "a", Dispatcher: d, Limits: limits})
+		defer func() { require.NoError(t, m.Stop()) }()
+		tickets, err := m.Issue("c", 4)
+		require.NoError(t, err)
+		do := func(n uint64) (action.Answer, error) {
+			return m.Do(t.Context(), action.Call{Customer: "c", Key: tickets.Key(n)})
+		}
+		first, err := do(1)
+		require.NoError(t, err)
+		require.NotEmpty(t, first.Body)
+		again, err := do(1)
+		require.NoError(t, err)
+		require.True(t, again.BodyDropped)
+		for range 2 {
+			_, err = do(2)
+			r := failure.AsRefusal(err)
+			require.Equal(t, failure.NotRun, r.Outcome)
+			require.True(t, action.IsTicket(r.Ticket))
+		}
+		_, err = do(3)
+		require.Equal(t, failure.Unknown, failure.AsRefusal(err).Outcome)
+
+		time.Sleep(time.Hour)
+		m.Sweep()
+		tickets, err = m.Issue("c", 1)
+		require.NoError(t, err)
+		_, err = do(tickets.First)
+		require.NoError(t, err)
+		require.Len(t, d.runs, 2)
+	})
+}
+
+// TestSealIsBounded: a seal over its limit forgets the oldest tickets and says
+// so; a seal survives its encoding.
+func TestSealIsBounded(t *testing.T) {
+	for _, limit := range []int{1 << 20, 400} {
+		d := &countingDispatcher{}
+		taken := make(chan action.Seal, 1)
+		m := action.New(action.Config{Incarnation: "a", Dispatcher: d, Limits: action.Limits{MaxSealBytes: limit}, Handover: takeSeal(taken)})
+		tickets, err := m.Issue("c", 256)
+		require.NoError(t, err)
+		for n := tickets.First; n <= tickets.Last; n += 2 {
+			_, err := m.Do(t.Context(), action.Call{Customer: "c", Key: tickets.Key(n)})
+			require.NoError(t, err)
+		}
+		require.True(t, m.Seal(t.Context(), time.Second).Peer)
+		require.NoError(t, m.Stop())
+		raw := (<-taken).Encode()
+		require.LessOrEqual(t, len(raw), limit)
+		seal, err := action.DecodeSeal(raw)
+		require.NoError(t, err)
+
+		other := action.New(action.Config{Incarnation: "b"})
+		other.Import(seal)
+		for n := tickets.First; n <= tickets.Last; n++ {
+			rec, err := other.Outcome(t.Context(), action.Query{Customer: "c", Key: tickets.Key(n)})
+			require.NoError(t, err)
+			want := []failure.Outcome{failure.NotRun, failure.Ran}[n%2]
+			if n < seal.Floor {
+				want = failure.Unknown
+			}
+			require.Equal(t, want, rec.Outcome, "ticket %d, floor %d", n, seal.Floor)
+		}
+		require.Equal(t, limit < 1<<20, seal.Floor > 0)
+		require.NoError(t, other.Stop())
+	}
+}
+
+// takeSeal is a handover that succeeds.
+type takeSeal chan action.Seal
+
+func (c takeSeal) Send(_ context.Context, s action.Seal) error {
+	c <- s
+	return nil
+}
--- a/internal/action/ports.go
+++ b/internal/action/ports.go
@@ -69,8 +69,9 @@
 	ForwardAction(ctx context.Context, incarnation string, c Call) (Answer, error)
 	// ForwardOutcome asks the incarnation for the outcome of a key.
 	ForwardOutcome(ctx context.Context, incarnation string, q Query) (Record, error)
-	// FindSeal asks the peers that may hold the seal of a stopped incarnation,
-	// SealHolders in the usual case. *PeerUnknownError means that none does.
+	// FindSeal asks the peers that may hold the seal of a stopped incarnation:
+	// the first of SealHolders, and some more than were given it, since peers
+	// have come since. *PeerUnknownError means that none does.
 	FindSeal(ctx context.Context, incarnation string) (Seal, error)
 }
 
