--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,6 +39,7 @@
 // App is one gateway process.
 type App struct {
 	settings *settings.Gateway
+	network  Network
 	logger   *log.Logger
 	board    *blackboard.Board
 	gateway  *gateway.Gateway
@@ -45,18 +47,38 @@
 	relay    *relay.Relay
 	peers    *peer.Client
 
+	exchange    *members.Controller
 	controllers []controller.Controller
 	callers     *http.Server
 	peerServer  *http.Server
 	admin       *http.Server
 
-	drain chan struct{}
-	tomb  tomb.Tomb
+	// closers close idle connections at the end.
+	closers []func()
+	drain   chan struct{}
+	tomb    tomb.Tomb
+}
+
+// Network is how a gateway listens and connects.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
 // New assembles a gateway. Nothing runs yet.
-func New(s *settings.Gateway, logger *log.Logger) *App {
-	a := &App{settings: s, logger: logger, drain: make(chan struct{}, 1)}
+func New(s *settings.Gateway, network Network, logger *log.Logger) *App {
+	a := &App{settings: s, network: network, logger: logger, drain: make(chan struct{}, 1)}
 	a.board = blackboard.New(blackboard.Self{
 		ID:            s.ID,
 		Incarnation:   gateway.NewIncarnation(s.Region, s.ID, uuid.NewString()[:13]),
@@ -66,8 +88,12 @@
 		CallerAddress: s.Advertise,
 	})
 	signer := peer.NewSigner(s.ID, s.PeerSecrets)
-	a.peers = peer.NewClient(signer)
-	store := platform.NewHTTPStore(s.StoreURL, platform.Options{})
+	a.peers = peer.NewClient(signer, network.Dial)
+	options := platform.Options{Dial: network.Dial}
+	store := platform.NewHTTPStore(s.StoreURL, options)
+	directory := platform.NewHTTPDirectory(s.DirectoryURL, options)
+	list := platform.NewHTTPInstanceList(s.InstancesURL, options)
+	a.closers = []func(){store.Close, directory.Close, list.Close, a.peers.CloseIdle}
 	data := datastore.New(datastore.Options{Region: s.Region, Health: datastore.DefaultHealthOptions()})
 	admission := admit.New(s.ID, admit.DefaultOptions())
 	dispatcher := dispatch.New(sched.New(sched.DefaultOptions()), data, admission)
@@ -88,17 +114,17 @@
 	})
 	a.actions = a.newActions(store)
 	a.gateway.Actions = a.actions
-	exchange := members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
+	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
-		register.New(register.Config{Board: a.board, Directory: platform.NewHTTPDirectory(s.DirectoryURL, platform.Options{}), Log: logger}),
-		endpoints.New(a.board, platform.NewHTTPInstanceList(s.InstancesURL, platform.Options{}), logger),
-		loadpoll.New(a.board, s.PollInterval, exchange.TellPeers),
+		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
+		endpoints.New(a.board, list, a.peers, logger),
+		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
-		exchange,
+		a.exchange,
 		dispatcher,
 	}
-	a.newServers(signer, exchange)
+	a.newServers(signer)
 	return a
 }
 
@@ -107,9 +133,10 @@
 		DialTimeout:       a.settings.DialTimeout,
 		FirstTokenTimeout: a.settings.FirstByteTimeout,
 		NextTokenTimeout:  a.settings.ChunkTimeout,
-		Budget:            gateway.Budget{Spend: admission.Retry},
+		Budget:            gateway.Budget{Admit: admission},
 		Observer:          gateway.Observer{Store: data},
 		Tracer:            telemetry.Tracer(),
+		Dial:              a.network.Dial,
 		Logger:            a.logger,
 	}
 }
@@ -144,10 +171,12 @@
 	case <-ctx.Done():
 	case <-a.drain:
 	case <-a.tomb.Dying():
+		a.close()
 		return a.tomb.Wait()
 	}
 	cut := a.shutdown(hurry)
 	a.tomb.Kill(nil)
+	a.close()
 	if err := a.tomb.Wait(); err != nil {
 		return err
 	}
@@ -158,25 +187,41 @@
 }
 
 // becomeReady turns the lifecycle from starting to serving once there is a
-// configuration.
+// configuration and the scheduler knows the region's endpoints. Without any
+// word of endpoints it serves after discoveryLimit, and refuses truthfully.
 func (a *App) becomeReady() error {
+	if !waitFor(&a.tomb, a.board.Intent, func(s blackboard.IntentState) bool { return s.Revision > 0 }, nil) {
+		return nil
+	}
+	waitFor(&a.tomb, a.board.Scheduled, func(known bool) bool { return known }, time.After(discoveryLimit))
+	a.board.Lifecycle.Update(func(old blackboard.Lifecycle) (blackboard.Lifecycle, bool) {
+		return blackboard.Serving, old == blackboard.Starting
+	})
+	a.logger.Info("serving", "revision", a.board.Intent.Get().Revision)
+	return nil
+}
+
+// waitFor waits until a value passes. It returns false when the tomb dies or
+// the limit passes first.
+func waitFor[T any](t *tomb.Tomb, v *blackboard.Value[T], pass func(T) bool, limit <-chan time.Time) bool {
 	for {
-		state, changed := a.board.Intent.Watch()
-		if state.Revision > 0 {
-			a.board.Lifecycle.Update(func(old blackboard.Lifecycle) (blackboard.Lifecycle, bool) {
-				return blackboard.Serving, old == blackboard.Starting
-			})
-			a.logger.Info("serving", "revision", state.Revision)
-			return nil
+		value, changed := v.Watch()
+		if pass(value) {
+			return true
 		}
 		select {
-		case <-a.tomb.Dying():
-			return nil
+		case <-t.Dying():
+			return false
+		case <-limit:
+			return false
 		case <-changed:
 		}
 	}
 }
 
+// discoveryLimit is the longest wait for word of the region's endpoints.
+const discoveryLimit = 5 * time.Second
+
 // settleTime is how long a stopping gateway still answers refusals after its
 // last request, so that callers who were told of it hear where to go.
 const settleTime = 500 * time.Millisecond
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -10,6 +10,21 @@
 	BiasCorrection bool
 	// PrefixAffinity counts cached prefixes in the estimate.
 	PrefixAffinity bool
+	// WorkWeight is the weight of a request's own prefill in the score beyond
+	// its part of the estimate: work that others have to wait for.
+	WorkWeight float64
+	// DeadlineFilter leaves out endpoints that can't answer in time while
+	// others can.
+	DeadlineFilter bool
+	// AwayAffinity counts the prefixes sent to another region as cached there.
+	AwayAffinity bool
+	// OwnMargin is what an endpoint of another gateway's must be better by.
+	OwnMargin time.Duration
+	// PriorityHeadroom is the part of an endpoint's places that the lowest
+	// priority may not use, 0 to 1.
+	PriorityHeadroom float64
+	// FreeRegionsOnly sends no request to a region without free places.
+	FreeRegionsOnly bool
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
@@ -19,6 +34,15 @@
 
 // DefaultOptions are the options in production.
 func DefaultOptions() Options {
+	return Options{
+		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
+		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true, AwayAffinity: true, OwnMargin: 80 * time.Millisecond,
+		PriorityHeadroom: 0.25, FreeRegionsOnly: true,
+	}
+}
+
+// PreviousOptions are the options of the version before, for comparison.
+func PreviousOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
 		SpreadTies: true, Hysteresis: true,
@@ -35,12 +59,13 @@
 // Decide chooses an endpoint or a region for req, or says to wait or to
 // refuse. rnd is a uniform draw that breaks ties.
 func (s *Scheduler) Decide(req *Request, v *View, rnd uint64) Decision {
-	local, full := s.bestLocal(req, v, rnd)
+	depth := s.depths(req, v)
+	local, full := s.bestLocal(req, v, depth, rnd)
 	if local != nil {
-		return s.localOrAway(req, v, local, rnd)
+		return s.localOrAway(req, v, local, s.awayDepths(depth), rnd)
 	}
 	if !full || withinAwayShare(v) {
-		if d, ok := s.awayOnly(req, v, rnd); ok {
+		if d, ok := s.awayOnly(req, v, s.awayDepths(depth), rnd); ok {
 			return d
 		}
 	}
@@ -49,19 +74,37 @@
 
 // bestLocal returns the picked endpoint of this region. full says that there
 // are endpoints but all are at their bound.
-func (s *Scheduler) bestLocal(req *Request, v *View, rnd uint64) (best *candidate, full bool) {
+func (s *Scheduler) bestLocal(req *Request, v *View, depth []int, rnd uint64) (best *candidate, full bool) {
 	if !req.PermittedRegions[v.Region] {
 		return nil, false
 	}
-	cs, full := s.candidates(req, v, rnd)
-	return pick(&s.opts, req, cs, rnd), full
+	cs, full := s.candidates(req, v, depth, rnd)
+	return pick(&s.opts, req, s.inTime(req, cs), rnd), full
+}
+
+// inTime returns the candidates that can answer by the deadline, or all of
+// them when none can.
+func (s *Scheduler) inTime(req *Request, cs []candidate) []candidate {
+	if !s.opts.DeadlineFilter {
+		return cs
+	}
+	n := 0
+	for i := range cs {
+		if !late(req, cs[i].ttft, decodeRate(cs[i].e)) {
+			cs[n], cs[i] = cs[i], cs[n]
+			n++
+		}
+	}
+	if n == 0 {
+		return cs
+	}
+	return cs[:n]
 }
 
 // candidates returns the endpoints that pass the filters, with estimates. When
 // no endpoint passes the health filters, ejected ones count as usable: the
 // last endpoint of a group is never ejected.
-func (s *Scheduler) candidates(req *Request, v *View, rnd uint64) (cs []candidate, full bool) {
-	depth := s.depths(req, v)
+func (s *Scheduler) candidates(req *Request, v *View, depth []int, rnd uint64) (cs []candidate, full bool) {
 	for _, healthy := range []bool{true, false} {
 		for _, group := range req.Groups {
 			gv, ok := v.Groups[group]
@@ -73,7 +116,7 @@
 				if !passes(fixedFilters, req, e, rnd) || healthy && !passes(healthFilters, req, e, rnd) {
 					continue
 				}
-				if !withinConcurrency(req, e, rnd) {
+				if !withinConcurrency(&s.opts, req, e) {
 					full = true
 					continue
 				}
@@ -96,13 +139,33 @@
 	return depth
 }
 
-func (s *Scheduler) score(req *Request, v *View, gv *GroupView, e *Endpoint, depth []int) candidate {
-	cached := 0
-	if e.Index < len(depth) {
-		cached = depth[e.Index] * BlockTokens
+// awayDepths are the depths that count for other regions.
+func (s *Scheduler) awayDepths(depth []int) []int {
+	if !s.opts.AwayAffinity {
+		return nil
+	}
+	return depth
+}
+
+// cachedAt returns the cached prompt tokens at a place of the prefix index.
+func cachedAt(depth []int, i int) int {
+	if i >= len(depth) {
+		return 0
 	}
+	return depth[i] * BlockTokens
+}
+
+func (s *Scheduler) score(req *Request, v *View, gv *GroupView, e *Endpoint, depth []int) candidate {
+	cached := cachedAt(depth, e.Index)
 	t := estimateLocal(&s.opts, req, e, v.Now, cached)
-	return candidate{e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens, score: t + costSeconds(v, req, gv.CostPerMillionTokens)}
+	work := float64(max(req.PromptTokens-cached, 1)) / prefillRate(e)
+	if !e.Own {
+		work += s.opts.OwnMargin.Seconds() / max(s.opts.WorkWeight, 1)
+	}
+	return candidate{
+		e: e, cached: cached, ttft: t, cost: gv.CostPerMillionTokens,
+		score: t + s.opts.WorkWeight*work + costSeconds(v, req, gv.CostPerMillionTokens),
+	}
 }
 
 // costSeconds converts a request's cost into seconds by the operators' weights.
@@ -114,11 +177,11 @@
 	return cost * v.Knobs.Cost / v.Knobs.TailLatency
 }
 
-func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, rnd uint64) Decision {
-	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), Reason: ReasonBest}
+func (s *Scheduler) localOrAway(req *Request, v *View, local *candidate, depth []int, rnd uint64) Decision {
+	serve := Decision{Kind: Serve, Endpoint: local.e.ID, EstimatedTTFT: seconds(local.ttft), CachedTokens: local.cached, Reason: ReasonBest}
 	if req.MovesLeft > 0 {
-		away := bestAway(req, v, rnd)
-		gain := local.score - away.ttft - costSeconds(v, req, away.cost)
+		away := bestAway(&s.opts, req, v, depth, rnd)
+		gain := local.ttft + costSeconds(v, req, local.cost) - away.ttft - costSeconds(v, req, away.cost)
 		if away.region != "" && gain > margin(&s.opts, v, v.Regions[away.region]) {
 			if withinAwayShare(v) {
 				return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonAway}
@@ -126,7 +189,7 @@
 			serve.Reason = ReasonAwayBudget
 		}
 	}
-	if late(req, serve.EstimatedTTFT) {
+	if late(req, local.ttft, decodeRate(local.e)) {
 		return Decision{Kind: Refuse, EstimatedTTFT: serve.EstimatedTTFT, Reason: ReasonDeadline}
 	}
 	return serve
@@ -135,12 +198,12 @@
 // awayOnly chooses a region when this one has no place for req. With no
 // endpoint here at all the share budget doesn't hold, since the alternative is
 // a refusal.
-func (s *Scheduler) awayOnly(req *Request, v *View, rnd uint64) (Decision, bool) {
+func (s *Scheduler) awayOnly(req *Request, v *View, depth []int, rnd uint64) (Decision, bool) {
 	if req.MovesLeft <= 0 {
 		return Decision{}, false
 	}
-	away := bestAway(req, v, rnd)
-	if away.region == "" || late(req, seconds(away.ttft)) {
+	away := bestAway(&s.opts, req, v, depth, rnd)
+	if away.region == "" || late(req, away.ttft, defaultDecodeRate) {
 		return Decision{}, false
 	}
 	return Decision{Kind: Away, Region: away.region, EstimatedTTFT: seconds(away.ttft), Reason: ReasonNoLocal}, true
@@ -156,8 +219,12 @@
 	return Decision{Kind: Refuse, Reason: ReasonNoEndpoint}
 }
 
-// late says that an answer whose first token takes d can't meet the deadline.
-// A request without a deadline is never late.
-func late(req *Request, d time.Duration) bool {
-	return req.Remaining > 0 && d > req.Remaining
+// late says that an answer whose first token takes ttft seconds and whose
+// other tokens come at rate can't be whole by the deadline. A request without
+// a deadline is never late.
+func late(req *Request, ttft, rate float64) bool {
+	if req.Remaining <= 0 {
+		return false
+	}
+	return ttft+float64(req.OutputTokens)/rate > req.Remaining.Seconds()
 }
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -24,13 +24,30 @@
 // Dial makes a connection. The network and the address are ignored.
 func (l *Listener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, server := net.Pipe()
+	if err := l.offer(ctx, server); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// offer hands the server's end of a connection to Accept.
+func (l *Listener) offer(ctx context.Context, server net.Conn) error {
 	select {
 	case l.conns <- server:
-		return client, nil
+		return nil
 	case <-l.done:
-		return nil, l.opError("dial", net.ErrClosed)
+		return l.opError("dial", net.ErrClosed)
 	case <-ctx.Done():
-		return nil, l.opError("dial", ctx.Err())
+		return l.opError("dial", ctx.Err())
+	}
+}
+
+func (l *Listener) closed() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
 	}
 }
 
