--- a/internal/relay/chunk.go
+++ b/internal/relay/chunk.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"unsafe"
 
 	"github.com/tidwall/gjson"
@@ -62,8 +63,7 @@
 			c.idStart = value.Index
 			c.idEnd = value.Index + len(value.Raw)
 		case "seq":
-			ok = !c.hasSeq && value.Type == gjson.Number && value.Num >= 0
-			c.Seq = value.Uint()
+			ok = !c.hasSeq && c.readSeq(value)
 			c.hasSeq = true
 		case "choices":
 			ok = !choices && c.readChoices(value)
@@ -76,6 +76,16 @@
 	return ok
 }
 
+// readSeq takes whole decimal numbers only.
+func (c *Chunk) readSeq(v gjson.Result) bool {
+	if v.Type != gjson.Number {
+		return false
+	}
+	n, err := strconv.ParseUint(v.Raw, 10, 64)
+	c.Seq = n
+	return err == nil
+}
+
 func (c *Chunk) readChoices(choices gjson.Result) bool {
 	if !choices.IsArray() {
 		return false
@@ -93,7 +103,7 @@
 	choice.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
 		case "finish_reason":
-			c.FinishReason = value.String()
+			c.FinishReason = value.Str
 		case "delta":
 			c.readDelta(value)
 		}
@@ -104,8 +114,8 @@
 func (c *Chunk) readDelta(delta gjson.Result) {
 	delta.ForEach(func(key, value gjson.Result) bool {
 		switch {
-		case key.Str == "content":
-			c.Content = value.String()
+		case key.Str == "content" && value.Type == gjson.String:
+			c.Content = value.Str
 		case key.Str != "role" && value.Type != gjson.Null:
 			c.opaque = true
 		}
--- a/internal/relay/fault_test.go
+++ b/internal/relay/fault_test.go
@@ -58,6 +58,11 @@
 	{"broken JSON", func(w *engineWriter) { w.chunks(faultAt); w.raw("data: {\"id\":%q,\"seq\":3,\n\n", w.id) }, ResultMalformed},
 	{"id given twice", func(w *engineWriter) { w.chunks(faultAt); w.raw("data: {\"id\":%q,\"id\":\"x\",\"seq\":3}\n\n", w.id) }, ResultMalformed},
 	{"no seq", func(w *engineWriter) { w.chunks(faultAt); w.raw("data: {\"id\":%q}\n\n", w.id) }, ResultMalformed},
+	{"half a seq", func(w *engineWriter) { w.chunks(faultAt); w.raw("data: {\"id\":%q,\"seq\":3.5}\n\n", w.id) }, ResultMalformed},
+	{"two choices", func(w *engineWriter) {
+		w.chunks(faultAt)
+		w.raw("data: {\"id\":%q,\"seq\":3,\"choices\":[{},{}]}\n\n", w.id)
+	}, ResultMalformed},
 	{"endless line", func(w *engineWriter) {
 		w.chunks(faultAt)
 		w.raw("data: %s", strings.Repeat("x", 2*DefaultMaxLine))
--- /dev/null
+++ b/internal/relay/trace_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/attribute"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// TestSpanForEachAttempt checks that each attempt has a span below the
+// caller's, that the endpoint gets that span's id, and that the span says how
+// the attempt ended.
+func TestSpanForEachAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spans := tracetest.NewSpanRecorder()
+		tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+		w := newWorld(t, Settings{Tracer: tracer})
+		defer w.close()
+		a := w.engine("a", func(w *engineWriter) { w.chunks(faultAt) })
+		b := w.engine("b", whole)
+		ctx, root := tracer.Start(context.Background(), "root")
+		_, _, err := w.chat(ctx)
+		require.NoError(t, err)
+		ended := spans.Ended()
+		require.Len(t, ended, 2)
+		for i, e := range []*fakeEngine{a, b} {
+			span := ended[i]
+			require.Equal(t, telemetry.SpanAttempt, span.Name())
+			require.Equal(t, root.SpanContext().SpanID(), span.Parent().SpanID())
+			parent := strings.Split(e.got[0].Header.Get("Traceparent"), "-")
+			require.Equal(t, root.SpanContext().TraceID().String(), parent[1])
+			require.Equal(t, span.SpanContext().SpanID().String(), parent[2])
+		}
+		require.Contains(t, ended[0].Attributes(), attribute.String("attempt.result", string(ResultTruncated)))
+		require.Contains(t, ended[1].Attributes(), attribute.Int64("attempt.next_seq", faultAt))
+	})
+}
