--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,229 @@
+// Package app assembles the gateway: it wires the parts, runs the controllers
+// and the listeners, and stops them gracefully.
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/admit"
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/controller"
+	"github.com/hickorystage/hickorystage/internal/controller/configsync"
+	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
+	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
+	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/controller/register"
+	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
+	"github.com/hickorystage/hickorystage/internal/dispatch"
+	"github.com/hickorystage/hickorystage/internal/gateway"
+	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/relay"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+	"github.com/hickorystage/hickorystage/internal/sched"
+	"github.com/hickorystage/hickorystage/internal/sched/datastore"
+	"github.com/hickorystage/hickorystage/internal/settings"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// App is one gateway process.
+type App struct {
+	settings *settings.Gateway
+	network  Network
+	logger   *log.Logger
+	board    *blackboard.Board
+	gateway  *gateway.Gateway
+	actions  *action.Manager
+	relay    *relay.Relay
+	peers    *peer.Client
+
+	exchange    *members.Controller
+	controllers []controller.Controller
+	callers     *http.Server
+	peerServer  *http.Server
+	admin       *http.Server
+
+	// closers close idle connections at the end.
+	closers []func()
+	drain   chan struct{}
+	tomb    tomb.Tomb
+}
+
+// Network is how a gateway listens and connects.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+// New assembles a gateway. Nothing runs yet.
+func New(s *settings.Gateway, network Network, logger *log.Logger) *App {
+	a := &App{settings: s, network: network, logger: logger, drain: make(chan struct{}, 1)}
+	a.board = blackboard.New(blackboard.Self{
+		ID:            s.ID,
+		Incarnation:   gateway.NewIncarnation(s.Region, s.ID, uuid.NewString()[:13]),
+		Region:        s.Region,
+		DataCentre:    s.DataCentre,
+		PeerAddress:   s.PeerAdvertise,
+		CallerAddress: s.Advertise,
+	})
+	signer := peer.NewSigner(s.ID, s.PeerSecrets)
+	a.peers = peer.NewClient(signer, network.Dial)
+	options := platform.Options{Dial: network.Dial}
+	store := platform.NewHTTPStore(s.StoreURL, options)
+	directory := platform.NewHTTPDirectory(s.DirectoryURL, options)
+	list := platform.NewHTTPInstanceList(s.InstancesURL, options)
+	a.closers = []func(){store.Close, directory.Close, list.Close, a.peers.CloseIdle}
+	data := datastore.New(datastore.Options{Region: s.Region, Health: datastore.DefaultHealthOptions()})
+	admission := admit.New(s.ID, admit.DefaultOptions())
+	dispatcher := dispatch.New(sched.New(sched.DefaultOptions()), data, admission)
+	a.relay = relay.New(a.relaySettings(data, admission))
+	a.gateway = gateway.New(gateway.Config{
+		Board:       a.board,
+		View:        membership.New(a.board),
+		Dispatcher:  dispatcher,
+		Store:       data,
+		Admit:       admission,
+		Relay:       a.relay,
+		Peers:       a.peers,
+		Logger:      logger,
+		AdminToken:  s.AdminToken,
+		MaxBody:     s.MaxBody,
+		BodyTimeout: s.BodyTimeout,
+		Drain:       a.Drain,
+	})
+	a.actions = a.newActions(store)
+	a.gateway.Actions = a.actions
+	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
+	a.controllers = []controller.Controller{
+		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
+		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
+		endpoints.New(a.board, list, a.peers, logger),
+		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
+		schedsync.New(a.board, data, admission),
+		a.exchange,
+		dispatcher,
+	}
+	a.newServers(signer)
+	return a
+}
+
+func (a *App) relaySettings(data *datastore.Store, admission *admit.Controller) relay.Settings {
+	return relay.Settings{
+		DialTimeout:       a.settings.DialTimeout,
+		FirstTokenTimeout: a.settings.FirstByteTimeout,
+		NextTokenTimeout:  a.settings.ChunkTimeout,
+		Budget:            gateway.Budget{Admit: admission},
+		Observer:          gateway.Observer{Store: data},
+		Tracer:            telemetry.Tracer(),
+		Dial:              a.network.Dial,
+		Logger:            a.logger,
+	}
+}
+
+// Board returns the blackboard, for tests and for the operators' API.
+func (a *App) Board() *blackboard.Board { return a.board }
+
+// Drain asks for a graceful shutdown.
+func (a *App) Drain() {
+	select {
+	case a.drain <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until the context ends or an operator asks for a drain, then
+// stops gracefully. hurry, once closed, ends a graceful shutdown sooner. The
+// error is nil when nothing in flight was cut off.
+func (a *App) Run(ctx context.Context, hurry <-chan struct{}) error {
+	listeners, err := a.listen()
+	if err != nil {
+		return err
+	}
+	a.serve(listeners)
+	for _, c := range a.controllers {
+		a.tomb.Go(func() error {
+			return errors.Wrapf(c.Run(&a.tomb), "controller %s", c.Name())
+		})
+	}
+	a.tomb.Go(a.becomeReady)
+	select {
+	case <-ctx.Done():
+	case <-a.drain:
+	case <-a.tomb.Dying():
+		return a.tomb.Wait()
+	}
+	cut := a.shutdown(hurry)
+	a.tomb.Kill(nil)
+	err = a.tomb.Wait()
+	for _, closeIdle := range a.closers {
+		closeIdle()
+	}
+	if err != nil {
+		return err
+	}
+	if cut > 0 {
+		return &CutOffError{Requests: cut}
+	}
+	return nil
+}
+
+// becomeReady turns the lifecycle from starting to serving once there is a
+// configuration and the scheduler knows the region's endpoints. Without any
+// word of endpoints it serves after discoveryLimit, and refuses truthfully.
+func (a *App) becomeReady() error {
+	if !waitFor(&a.tomb, a.board.Intent, func(s blackboard.IntentState) bool { return s.Revision > 0 }, nil) {
+		return nil
+	}
+	waitFor(&a.tomb, a.board.Scheduled, func(known bool) bool { return known }, time.After(discoveryLimit))
+	a.board.Lifecycle.Update(func(old blackboard.Lifecycle) (blackboard.Lifecycle, bool) {
+		return blackboard.Serving, old == blackboard.Starting
+	})
+	a.logger.Info("serving", "revision", a.board.Intent.Get().Revision)
+	return nil
+}
+
+// waitFor waits until a value passes. It returns false when the tomb dies or
+// the limit passes first.
+func waitFor[T any](t *tomb.Tomb, v *blackboard.Value[T], pass func(T) bool, limit <-chan time.Time) bool {
+	for {
+		value, changed := v.Watch()
+		if pass(value) {
+			return true
+		}
+		select {
+		case <-t.Dying():
+			return false
+		case <-limit:
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// discoveryLimit is the longest wait for word of the region's endpoints.
+const discoveryLimit = 5 * time.Second
+
+// settleTime is how long a stopping gateway still answers refusals after its
+// last request, so that callers who were told of it hear where to go.
+const settleTime = 500 * time.Millisecond
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -17,14 +17,11 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
-	"github.com/hickorystage/hickorystage/internal/rendezvous"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // Bounds on polling.
 const (
-	// pollers is the number of gateways that ask one endpoint.
-	pollers = 2
 	// maxPollsPerSecond bounds what one gateway spends on polling; with more
 	// endpoints to ask the interval grows.
 	maxPollsPerSecond = 8
@@ -56,15 +53,20 @@
 	onLeaving func()
 }
 
+// DialFunc makes a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns the controller. onLeaving is called at the first report that
-// says that an endpoint is leaving.
-func New(board *blackboard.Board, interval time.Duration, onLeaving func()) *Controller {
-	dialer := &net.Dialer{Timeout: pollTimeout}
+// says that an endpoint is leaving. A nil dial dials TCP.
+func New(board *blackboard.Board, interval time.Duration, onLeaving func(), dial DialFunc) *Controller {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &Controller{
 		board:     board,
 		view:      membership.New(board),
 		interval:  interval,
-		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
+		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dial}},
 		onLeaving: onLeaving,
 	}
 }
@@ -75,6 +77,7 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	defer c.client.CloseIdleConnections()
 	for {
 		asked := c.pollOnce(ctx)
 		select {
@@ -110,7 +113,7 @@
 	self := c.board.Self.ID
 	var out []blackboard.EndpointState
 	c.board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
-		if !e.Leaving && rendezvous.Owns("load/"+id, self, live, pollers) {
+		if !e.Leaving && membership.LoadPoll(id).HeldBy(self, live) {
 			out = append(out, e)
 		}
 		return true
@@ -126,7 +129,7 @@
 		c.client.CloseIdleConnections()
 		return
 	}
-	taken := c.view.MergeLoad(e.ID, incarnation, report)
+	taken := c.view.MergeLoad(e.ID, incarnation, report, true)
 	if taken && report.Leaving {
 		c.onLeaving()
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 )
 
@@ -12,7 +14,9 @@
 const (
 	PathExchange = "/peer/v1/exchange"
 	PathSnapshot = "/peer/v1/snapshot"
-	PathHandover = "/peer/v1/handover"
+	// PathEndpoints tells the endpoints of the region.
+	PathEndpoints = "/peer/v1/endpoints"
+	PathHandover  = "/peer/v1/handover"
 	// PathForward precedes the path of a forwarded caller's request.
 	PathForward = "/peer/v1/forward"
 )
@@ -29,17 +33,52 @@
 	Revision      uint64 `json:"rev"`
 	// Beat grows with each sign of life of this incarnation.
 	Beat uint64 `json:"beat"`
+	// Epoch grows each time this incarnation refutes a suspicion.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// AgeMillis is the time since the sender heard it.
 	AgeMillis int64 `json:"age_ms,omitempty"`
 }
 
-// Load is one endpoint's load as its poller saw it.
-type Load struct {
-	ID          string                `json:"id"`
-	Incarnation string                `json:"inc"`
-	Report      blackboard.LoadReport `json:"report"`
+// Suspect says that a gateway did not answer in the given epoch. The gateway
+// itself lifts the suspicion by beginning a later one.
+type Suspect struct {
+	ID    string `json:"id"`
+	Tag   uint32 `json:"tag"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Loads are the load reports of endpoints, in columns, one row for each.
+type Loads struct {
+	IDs        []string `json:"i,omitempty"`
+	Tags       []uint32 `json:"t,omitempty"`
+	AgesMillis []int64  `json:"a,omitempty"`
+	Running    []int    `json:"r,omitempty"`
+	Waiting    []int    `json:"w,omitempty"`
+	// QueuedPrefill is in tokens; the rates are in tokens a second.
+	QueuedPrefill []int `json:"q,omitempty"`
+	PrefillRate   []int `json:"p,omitempty"`
+	DecodeRate    []int `json:"d,omitempty"`
+	MaxBatch      []int `json:"m,omitempty"`
+	// KVPercent is the used share of the cache memory.
+	KVPercent []int `json:"k,omitempty"`
+}
+
+// Endpoint is one endpoint of the region as the instance list named it.
+type Endpoint struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"inc"`
+	Group       string `json:"group"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"dc"`
+	Address     string `json:"addr"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	// ListedMillis is the time since the list last named it.
+	ListedMillis int64 `json:"listed_ms"`
 }
 
+// Tag is the short hash of an incarnation id.
+func Tag(incarnation string) uint32 { return uint32(xxhash.Sum64String(incarnation)) }
+
 // Retired marks an incarnation of an endpoint or gateway that takes no new work.
 type Retired struct {
 	ID          string `json:"id"`
@@ -48,21 +87,59 @@
 }
 
 // Exchange is the soft state that two gateways tell each other. Its size is
-// bounded by MaxRows of each kind; nothing in it is agreed on.
+// bounded; nothing in it is agreed on.
 type Exchange struct {
-	From    Member                     `json:"from"`
-	Members []Member                   `json:"members,omitempty"`
-	Loads   []Load                     `json:"loads,omitempty"`
-	Retired []Retired                  `json:"retired,omitempty"`
-	Regions []blackboard.RegionSummary `json:"regions,omitempty"`
+	From Member `json:"from"`
+	// Digest sums up the gateways of the region that the sender knows; when it
+	// differs from the receiver's, they send each other their Members.
+	Digest   uint64                     `json:"digest"`
+	Members  []Member                   `json:"members,omitempty"`
+	Suspects []Suspect                  `json:"suspects,omitempty"`
+	Loads    Loads                      `json:"loads"`
+	Retired  []Retired                  `json:"retired,omitempty"`
+	Regions  []blackboard.RegionSummary `json:"regions,omitempty"`
+}
+
+// Sizes of an exchange on the wire, in bytes, that its pace is worked out from.
+const (
+	bytesFixed   = 800
+	bytesLoad    = 45
+	bytesRetired = 90
+	bytesRegion  = 700
+	// messagesPerInterval are an exchange's request and reply, sent and received.
+	messagesPerInterval = 4
+	// budgetPerSecond is what exchanges may take, sent and received together.
+	budgetPerSecond = 5000
+)
+
+// Pace returns the time until the next exchange that keeps exchanges like this
+// one within their budget of bytes, at least shortest.
+func (e Exchange) Pace(shortest time.Duration) time.Duration {
+	size := bytesFixed + bytesLoad*len(e.Loads.IDs) +
+		bytesRetired*len(e.Retired) + bytesRegion*len(e.Regions)
+	return max(shortest, time.Duration(size*messagesPerInterval)*time.Second/budgetPerSecond)
+}
+
+// SnapshotRequest asks for the configuration that a gateway holds.
+type SnapshotRequest struct {
+	MinRevision uint64 `json:"min"`
+	// Have lists the digests of contents that the answer may leave out.
+	Have []string `json:"have,omitempty"`
 }
 
 // Limits on one exchange.
 const (
-	// MaxRows bounds the rows of each kind in one exchange.
-	MaxRows = 32
+	// MaxLoads, MaxMembers, MaxSuspects, MaxRetired and MaxRegions bound the
+	// rows of an exchange.
+	MaxLoads    = 16
+	MaxMembers  = 200
+	MaxSuspects = 16
+	MaxRetired  = 16
+	MaxRegions  = 1
 	// MaxExchangeBytes bounds the body of one exchange.
 	MaxExchangeBytes = 64 << 10
+	// MaxEndpointsBytes bounds the list of a region's endpoints.
+	MaxEndpointsBytes = 1 << 20
 	// MaxSnapshotBytes bounds the snapshot of a configuration.
 	MaxSnapshotBytes = 8 << 20
 	// MaxForwardBytes bounds the body of a forwarded request.
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Close closes the idle connections. Calls under way go on.
+func (c *caller) Close() { c.transport.CloseIdleConnections() }
+
 func (o Options) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
 	defer cancel()
--- a/internal/sched/datastore/away.go
+++ b/internal/sched/datastore/away.go
@@ -50,6 +50,7 @@
 }
 
 type regionState struct {
+	index      int
 	summary    blackboard.RegionSummary
 	backAt     time.Time
 	link       decaying
@@ -67,7 +68,7 @@
 	defer a.mu.Unlock()
 	r, ok := a.regions[sum.Region]
 	if !ok {
-		r = &regionState{}
+		r = &regionState{index: s.layout.takeIndex()}
 		a.regions[sum.Region] = r
 	}
 	if ok && sum.Heard.Sub(r.summary.Heard) > lostAfter {
@@ -77,9 +78,14 @@
 	r.sentSince, r.sentTokens = 0, 0
 }
 
-// SentAway notes a request forwarded to another region, with the bytes that it
-// puts on the link.
+// SentAway is SentAwayPrefix for a request without a prefix.
 func (s *Store) SentAway(region string, promptTokens, bytes int, now time.Time) {
+	s.SentAwayPrefix(region, promptTokens, nil, bytes, now)
+}
+
+// SentAwayPrefix notes a request forwarded to another region, with the bytes
+// that it puts on the link. The prompt's blocks count as cached there.
+func (s *Store) SentAwayPrefix(region string, promptTokens int, prefix []uint64, bytes int, now time.Time) {
 	a := &s.away
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -93,6 +99,7 @@
 	r.last = now
 	r.sentSince++
 	r.sentTokens += promptTokens
+	s.cache.insert(prefix, r.index)
 }
 
 // SentLocal notes a caller's request that stays in this region, for the share
@@ -120,7 +127,7 @@
 
 func (r *regionState) view(name, own string, l *layoutSnapshot, now time.Time) *sched.RegionView {
 	rv := &sched.RegionView{
-		Region: name, Heard: r.summary.Heard, Link: linkTo(l.links, own, name),
+		Region: name, Index: r.index, Heard: r.summary.Heard, Link: linkTo(l.links, own, name),
 		LinkBytesPerSecond: r.link.value(linkWindow, now) / linkWindow.Seconds(),
 		SentSince:          r.sentSince, SentTokens: r.sentTokens,
 		Active:      !r.last.IsZero() && now.Sub(r.last) < activeWindow,
@@ -153,16 +160,16 @@
 
 // Summary sums up this region's groups for the other regions, by the corrected
 // loads.
-func (s *Store) Summary() map[string]blackboard.GroupSummary {
+func (s *Store) Summary(now time.Time) map[string]blackboard.GroupSummary {
 	l := s.layout.load()
 	out := make(map[string]blackboard.GroupSummary, len(l.groups))
 	for name, g := range l.groups {
-		out[name] = summarise(g)
+		out[name] = summarise(g, now)
 	}
 	return out
 }
 
-func summarise(g *sched.GroupView) blackboard.GroupSummary {
+func summarise(g *sched.GroupView, now time.Time) blackboard.GroupSummary {
 	var sum blackboard.GroupSummary
 	for _, slot := range g.Slots {
 		e := slot.Load()
@@ -172,9 +179,9 @@
 		sum.Endpoints++
 		sum.Running += e.Running
 		sum.Waiting += e.Waiting
-		sum.QueuedPrefillTokens += e.QueuedPrefillTokens
+		sum.QueuedPrefillTokens += int(e.Backlog(now))
 		sum.PrefillRate += e.PrefillRate
-		sum.FreeSlots += max(e.MaxBatch-e.Running-e.Waiting, 0)
+		sum.FreeSlots += max(e.MaxBatch-e.Occupancy(), 0)
 	}
 	return sum
 }
