standin: measure what a gateway adds to streams

Change: `standin load` holds streams open against the engine directly and through the gateway, in turns within one run; the engine's chunks carry the time of their sending. The engine waits for the instance list when it starts.

--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -84,7 +84,8 @@
 	return err
 }
 
-// register waits until the engine listens, then puts it on the list, if any.
+// register waits until the engine listens, then puts it on the list, if any,
+// which it waits for as well.
 func register(ctx context.Context, o engineOptions) (*engine.Registrar, error) {
 	if o.register == "" {
 		return nil, nil
@@ -95,7 +96,13 @@
 		return nil, err
 	}
 	list := &engine.Registrar{URL: o.register, Client: &http.Client{Timeout: registerTimeout}}
-	return list, list.Put(ctx, o.cfg.Instance)
+	for {
+		err := list.Put(ctx, o.cfg.Instance)
+		if err == nil || ctx.Err() != nil {
+			return list, err
+		}
+		time.Sleep(listenPoll)
+	}
 }
 
 // listenPoll is how often awaitListener tries.
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,6 +29,7 @@
 		serviceCommand(),
 		demoCommand(),
 		experimentCommand(),
+		loadCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
--- a/internal/standin/engine/write.go
+++ b/internal/standin/engine/write.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -76,7 +77,8 @@
 	return c.flush()
 }
 
-// build puts one event into the buffer.
+// build puts one event into the buffer. It carries the time of its sending, so
+// that a reader on the same machine can tell how long it took.
 func (c *chunkWriter) build(id string, seq int, final bool) {
 	b := append(c.buf[:0], `data: {"id":`...)
 	b = strconv.AppendQuote(b, id)
@@ -96,6 +98,8 @@
 		b = appendJSON(b, c.job.answer.Token(seq)+" ")
 		b = append(b, `},"finish_reason":null}]`...)
 	}
+	b = append(b, `,"sent_at_ns":`...)
+	b = strconv.AppendInt(b, time.Now().UnixNano(), 10)
 	c.buf = append(b, "}\n\n"...)
 }
 
