--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 	commands := []command{
 		storeCommand(),
 		directoryCommand(),
+		inforceCommand(),
 		registerCommand(),
 		engineCommand(),
 		serviceCommand(),
