--- a/internal/sched/pick.go
+++ b/internal/sched/pick.go
@@ -4,12 +4,6 @@
 // for rendezvous hashing; shorter prompts have no affinity.
 const affinityBlock = 15
 
-// Bounds of what counts as a tie with the best estimate.
-const (
-	tieRatio   = 1.10
-	tieSeconds = 0.010
-)
-
 // pick chooses among candidates with a draw. It returns nil for none.
 func pick(o *Options, req *Request, cs []candidate, rnd uint64) *candidate {
 	if len(cs) == 0 {
@@ -19,7 +13,7 @@
 	if !o.SpreadTies {
 		return best
 	}
-	limit := best.score*tieRatio + tieSeconds
+	limit := best.score*(1+o.TieShare) + o.TieMargin.Seconds()
 	if c := rendezvous(req, cs, limit); c != nil {
 		return c
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -28,6 +28,9 @@
 	// SpreadTies breaks ties by rendezvous and two random choices instead of
 	// taking the best.
 	SpreadTies bool
+	// TieShare and TieMargin are how far from the best score a tie reaches.
+	TieShare  float64
+	TieMargin time.Duration
 	// Hysteresis lowers the margin for a region in use.
 	Hysteresis bool
 }
@@ -38,6 +41,7 @@
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
 		SpreadTies: true, Hysteresis: true, WorkWeight: 2, DeadlineFilter: true, AwayAffinity: true, OwnMargin: 80 * time.Millisecond,
 		PriorityHeadroom: 0.25, FreeRegionsOnly: true,
+		TieMargin: 10 * time.Millisecond,
 	}
 }
 
@@ -45,7 +49,7 @@
 func PreviousOptions() Options {
 	return Options{
 		LagCorrection: true, BiasCorrection: true, PrefixAffinity: true,
-		SpreadTies: true, Hysteresis: true,
+		SpreadTies: true, Hysteresis: true, TieShare: 0.1, TieMargin: 10 * time.Millisecond,
 	}
 }
 
