--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -110,10 +110,18 @@
 	}, nil
 }
 
-// executeClaim claims the key, runs the call, and writes the outcome into the
-// claim.
+// executeClaim admits the call, claims its key, runs it, and writes the outcome
+// into the claim. Admission comes first, so that refused work costs no store
+// call; as the store isn't asked, the outcome of a refusal is unknown.
 func (m *Manager) executeClaim(ctx context.Context, c Call, k recordKey, rec *record, f *flight) {
 	m.at(ctx, StepReserve)
+	release, refused := m.admit(ctx, c, f)
+	if refused != nil {
+		m.records.finish(k, rec, &result{outcome: failure.Unknown, code: refused.Code, message: refused.Message})
+		m.forget(k, rec)
+		return
+	}
+	defer release()
 	found, err := m.claim(ctx, k, rec)
 	if err != nil {
 		m.abandonClaim(k, rec, err)
--- a/internal/action/history_test.go
+++ b/internal/action/history_test.go
@@ -95,15 +95,11 @@
 	steps := action.Steps()
 	h.faults = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) injection {
 		info := rapid.SampledFrom(steps).Draw(t, "step")
-		kinds := localFaults
-		if info.Remote {
-			kinds = remoteFaults
-		}
 		return injection{
 			node:  node.Draw(t, "node"),
 			step:  info.Step,
 			nth:   rapid.IntRange(1, 2).Draw(t, "nth"),
-			kind:  rapid.SampledFrom(kinds).Draw(t, "fault"),
+			kind:  rapid.SampledFrom(faultsAt(info)).Draw(t, "fault"),
 			lasts: rapid.SampledFrom(spans).Draw(t, "lasts"),
 		}
 	}), 0, 5).Draw(t, "faults")
--- a/internal/action/matrix_test.go
+++ b/internal/action/matrix_test.go
@@ -72,11 +72,7 @@
 		if !c.takes(info) {
 			continue
 		}
-		kinds := localFaults
-		if info.Remote {
-			kinds = remoteFaults
-		}
-		for _, kind := range kinds {
+		for _, kind := range faultsAt(info) {
 			for _, node := range []int{0, 1, 3} {
 				if node == 3 && info.Step != action.StepSealRead {
 					continue
--- a/internal/action/memstore_test.go
+++ b/internal/action/memstore_test.go
@@ -26,6 +26,33 @@
 	ends  time.Time
 }
 
+func newMemStore(w *world) *memStore {
+	return &memStore{w: w, items: map[string]*memItem{}, leases: map[string]time.Time{}}
+}
+
+// directStore is the store without network or faults.
+type directStore struct{ storeOf }
+
+func (s directStore) count() *memStore {
+	st := s.n.w.store
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.calls++
+	return st
+}
+
+func (s directStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	return s.count().get(key)
+}
+
+func (s directStore) Put(_ context.Context, key string, value []byte, opts platform.PutOptions) (platform.Entry, error) {
+	return s.count().put(key, value, opts)
+}
+
+func (s directStore) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	return s.count().grant(ttl), nil
+}
+
 // away makes the store refuse every call for d.
 func (s *memStore) away(d time.Duration) {
 	s.mu.Lock()
--- a/internal/action/run.go
+++ b/internal/action/run.go
@@ -21,10 +21,7 @@
 	}
 	var f *flight
 	if fresh {
-		f = m.launch(ctx, c, func(run context.Context, f *flight) {
-			m.at(run, StepReserve)
-			m.execute(run, c, k, rec, f)
-		})
+		f = m.launch(ctx, c, func(run context.Context, f *flight) { m.executeTicket(run, c, k, rec, f) })
 	}
 	return m.await(ctx, c, k, rec, f, WayTicket)
 }
@@ -100,7 +97,35 @@
 	return orDefault(c.Timeout, m.limits.DefaultTimeout)
 }
 
-// execute admits and dispatches a reserved record and ends it.
+// admit asks whether the action may run now, until the deadline of the caller
+// that began it. It returns the refusal, or the function that ends the run.
+func (m *Manager) admit(ctx context.Context, c Call, f *flight) (release func(), refused *failure.Refusal) {
+	m.at(ctx, StepAdmit)
+	if m.cfg.Admitter == nil {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.before)
+	defer cancel()
+	release, err := m.cfg.Admitter.AdmitAction(ctx, c)
+	if err != nil {
+		return nil, failure.AsRefusal(err)
+	}
+	return release, nil
+}
+
+// executeTicket admits and dispatches a ticket. A refusal ends the ticket.
+func (m *Manager) executeTicket(ctx context.Context, c Call, k recordKey, rec *record, f *flight) {
+	m.at(ctx, StepReserve)
+	release, refused := m.admit(ctx, c, f)
+	if refused != nil {
+		m.records.finish(k, rec, refusedResult(refused)).count()
+		return
+	}
+	defer release()
+	m.execute(ctx, c, k, rec, f)
+}
+
+// execute dispatches an admitted record and ends it.
 func (m *Manager) execute(ctx context.Context, c Call, k recordKey, rec *record, f *flight) {
 	res := m.dispatch(ctx, c, k, rec, f.before)
 	m.at(ctx, StepResult)
@@ -108,15 +133,8 @@
 	m.records.finish(k, rec, res).count()
 }
 
-// dispatch returns the result of one dispatch, or of its refusal.
+// dispatch returns the result of one dispatch.
 func (m *Manager) dispatch(ctx context.Context, c Call, k recordKey, rec *record, before time.Time) *result {
-	if m.cfg.Admitter != nil {
-		release, err := m.cfg.Admitter.AdmitAction(ctx, c)
-		if err != nil {
-			return refusedResult(failure.AsRefusal(err))
-		}
-		defer release()
-	}
 	reply, err := m.cfg.Dispatcher.Dispatch(ctx, Order{
 		Customer:    c.Customer,
 		Service:     c.Service,
--- a/internal/action/steps.go
+++ b/internal/action/steps.go
@@ -16,6 +16,8 @@
 	StepForward Step = "forward"
 	// StepReserve has made the record; nothing is sent yet.
 	StepReserve Step = "reserve"
+	// StepAdmit asks whether the action may run now.
+	StepAdmit Step = "admit"
 	// StepClaimWrite creates the claim in the store.
 	StepClaimWrite Step = "claim_write"
 	// StepClaimRead reads a claim.
@@ -61,6 +63,7 @@
 	return []StepInfo{
 		{Step: StepForward, Remote: true, Tickets: true},
 		{Step: StepReserve, Tickets: true, Claims: true},
+		{Step: StepAdmit, Tickets: true, Claims: true},
 		{Step: StepClaimWrite, Remote: true, Claims: true},
 		{Step: StepClaimRead, Remote: true, Claims: true},
 		{Step: StepClaimed, Claims: true},
--- a/internal/action/world_test.go
+++ b/internal/action/world_test.go
@@ -27,6 +27,7 @@
 	pauseAfter  faultKind = "paused after"
 	cutOff      faultKind = "cut off"
 	storeAway   faultKind = "store away"
+	refused     faultKind = "refused"
 )
 
 var (
@@ -34,6 +35,18 @@
 	localFaults  = []faultKind{killBefore, pauseBefore, cutOff, storeAway}
 )
 
+// faultsAt are the faults that can strike at a step.
+func faultsAt(info action.StepInfo) []faultKind {
+	switch {
+	case info.Remote:
+		return remoteFaults
+	case info.Step == action.StepAdmit:
+		return append([]faultKind{refused}, localFaults...)
+	default:
+		return localFaults
+	}
+}
+
 // injection is a fault at the nth time that a node takes a step.
 type injection struct {
 	node int
@@ -74,6 +87,7 @@
 	incarnation string
 	m           *action.Manager
 	dead        bool
+	refuses     bool
 	pausedUntil time.Time
 	cutUntil    time.Time
 }
@@ -95,7 +109,7 @@
 			ClaimTimeout: 2 * time.Second, StoreTimeout: giveUp, DefaultTimeout: time.Second, MaxRecords: 64, MaxVoids: 64,
 		},
 	}
-	w.store = &memStore{w: w, items: map[string]*memItem{}, leases: map[string]time.Time{}}
+	w.store = newMemStore(w)
 	for range nodes {
 		w.start()
 	}
@@ -114,6 +128,7 @@
 		Store:       storeOf{n: n},
 		Forwarder:   peersOf{n},
 		Handover:    peersOf{n},
+		Admitter:    admissionOf{n},
 		Observe:     n.observe,
 	})
 	w.nodes = append(w.nodes, n)
@@ -202,6 +217,19 @@
 	n.gate()
 }
 
+// admissionOf is a node's admission; it refuses when a fault says so.
+type admissionOf struct{ n *node }
+
+func (a admissionOf) AdmitAction(context.Context, action.Call) (func(), error) {
+	a.n.w.mu.Lock()
+	defer a.n.w.mu.Unlock()
+	if a.n.refuses {
+		a.n.refuses = false
+		return nil, failure.Refuse(failure.CodeLimited, "over the limit")
+	}
+	return func() {}, nil
+}
+
 // strike makes a fault of the process or its surroundings happen.
 func (n *node) strike(in injection) {
 	switch in.kind {
@@ -209,6 +237,8 @@
 		n.kill()
 	case pauseBefore, pauseAfter:
 		n.pause(in.lasts)
+	case refused:
+		n.set(func() { n.refuses = true })
 	case cutOff:
 		n.cut(in.lasts)
 	case storeAway:
