gateway: don't deny actions that ran

Cause: the gateway refused requests about actions as not_run before the key was looked up: at a stopping gateway, with an unknown API key, outside of the residency, and as an owner asked by a peer. A retry of an action that had run was told not_run so, and a stopping owner did not answer for its own records.

Change: a stopping gateway passes requests about actions to action.Manager, which refuses new ones and answers for used ones. Refusals before the look-up say unknown (action.Uncertain). A ticket of a region that is no longer permitted gives residency_not_permitted and unknown, not bad_ticket and not_run.

Not changed: an unknown service or call under a key is refused as not_run, which TestBadInputIsRefusedWithATypeAndTouchesNothing asks for. It is untrue only when the service was removed from the configuration after the action ran.

--- a/internal/action/result.go
+++ b/internal/action/result.go
@@ -158,3 +158,12 @@
 func keyReused(outcome failure.Outcome) *failure.Refusal {
 	return failure.New(failure.CodeKeyReused, outcome, "the key was used for another call; this one was not run, and the outcome is that of the first")
 }
+
+// Uncertain returns the refusal of a request about an action whose key was not
+// looked up. The request itself was not run, but an earlier one under its key
+// may have, so that the outcome of the action is unknown.
+func Uncertain(err error) *failure.Refusal {
+	r := *failure.AsRefusal(err)
+	r.Outcome = failure.Unknown
+	return &r
+}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -22,6 +22,9 @@
 	Body        string `json:"body,omitempty"`
 }
 
+// actionsPath starts the paths of requests about actions.
+const actionsPath = "/v1/actions/"
+
 // maxKeyBytes bounds an idempotency key.
 const maxKeyBytes = 1024
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
@@ -119,6 +120,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := requestID(r)
 		c, err := g.authenticate(w, r, id)
+		if err != nil && isAction(r) {
+			err = action.Uncertain(err)
+		}
 		if err != nil {
 			g.answer(w, id, r.Context(), c, err)
 			return
@@ -134,7 +138,7 @@
 		if attempt := r.Header.Get(relay.HeaderAttemptID); attempt != "" {
 			w.Header().Set(relay.HeaderAttemptID, attempt)
 		}
-		c, err := g.accept(fwd, body)
+		c, err := g.accept(fwd, body, false)
 		if err != nil {
 			g.answer(w, fwd.RequestID, r.Context(), nil, err)
 			return
@@ -188,7 +192,7 @@
 // gateway may serve the customer. With a refusal for residency it returns the
 // call as well, so that the caller can be told where to go.
 func (g *Gateway) authenticate(w http.ResponseWriter, r *http.Request, id string) (*call, error) {
-	state, err := g.ready()
+	state, err := g.ready(isAction(r))
 	if err != nil {
 		return nil, err
 	}
@@ -218,11 +222,16 @@
 	return c, err
 }
 
-// ready refuses while this gateway has no configuration or is stopping.
-func (g *Gateway) ready() (blackboard.IntentState, error) {
+// isAction says whether a request is about an action.
+func isAction(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, actionsPath) }
+
+// ready refuses while this gateway has no configuration or is stopping. A
+// stopping gateway still answers for the actions that it owns; action.Manager
+// refuses new ones.
+func (g *Gateway) ready(forAction bool) (blackboard.IntentState, error) {
 	state := g.Board.Intent.Get()
 	switch {
-	case g.Board.Lifecycle.Get() == blackboard.Draining:
+	case g.Board.Lifecycle.Get() == blackboard.Draining && !forAction:
 		return state, failure.Refuse(failure.CodeDraining, "this instance is stopping").WithRetryAfter(drainRetry)
 	case state.Intent == nil:
 		return state, failure.Refuse(failure.CodeNotReady, "this instance has no configuration yet").WithRetryAfter(drainRetry)
@@ -273,8 +282,8 @@
 
 // accept checks a request that another gateway sent on. Each side checks
 // residency by its own configuration, and the stricter answer wins.
-func (g *Gateway) accept(fwd peer.Forward, body []byte) (*call, error) {
-	state, err := g.ready()
+func (g *Gateway) accept(fwd peer.Forward, body []byte, forAction bool) (*call, error) {
+	state, err := g.ready(forAction)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -96,7 +96,7 @@
 	self := o.g.Board.Self
 	region := regionOf(incarnation)
 	if !c.permitted[region] {
-		return "", peer.Forward{}, failure.Refuse(failure.CodeBadTicket, "the ticket is of a region that may not process the customer's data")
+		return "", peer.Forward{}, failure.New(failure.CodeResidency, failure.Unknown, "the ticket is of a region that may not process the customer's data")
 	}
 	if p, ok := o.g.View.Owner(incarnation); ok {
 		return p.Address, c.forward(self.ID, 0, 0), nil
@@ -187,12 +187,12 @@
 func (g *Gateway) ownerRun(ctx context.Context, req peer.OwnerRequest) peer.OwnerReply {
 	g.inFlight.enter()
 	defer g.inFlight.leave()
-	c, err := g.accept(req.Forward, nil)
+	c, err := g.accept(req.Forward, nil, true)
 	if err == nil && (req.Call == nil || req.Call.Customer != c.customerName) {
 		err = failure.Refuse(failure.CodeBadRequest, "the call is not the customer's")
 	}
 	if err != nil {
-		return refusalReply(err)
+		return refusalReply(action.Uncertain(err))
 	}
 	a, err := g.Actions.Do(withCall(ctx, c), g.lastMove(*req.Call, c))
 	if err != nil {
@@ -209,12 +209,12 @@
 }
 
 func (g *Gateway) ownerOutcome(ctx context.Context, req peer.OwnerRequest) peer.OwnerReply {
-	c, err := g.accept(req.Forward, nil)
+	c, err := g.accept(req.Forward, nil, true)
 	if err == nil && (req.Query == nil || req.Query.Customer != c.customerName) {
 		err = failure.Refuse(failure.CodeBadRequest, "the query is not the customer's")
 	}
 	if err != nil {
-		return refusalReply(err)
+		return refusalReply(action.Uncertain(err))
 	}
 	q := *req.Query
 	q.Forwarded = c.ownerMoves() == 0
