--- a/internal/action/manager_test.go
+++ b/internal/action/manager_test.go
@@ -205,3 +205,49 @@
 	c <- s
 	return nil
 }
+
+// TestCustomersDoNotShareKeys: one own key of two customers is two actions.
+func TestCustomersDoNotShareKeys(t *testing.T) {
+	w := &world{over: make(chan struct{})}
+	w.store = newMemStore(w)
+	d := &countingDispatcher{}
+	m := action.New(action.Config{Incarnation: "a", Dispatcher: d, Store: directStore{storeOf{n: &node{w: w}}}})
+	defer func() { require.NoError(t, m.Stop()) }()
+	for _, c := range []string{"luftvard", "tuul"} {
+		a, err := m.Do(t.Context(), action.Call{Customer: c, Key: "order-1", Body: []byte(c)})
+		require.NoError(t, err)
+		require.False(t, a.Replayed)
+	}
+	require.Len(t, d.runs, 2)
+}
+
+// FuzzKey: no key that wasn't issued runs anything as a ticket.
+func FuzzKey(f *testing.F) {
+	d := &countingDispatcher{}
+	m := action.New(action.Config{Incarnation: "a", Dispatcher: d})
+	tickets, err := m.Issue("c", 2)
+	require.NoError(f, err)
+	f.Add(tickets.Token)
+	f.Add(tickets.Key(3))
+	f.Add("t1.e30.AAAA.0")
+	f.Fuzz(func(t *testing.T, key string) {
+		if !action.IsTicket(key) {
+			return
+		}
+		_, err := m.Do(t.Context(), action.Call{Customer: "d", Key: key})
+		require.Error(t, err)
+		require.Empty(t, d.runs)
+	})
+}
+
+// FuzzDecodeSeal: a seal from a peer or the store can be anything.
+func FuzzDecodeSeal(f *testing.F) {
+	f.Add(action.Seal{Incarnation: "a", Runs: []action.SealedRun{{First: 1, Count: 2, Outcome: failure.Ran}}}.Encode())
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if s, err := action.DecodeSeal(raw); err == nil {
+			_, err = action.DecodeSeal(s.Encode())
+			require.NoError(t, err)
+		}
+	})
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
 	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
 	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/controller/reaper"
 	"github.com/hickorystage/hickorystage/internal/controller/register"
 	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
 	"github.com/hickorystage/hickorystage/internal/dispatch"
@@ -125,6 +126,7 @@
 		schedsync.New(a.board, data, admission),
 		a.exchange,
 		announce.New(a.board, data, a.peers),
+		&reaper.Controller{Actions: a.actions, Board: a.board, Log: logger},
 		dispatcher,
 	}
 	a.newServers(signer)
