Back off between tries of a claim; end writes that can't succeed

Cause: a claim was retried every 50 ms for two seconds, up to 40 store calls an action while the store refuses for overload; and an outcome whose claim had been removed and claimed anew by another attempt stayed pending for good.

Change: the wait doubles with each try (six tries in two seconds at most); such an outcome is given up.

--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -144,18 +144,18 @@
 func (m *Manager) claim(ctx context.Context, k recordKey, rec *record) (*claimValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.limits.ClaimTimeout)
 	defer cancel()
-	for {
+	for wait := claimPause; ; wait *= 2 {
 		found, err := m.tryClaim(ctx, k, rec, claimValue{})
 		if err == nil {
 			return found, nil
 		}
-		if pause(ctx, claimPause) != nil {
+		if pause(ctx, wait) != nil {
 			return nil, err
 		}
 	}
 }
 
-// claimPause is the wait between two tries of a claim.
+// claimPause is the wait after the first try of a claim; it doubles with each.
 const claimPause = 50 * time.Millisecond
 
 // pause waits for d or the end of ctx.
--- a/internal/action/settle.go
+++ b/internal/action/settle.go
@@ -201,9 +201,15 @@
 		m.settled(k, rec, 0, res)
 		return true
 	}
-	if err != nil || found.Attempt != rec.attempt || found.Outcome == "" {
+	if err != nil {
+		return false
+	}
+	if found.Attempt == rec.attempt && found.Outcome == "" {
+		m.confirm(k, rec, entry.Version, false)
 		return false
 	}
+	// The store holds the outcome, or the claim was removed and the key claimed
+	// anew: either way there is nothing left to write.
 	m.settled(k, rec, entry.Version, res)
 	return true
 }
