action tests: use the stand-in's store

Cause: the tests had a key-value store of their own beside internal/standin/kv.

Conclusion: go test -race ./internal/action/... passes.

--- a/internal/action/bench_test.go
+++ b/internal/action/bench_test.go
@@ -99,9 +99,8 @@
 // BenchmarkDoClaim is one action under a caller's own key, with a store in
 // memory that counts its calls.
 func BenchmarkDoClaim(b *testing.B) {
-	w := &world{over: make(chan struct{})}
-	w.store = newMemStore(w)
-	m := benchManager(b.N, directStore{storeOf{n: &node{w: w}}})
+	store := newCountedStore()
+	m := benchManager(b.N, store)
 	defer func() { _ = m.Stop() }()
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -113,7 +112,7 @@
 	}
 	b.StopTimer()
 	m.Seal(context.Background(), 0)
-	b.ReportMetric(float64(w.store.calls)/float64(b.N), "store-calls/op")
+	b.ReportMetric(float64(store.calls.Load())/float64(b.N), "store-calls/op")
 }
 
 // BenchmarkSeal encodes a seal of 20,000 used tickets with no two neighbours.
--- a/internal/action/history_test.go
+++ b/internal/action/history_test.go
@@ -203,7 +203,7 @@
 	case cutEvent:
 		n.cut(e.lasts)
 	case awayEvent:
-		p.w.store.away(e.lasts)
+		p.w.takeStoreAway(e.lasts)
 	case stopEvent:
 		p.stop(n, e.lasts)
 	case startEvent:
--- a/internal/action/manager_test.go
+++ b/internal/action/manager_test.go
@@ -208,10 +208,8 @@
 
 // TestCustomersDoNotShareKeys: one own key of two customers is two actions.
 func TestCustomersDoNotShareKeys(t *testing.T) {
-	w := &world{over: make(chan struct{})}
-	w.store = newMemStore(w)
 	d := &countingDispatcher{}
-	m := action.New(action.Config{Incarnation: "a", Dispatcher: d, Store: directStore{storeOf{n: &node{w: w}}}})
+	m := action.New(action.Config{Incarnation: "a", Dispatcher: d, Store: newCountedStore()})
 	defer func() { require.NoError(t, m.Stop()) }()
 	for _, c := range []string{"luftvard", "tuul"} {
 		a, err := m.Do(t.Context(), action.Call{Customer: c, Key: "order-1", Body: []byte(c)})
--- a/internal/action/matrix_test.go
+++ b/internal/action/matrix_test.go
@@ -247,7 +247,7 @@
 // which goes by its lease or, without one, by the reaper.
 func TestReapClaims(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(2, []injection{{node: 0, step: action.StepCommit, nth: 1, kind: killBefore}, {node: 1, step: "grant", nth: 1, kind: requestLost}})
+		w := newWorld(2, []injection{{node: 0, step: action.StepCommit, nth: 1, kind: killBefore}, {node: 1, step: grantStep, nth: 1, kind: requestLost}})
 		defer w.end()
 		call := func(n int, key string) {
 			w.ask(w.nodes[n], time.Second, do(action.Call{Customer: customer, Key: key, RequestID: key}))
--- a/internal/action/world_test.go
+++ b/internal/action/world_test.go
@@ -74,7 +74,8 @@
 	fenced   map[string]bool
 	// checksFencing makes the service refuse an action's second delivery.
 	checksFencing bool
-	store         *memStore
+	store         *countedStore
+	storeAwayTill time.Time
 	over          chan struct{}
 	limits        action.Limits
 	running       sync.WaitGroup
@@ -104,12 +105,12 @@
 		executed: map[string]int{},
 		fenced:   map[string]bool{},
 		over:     make(chan struct{}),
+		store:    newCountedStore(),
 		limits: action.Limits{
 			TicketValidity: 30 * time.Second, Retention: 90 * time.Second, ClaimRetention: 5 * time.Second,
 			ClaimTimeout: 2 * time.Second, StoreTimeout: giveUp, DefaultTimeout: time.Second, MaxRecords: 64, MaxVoids: 64,
 		},
 	}
-	w.store = newMemStore(w)
 	for range nodes {
 		w.start()
 	}
@@ -125,7 +126,7 @@
 		Incarnation: n.incarnation,
 		Limits:      w.limits,
 		Dispatcher:  serviceOf{n},
-		Store:       storeOf{n: n},
+		Store:       storeOf{w.store, n},
 		Forwarder:   peersOf{n},
 		Handover:    peersOf{n},
 		Admitter:    admissionOf{n},
@@ -202,6 +203,19 @@
 	fn()
 }
 
+// takeStoreAway makes the store refuse every call for d.
+func (w *world) takeStoreAway(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeAwayTill = time.Now().Add(d)
+}
+
+func (w *world) storeIsAway() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.storeAwayTill)
+}
+
 // alone reports whether the node is cut off or dead.
 func (n *node) alone() bool {
 	n.w.mu.Lock()
@@ -242,7 +256,7 @@
 	case cutOff:
 		n.cut(in.lasts)
 	case storeAway:
-		n.w.store.away(in.lasts)
+		n.w.takeStoreAway(in.lasts)
 	}
 }
 
