--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -103,6 +103,23 @@
 	}
 }
 
+// under returns the call held to state as well, whose configuration may have
+// come while the request waited. What it permits can only narrow.
+func (c *call) under(state blackboard.IntentState) *call {
+	if state.Intent == nil || state.Revision == c.state.Revision {
+		return c
+	}
+	now := *c
+	now.state = state
+	now.permitted = make(map[string]bool)
+	for region := range state.Intent.PermittedRegions(c.customerName) {
+		if c.permitted[region] {
+			now.permitted[region] = true
+		}
+	}
+	return &now
+}
+
 // requestID returns the caller's request id, or a new one.
 func requestID(r *http.Request) string {
 	id := r.Header.Get(HeaderRequestID)
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -94,14 +94,18 @@
 // gateway of its region if the owner is not known here.
 func (o *Owners) way(incarnation string, c *call) (string, peer.Forward, error) {
 	self := o.g.Board.Self
+	c = c.under(o.g.Board.Intent.Get())
 	region := regionOf(incarnation)
 	if !c.permitted[region] {
 		return "", peer.Forward{}, failure.Refuse(failure.CodeBadTicket, "the ticket is of a region that may not process the customer's data")
 	}
+	if region != self.Region && c.regionMoves() == 0 {
+		return "", peer.Forward{}, &action.PeerUnknownError{Incarnation: incarnation}
+	}
 	if p, ok := o.g.View.Owner(incarnation); ok {
 		return p.Address, c.forward(self.ID, 0, 0), nil
 	}
-	if region == self.Region || c.regionMoves() == 0 {
+	if region == self.Region {
 		return "", peer.Forward{}, &action.PeerUnknownError{Incarnation: incarnation}
 	}
 	gateway, ok := o.g.gatewayOf(region, c, nil)
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -33,6 +33,7 @@
 func (p *picker) pick(ctx context.Context, tried map[string]bool) (relay.Target, error) {
 	p.req.Exclude = tried
 	p.req.Remaining = p.call.remaining()
+	p.refresh()
 	if p.moved {
 		p.req.MovesLeft = 0
 	}
@@ -47,6 +48,12 @@
 	}
 }
 
+// refresh holds the request to the configuration in force now.
+func (p *picker) refresh() {
+	p.call = p.call.under(p.g.Board.Intent.Get())
+	p.req.PermittedRegions = p.call.permitted
+}
+
 // decision returns the decision at hand or asks for another one.
 func (p *picker) decision(ctx context.Context) (sched.Decision, error) {
 	if p.next != nil {
@@ -65,11 +72,17 @@
 }
 
 // target returns where a decision leads. It returns false when the endpoint or
-// region has vanished since; the next decision then does without it.
+// region has vanished since, or when a newer configuration forbids the region;
+// the next decision then does without it.
 func (p *picker) target(d sched.Decision, tried map[string]bool) (relay.Target, bool) {
+	p.refresh()
 	if d.Kind == sched.Away {
 		return p.away(d.Region, tried)
 	}
+	if !p.call.permitted[p.g.Board.Self.Region] {
+		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
+		return relay.Target{}, false
+	}
 	e, ok := p.g.Board.Endpoints.Get(d.Endpoint)
 	if !ok {
 		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
@@ -81,6 +94,9 @@
 
 // away returns a gateway of another region, once for each request.
 func (p *picker) away(region string, tried map[string]bool) (relay.Target, bool) {
+	if !p.call.permitted[region] {
+		return relay.Target{}, false
+	}
 	p.moved = true
 	p.req.MovesLeft = 0
 	gateway, ok := p.g.gatewayOf(region, p.call, tried)
