--- /dev/null
+++ b/internal/app/docs_test.go
@@ -0,0 +1,46 @@
+package app
+
+import (
+	"expvar"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+const countersPage = "../../docs/operators/counters.md"
+
+// TestCountersPageIsComplete compares the operators' list of counters and
+// histograms with those that a gateway publishes, both ways.
+func TestCountersPageIsComplete(t *testing.T) {
+	var want []string
+	for _, c := range telemetry.Counters() {
+		require.NotEmpty(t, c.Unit, c.Name)
+		require.NotEmpty(t, c.Help, c.Name)
+		want = append(want, fmt.Sprintf("| `%s` | %s | %s |", c.Name, c.Unit, strings.TrimSuffix(c.Help, ".")))
+	}
+	expvar.Do(func(kv expvar.KeyValue) {
+		if _, ok := kv.Value.(*telemetry.Histogram); ok {
+			want = append(want, histogramRow(t, strings.TrimPrefix(kv.Key, "hickorystage.")))
+		}
+	})
+	raw, err := os.ReadFile(countersPage)
+	require.NoError(t, err)
+	rows := regexp.MustCompile("(?m)^\\| `.*\\|$").FindAllString(string(raw), -1)
+	require.ElementsMatch(t, want, rows)
+}
+
+// histogramRow is the page's row of a histogram; its meaning stands here.
+func histogramRow(t *testing.T, name string) string {
+	meanings := map[string]string{
+		"ttft":         "time from a caller's request to the first token sent to it",
+		"request_time": "time from a caller's request to the end of its answer",
+	}
+	require.Contains(t, meanings, name, "a histogram without a meaning")
+	return fmt.Sprintf("| `%s` | milliseconds | %s |", name, meanings[name])
+}
