--- a/internal/controller/reaper/reaper.go
+++ b/internal/controller/reaper/reaper.go
@@ -17,9 +17,9 @@
 )
 
 var (
-	removed = telemetry.NewCounter("reaper.claims_removed", "claims", "claims removed from the store after their time")
-	inDoubt = telemetry.NewCounter("reaper.claims_in_doubt", "claims", "claims over an hour old without an outcome, as last seen in this gateway's part of the store")
-	failed  = telemetry.NewCounter("reaper.failed", "rounds", "rounds over claims that the store did not answer")
+	removed = telemetry.NewCounter("reaper_claims_removed", "claims", "claims removed from the store after their time")
+	inDoubt = telemetry.NewCounter("reaper_claims_in_doubt", "claims", "claims over an hour old without an outcome, as last seen in this gateway's part of the store")
+	failed  = telemetry.NewCounter("reaper_failed", "rounds", "rounds over claims that the store did not answer")
 )
 
 const (
--- a/internal/gateway/residency_test.go
+++ b/internal/gateway/residency_test.go
@@ -199,7 +199,7 @@
 	f.mayAdopt(g)
 	self := g.Board.Self
 	ok := f.permits(g, self.Region) && f.permits(from, self.Region) && !slices.Contains(j.visited, self.ID)
-	c, err := g.accept(fwd, nil)
+	c, err := g.accept(fwd, nil, false)
 	if err == nil {
 		require.True(f.t, f.permits(g, self.Region), "accepted against the receiver's newest revision")
 		require.True(f.t, f.permits(from, self.Region), "accepted against the sender's newest revision")
