Send repeatable service calls to another permitted region

Cause: a region without an endpoint of a service refused its repeatable calls, though another permitted region had one. Change: the picker of service calls takes a gateway of another region as a target, once, in the order home region, then by name.

--- a/internal/app/regions_test.go
+++ b/internal/app/regions_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/standin/caller"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -44,6 +46,26 @@
 	})
 }
 
+func TestServiceCallGoesToAPermittedRegionOnly(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for _, region := range []string{norrland, gotaland} {
+			w.directory.DeleteInstance("booking-" + region)
+		}
+		time.Sleep(20 * time.Second)
+		ask := func(id, key string) *caller.Answer {
+			a, err := w.client(w.node(id), key).Do(context.Background(), http.MethodGet, "/v1/services/booking/bookings/slots?week=3", nil, nil)
+			require.NoError(t, err)
+			return a
+		}
+		a := ask("gw3-norrland", "demo-key-norrland")
+		require.Equal(t, http.StatusOK, a.Status, string(a.Body))
+		require.Contains(t, string(a.Body), "booking-svealand")
+		a = ask("gw5-gotaland", "demo-key-gotaland")
+		require.Equal(t, failure.CodeNoEndpoint, refusalOf(t, a).Type)
+		require.Equal(t, failure.NotRun, refusalOf(t, a).Outcome)
+	})
+}
+
 func TestResidencyHoldsWhenTheRegionFails(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.removeEngine(gotaland, "10.1.0.3:80")
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -73,17 +73,22 @@
 	for region := range c.permitted {
 		regions = append(regions, region)
 	}
+	var out []Entry
+	for _, region := range homeFirst(regions, c.customer.Home) {
+		out = append(out, ranked(c.customerName, g.regionEntries(region, now))...)
+	}
+	return out
+}
+
+// homeFirst orders regions by name, the home region before all.
+func homeFirst(regions []string, home string) []string {
 	sort.Slice(regions, func(i, j int) bool {
-		if home := c.customer.Home; (regions[i] == home) != (regions[j] == home) {
+		if (regions[i] == home) != (regions[j] == home) {
 			return regions[i] == home
 		}
 		return regions[i] < regions[j]
 	})
-	var out []Entry
-	for _, region := range regions {
-		out = append(out, ranked(c.customerName, g.regionEntries(region, now))...)
-	}
-	return out
+	return regions
 }
 
 // regionEntries returns the gateways of a region that are ready and stay.
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -103,18 +103,23 @@
 	if !ok {
 		return relay.Target{}, false
 	}
-	fwd := p.call.forward(p.g.Board.Self.ID, 0, 0)
+	return p.g.peerTarget(gateway, p.call, ""), true
+}
+
+// peerTarget is a gateway of another region as a target of the relay. prefix
+// precedes the path that the request has at an endpoint.
+func (g *Gateway) peerTarget(to Entry, c *call, prefix string) relay.Target {
 	return relay.Target{
-		ID:      gateway.Instance,
-		Region:  region,
-		Address: gateway.Address,
+		ID:      to.Instance,
+		Region:  to.Region,
+		Address: to.Address,
 		Header:  http.Header{},
 		Route: &relay.Route{
-			PathPrefix:    peer.PathForward,
+			PathPrefix:    peer.PathForward + prefix,
 			HeaderTimeout: awayHeaderTimeout,
-			Prepare:       p.g.Peers.Prepare(fwd),
+			Prepare:       g.Peers.Prepare(c.forward(g.Board.Self.ID, 0, 0)),
 		},
-	}, true
+	}
 }
 
 // gatewayOf returns the peer address of a gateway of region that has not been
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -41,7 +41,7 @@
 		Path:      path,
 		Header:    header,
 		Body:      c.body,
-	}, g.servicePicker(spec.Group))
+	}, (&servicePicker{g: g, call: c, service: name, group: spec.Group}).pick)
 	if err != nil {
 		return err
 	}
@@ -62,17 +62,53 @@
 	return false
 }
 
-// servicePicker chooses among a group's endpoints of this region at random.
-func (g *Gateway) servicePicker(group string) relay.Picker {
-	return func(_ context.Context, tried map[string]bool) (relay.Target, error) {
-		e, ok := g.serviceEndpoint(group, tried)
-		if !ok {
-			return relay.Target{}, noEndpoint(group)
-		}
+// servicePicker finds places for one call of a plain service: an endpoint of
+// this region, or, when there is none, once a gateway of another permitted
+// region that has one.
+type servicePicker struct {
+	g       *Gateway
+	call    *call
+	service string
+	group   string
+	moved   bool
+}
+
+// pick implements relay.Picker.
+func (p *servicePicker) pick(_ context.Context, tried map[string]bool) (relay.Target, error) {
+	p.call = p.call.under(p.g.Board.Intent.Get())
+	if !p.call.permitted[p.g.Board.Self.Region] {
+		return relay.Target{}, failure.Refuse(failure.CodeResidency, "this region may not process the customer's data")
+	}
+	if e, ok := p.g.serviceEndpoint(p.group, tried); ok {
 		return relay.Target{ID: e.ID, Group: e.Group, Region: e.Region, Address: e.Address}, nil
 	}
+	if p.moved || p.call.regionMoves() == 0 {
+		return relay.Target{}, noEndpoint(p.group)
+	}
+	p.moved = true
+	for _, region := range p.g.regionsWith(p.group, p.call) {
+		if to, ok := p.g.gatewayOf(region, p.call, tried); ok {
+			return p.g.peerTarget(to, p.call, servicesPrefix+p.service), nil
+		}
+	}
+	return relay.Target{}, noEndpoint(p.group)
+}
+
+// regionsWith returns the other permitted regions that have endpoints of a
+// group, the home region first, then by name.
+func (g *Gateway) regionsWith(group string, c *call) []string {
+	var regions []string
+	g.Board.Regions.Range(func(region string, s blackboard.RegionSummary) bool {
+		if c.permitted[region] && s.Groups[group].Endpoints > 0 {
+			regions = append(regions, region)
+		}
+		return true
+	})
+	return homeFirst(regions, c.customer.Home)
 }
 
+// serviceEndpoint returns one of a group's endpoints of this region that stay,
+// at random.
 func (g *Gateway) serviceEndpoint(group string, tried map[string]bool) (blackboard.EndpointState, bool) {
 	var usable []blackboard.EndpointState
 	g.Board.Endpoints.Range(func(id string, e blackboard.EndpointState) bool {
