--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -49,6 +49,9 @@
 	if err := experiment.WriteTable(os.Stdout, figures); err != nil {
 		return err
 	}
+	if err := experiment.WriteGoals(os.Stdout, figures); err != nil {
+		return err
+	}
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return errors.Wrap(err, "make the output folder")
 	}
