--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,11 +24,13 @@
 	commands := []command{
 		storeCommand(),
 		directoryCommand(),
+		inforceCommand(),
 		registerCommand(),
 		engineCommand(),
 		serviceCommand(),
 		demoCommand(),
 		experimentCommand(),
+		loadCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
 	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
 	"github.com/hickorystage/hickorystage/internal/controller/members"
+	"github.com/hickorystage/hickorystage/internal/controller/reaper"
 	"github.com/hickorystage/hickorystage/internal/controller/register"
 	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
 	"github.com/hickorystage/hickorystage/internal/dispatch"
@@ -118,13 +119,14 @@
 	a.exchange = members.New(a.board, a.peers, s.ExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.exchange.ShareDemand(admission)
 	a.controllers = []controller.Controller{
-		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: parseIntent, Log: logger}),
+		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: newIntentParser(), Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
 		endpoints.New(a.board, list, a.peers, logger),
 		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
 		a.exchange,
 		announce.New(a.board, data, a.peers),
+		&reaper.Controller{Actions: a.actions, Board: a.board, Log: logger},
 		dispatcher,
 	}
 	a.newServers(signer)
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -22,6 +22,7 @@
 	g    *Gateway
 	call *call
 	req  *sched.Request
+	item admit.Item
 	// next is a decision not yet used.
 	next *sched.Decision
 	// moved says that the request has used its move to another region.
@@ -29,14 +30,15 @@
 }
 
 // pick implements relay.Picker.
-func (p *picker) pick(_ context.Context, tried map[string]bool) (relay.Target, error) {
+func (p *picker) pick(ctx context.Context, tried map[string]bool) (relay.Target, error) {
 	p.req.Exclude = tried
 	p.req.Remaining = p.call.remaining()
+	p.refresh()
 	if p.moved {
 		p.req.MovesLeft = 0
 	}
 	for {
-		decision, err := p.decision()
+		decision, err := p.decision(ctx)
 		if err != nil {
 			return relay.Target{}, err
 		}
@@ -46,14 +48,20 @@
 	}
 }
 
+// refresh holds the request to the configuration in force now.
+func (p *picker) refresh() {
+	p.call = p.call.under(p.g.Board.Intent.Get())
+	p.req.PermittedRegions = p.call.permitted
+}
+
 // decision returns the decision at hand or asks for another one.
-func (p *picker) decision() (sched.Decision, error) {
+func (p *picker) decision(ctx context.Context) (sched.Decision, error) {
 	if p.next != nil {
 		d := *p.next
 		p.next = nil
 		return d, nil
 	}
-	return p.g.Dispatcher.Retry(p.req)
+	return p.g.Dispatcher.Retry(ctx, p.item, p.req)
 }
 
 // close gives back a decision that no attempt has used.
@@ -64,11 +72,17 @@
 }
 
 // target returns where a decision leads. It returns false when the endpoint or
-// region has vanished since; the next decision then does without it.
+// region has vanished since, or when a newer configuration forbids the region;
+// the next decision then does without it.
 func (p *picker) target(d sched.Decision, tried map[string]bool) (relay.Target, bool) {
+	p.refresh()
 	if d.Kind == sched.Away {
 		return p.away(d.Region, tried)
 	}
+	if !p.call.permitted[p.g.Board.Self.Region] {
+		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
+		return relay.Target{}, false
+	}
 	e, ok := p.g.Board.Endpoints.Get(d.Endpoint)
 	if !ok {
 		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
@@ -80,6 +94,9 @@
 
 // away returns a gateway of another region, once for each request.
 func (p *picker) away(region string, tried map[string]bool) (relay.Target, bool) {
+	if !p.call.permitted[region] {
+		return relay.Target{}, false
+	}
 	p.moved = true
 	p.req.MovesLeft = 0
 	gateway, ok := p.g.gatewayOf(region, p.call, tried)
--- a/internal/relay/chunk.go
+++ b/internal/relay/chunk.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"unsafe"
 
 	"github.com/tidwall/gjson"
@@ -26,6 +27,10 @@
 	// opaque says that the chunk adds something else than text, which a
 	// resumed answer could not go on from.
 	opaque bool
+	// broken says that a field breaks the protocol; failed is the endpoint's
+	// message if it sent an error object.
+	broken bool
+	failed string
 }
 
 // view returns b as a string without a copy; b must not change while the
@@ -42,7 +47,10 @@
 	if !root.IsObject() {
 		return &MalformedError{Reason: "chunk is not an object"}
 	}
-	if !c.readFields(root) {
+	if c.readFields(root); c.failed != "" {
+		return &StreamError{Message: c.failed}
+	}
+	if c.broken {
 		return &MalformedError{Reason: "a field stands twice or has a wrong type"}
 	}
 	if c.idEnd == 0 || !c.hasSeq {
@@ -51,19 +59,20 @@
 	return nil
 }
 
-func (c *Chunk) readFields(root gjson.Result) bool {
-	ok := true
+func (c *Chunk) readFields(root gjson.Result) {
 	choices := false
 	root.ForEach(func(key, value gjson.Result) bool {
+		ok := true
 		switch key.Str {
+		case "error":
+			c.readError(value)
 		case "id":
 			ok = c.idEnd == 0 && value.Type == gjson.String
 			c.id = value.Str
 			c.idStart = value.Index
 			c.idEnd = value.Index + len(value.Raw)
 		case "seq":
-			ok = !c.hasSeq && value.Type == gjson.Number && value.Num >= 0
-			c.Seq = value.Uint()
+			ok = !c.hasSeq && c.readSeq(value)
 			c.hasSeq = true
 		case "choices":
 			ok = !choices && c.readChoices(value)
@@ -71,9 +80,26 @@
 		case "usage":
 			c.Usage = readUsage(value)
 		}
+		c.broken = !ok
 		return ok
 	})
-	return ok
+}
+
+// readError notes an error object in place of a chunk.
+func (c *Chunk) readError(v gjson.Result) {
+	if v.IsObject() {
+		c.failed = "error: " + v.Get("message").String()
+	}
+}
+
+// readSeq takes whole decimal numbers only.
+func (c *Chunk) readSeq(v gjson.Result) bool {
+	if v.Type != gjson.Number {
+		return false
+	}
+	n, err := strconv.ParseUint(v.Raw, 10, 64)
+	c.Seq = n
+	return err == nil
 }
 
 func (c *Chunk) readChoices(choices gjson.Result) bool {
@@ -93,7 +119,7 @@
 	choice.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
 		case "finish_reason":
-			c.FinishReason = value.String()
+			c.FinishReason = value.Str
 		case "delta":
 			c.readDelta(value)
 		}
@@ -104,8 +130,8 @@
 func (c *Chunk) readDelta(delta gjson.Result) {
 	delta.ForEach(func(key, value gjson.Result) bool {
 		switch {
-		case key.Str == "content":
-			c.Content = value.String()
+		case key.Str == "content" && value.Type == gjson.String:
+			c.Content = value.Str
 		case key.Str != "role" && value.Type != gjson.Null:
 			c.opaque = true
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,14 +6,13 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tidwall/gjson"
 )
 
 // DefaultMaxLine bounds one line of a stream, in bytes.
 const DefaultMaxLine = 256 << 10
 
 // streamBufferBytes is the size of a stream reader's buffer.
-const streamBufferBytes = 4 << 10
+const streamBufferBytes = 1 << 10
 
 // eventKind is the kind of one event of a stream.
 type eventKind int
@@ -83,9 +82,6 @@
 	if bytes.Equal(data, doneMark) {
 		return eventDone, nil, nil
 	}
-	if gjson.GetBytes(data, "error").IsObject() {
-		return eventError, data, nil
-	}
 	return eventChunk, data, nil
 }
 
