--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,7 +141,7 @@
 		}
 	case sched.Away:
 		sentAway.Inc()
-		d.store.SentAway(decision.Region, req.PromptTokens, req.OutputBytes, now)
+		d.store.SentAwayPrefix(decision.Region, req.PromptTokens, req.Prefix, req.OutputBytes, now)
 	case sched.Wait, sched.Refuse:
 	}
 	return decision
