standin: a crossed chunk carries another answer's text

Cause: with the check of chunk ids switched off, the property test of the relay still passed: the stand-in sent the right text under a wrong id. Change: crossed and late chunks carry the text of another answer.

--- a/internal/standin/engine/write.go
+++ b/internal/standin/engine/write.go
@@ -43,9 +43,9 @@
 func (c *chunkWriter) faulty(kind ChunkFaultKind, seq int, final bool) error {
 	switch kind {
 	case ChunkCross:
-		return c.send(c.job.id+"-other", seq, final)
+		return c.sendOther(c.job.id+"-other", seq, final)
 	case ChunkLate:
-		if err := c.send(c.server.previousTo(c.job.id), seq, final); err != nil {
+		if err := c.sendOther(c.server.previousTo(c.job.id), seq, final); err != nil {
 			return err
 		}
 	case ChunkRepeat:
@@ -77,6 +77,14 @@
 	return c.flush()
 }
 
+// sendOther sends a chunk of another answer.
+func (c *chunkWriter) sendOther(id string, seq int, final bool) error {
+	own := c.job.answer
+	defer func() { c.job.answer = own }()
+	c.job.answer = NewAnswer([]byte(id), own.Length)
+	return c.send(id, seq, final)
+}
+
 // build puts one event into the buffer. It carries the time of its sending, so
 // that a reader on the same machine can tell how long it took.
 func (c *chunkWriter) build(id string, seq int, final bool) {
