standin: count tokens where they are made, and test the engine

Cause: with cancellation kept from the modelled engine, its tests still passed: tokens were counted when they were sent, not when they were made. Change: the model and the fixed pace count them; tests of resume, cancel, fencing and leaving. It fails when Leave doesn't wait, when a cancel doesn't reach the model, when the text to resume from isn't compared, and when fencing numbers aren't.

--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -124,7 +124,6 @@
 		if !token {
 			break
 		}
-		s.stats.token(j.id)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(w).Encode(j.document()) == nil
@@ -143,9 +142,6 @@
 		if err != nil {
 			return false
 		}
-		if token {
-			s.stats.token(j.id)
-		}
 		err = out.chunk(seq, !token)
 		if errors.Is(err, errEnded) {
 			return true
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,163 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/standin/directory"
+	"github.com/hickorystage/hickorystage/internal/standin/engine"
+	"github.com/hickorystage/hickorystage/internal/standin/memnet"
+)
+
+// stage is one engine behind a client, in virtual time.
+type stage struct {
+	engine *engine.Server
+	client *http.Client
+	close  func()
+}
+
+func newStage(c engine.Config) *stage {
+	s := engine.New(c)
+	l := memnet.Listen("engine")
+	srv := &http.Server{Handler: s.Handler()}
+	go srv.Serve(s.Faults.Listener(l))
+	tr := &http.Transport{DialContext: l.Dial}
+	return &stage{engine: s, client: &http.Client{Transport: tr}, close: func() {
+		tr.CloseIdleConnections()
+		srv.Close()
+		_ = s.Close()
+	}}
+}
+
+func (s *stage) post(t *testing.T, path, body string) (int, string) {
+	resp, err := s.client.Post("http://engine"+path, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	out, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(out)
+}
+
+func chatBody(extra string) string {
+	return fmt.Sprintf(`{"model":"m","max_tokens":9,"messages":[{"role":"user","content":"hi"}]%s}`, extra)
+}
+
+// text joins the texts of a stream.
+func text(t *testing.T, stream string) string {
+	var b strings.Builder
+	for event := range strings.SplitSeq(stream, "\n\n") {
+		data, ok := strings.CutPrefix(event, "data: {")
+		if !ok {
+			continue
+		}
+		var c struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		require.NoError(t, json.Unmarshal([]byte("{"+data), &c))
+		b.WriteString(c.Choices[0].Delta.Content)
+	}
+	return b.String()
+}
+
+func TestResumedStreamIsTheRestOfTheUnbrokenOne(t *testing.T) {
+	for name, cfg := range map[string]engine.Config{"modelled": {}, "paced": {TokenInterval: time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(cfg)
+				defer s.close()
+				_, stream := s.post(t, "/v1/chat/completions", chatBody(`,"stream":true`))
+				whole := text(t, stream)
+				require.Contains(t, stream, "data: [DONE]")
+				_, plain := s.post(t, "/v1/chat/completions", chatBody(""))
+				quoted, err := json.Marshal(whole)
+				require.NoError(t, err)
+				require.Contains(t, plain, string(quoted))
+				begin := engine.NewAnswer([]byte("user\nhi\n"), 9).Text(4)
+				from, err := json.Marshal(begin)
+				require.NoError(t, err)
+				_, rest := s.post(t, "/v1/chat/completions", chatBody(`,"stream":true,"resume":{"next_seq":4,"text":`+string(from)+`}`))
+				require.Equal(t, whole, begin+text(t, rest))
+				status, _ := s.post(t, "/v1/chat/completions", chatBody(`,"stream":true,"resume":{"next_seq":4,"text":"wrong"}`))
+				require.Equal(t, http.StatusBadRequest, status)
+			})
+		})
+	}
+}
+
+func TestCancelledWorkMakesNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(engine.Config{OutputTokens: 10000})
+		defer s.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://engine/v1/chat/completions",
+			strings.NewReader(`{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`))
+		require.NoError(t, err)
+		resp, err := s.client.Do(req)
+		require.NoError(t, err)
+		time.AfterFunc(time.Second, cancel)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.Error(t, err)
+		synctest.Wait()
+		made := s.engine.Work().Tokens
+		require.NotZero(t, made)
+		time.Sleep(time.Minute)
+		work := s.engine.Work()
+		require.Equal(t, made, work.Tokens)
+		require.Equal(t, 1, work.Cancelled)
+		require.Zero(t, work.InFlight+work.TokensAfterCancel)
+	})
+}
+
+func TestOldFencingNumberIsRefusedWhereItIsChecked(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStage(engine.Config{ChecksFencing: checks})
+			defer s.close()
+			for _, n := range []int{5, 4} {
+				s.post(t, "/v1/orders", fmt.Sprintf(`{"order":{"load":"m"},"fencing":%d}`, n))
+			}
+			require.Equal(t, checks, len(s.engine.Orders()) == 1)
+		})
+	}
+}
+
+// TestLeaveFinishesStreams uses the stand-in of the instance list on loopback.
+func TestLeaveFinishesStreams(t *testing.T) {
+	list := directory.New(0)
+	platformServer := httptest.NewServer(list.Handler())
+	defer platformServer.Close()
+	registrar := &engine.Registrar{URL: platformServer.URL, Client: platformServer.Client()}
+	self := platform.Instance{ID: "e", Group: "g", Region: "r", State: platform.InstanceLive}
+	s := engine.New(engine.Config{Instance: self, TokenInterval: 5 * time.Millisecond})
+	defer s.Close()
+	front := httptest.NewServer(s.Handler())
+	defer front.Close()
+	require.NoError(t, registrar.Put(t.Context(), self))
+	resp, err := http.Post(front.URL+"/v1/chat/completions", "application/json", strings.NewReader(chatBody(`,"stream":true`)))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	left := make(chan error, 1)
+	wholeAtLeave := 0
+	go func() {
+		err := s.Leave(context.Background(), registrar, 0)
+		wholeAtLeave = s.Work().Whole
+		left <- err
+	}()
+	stream, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(stream), "data: [DONE]")
+	require.NoError(t, <-left)
+	require.Empty(t, list.Instances("r"))
+	require.Equal(t, 1, wholeAtLeave, "it left before the stream was whole")
+}
--- a/internal/standin/engine/generator.go
+++ b/internal/standin/engine/generator.go
@@ -40,10 +40,12 @@
 	engine *model.Engine
 	feeds  map[string]*feed
 	wake   chan struct{}
+	// made is called for each token that is made, with its job's id.
+	made func(id string)
 }
 
-func newModelled(cfg Config, now time.Time) *modelled {
-	m := &modelled{engine: model.New(cfg.Model, now), feeds: make(map[string]*feed), wake: make(chan struct{}, 1)}
+func newModelled(cfg Config, now time.Time, made func(id string)) *modelled {
+	m := &modelled{engine: model.New(cfg.Model, now), feeds: make(map[string]*feed), wake: make(chan struct{}, 1), made: made}
 	m.engine.SetSpeed(cfg.Speed)
 	return m
 }
@@ -76,6 +78,9 @@
 
 func (m *modelled) advance(now time.Time) {
 	for _, e := range m.engine.Advance(now) {
+		if e.Kind == model.Token {
+			m.made(e.Job)
+		}
 		f := m.feeds[e.Job]
 		if f == nil {
 			continue
--- a/internal/standin/engine/paced.go
+++ b/internal/standin/engine/paced.go
@@ -13,14 +13,16 @@
 type paced struct {
 	interval time.Duration
 	first    time.Duration
+	// made is called for each token that is made, with its job's id.
+	made func(id string)
 
 	mu      sync.Mutex
 	jobs    map[string]*pacedStream
 	leaving bool
 }
 
-func newPaced(cfg Config) *paced {
-	return &paced{interval: cfg.TokenInterval, first: cfg.FirstToken, jobs: make(map[string]*pacedStream)}
+func newPaced(cfg Config, made func(id string)) *paced {
+	return &paced{interval: cfg.TokenInterval, first: cfg.FirstToken, made: made, jobs: make(map[string]*pacedStream)}
 }
 
 func (p *paced) submit(job model.Job) (tokenStream, bool) {
@@ -83,6 +85,7 @@
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
+	s.owner.made(s.id)
 	s.left--
 	s.due = s.due.Add(s.owner.interval)
 	return true, nil
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -45,10 +45,10 @@
 		running:     make(map[string]context.CancelFunc),
 	}
 	if s.cfg.TokenInterval > 0 {
-		s.generator = newPaced(s.cfg)
+		s.generator = newPaced(s.cfg, s.stats.token)
 		return s
 	}
-	m := newModelled(s.cfg, time.Now())
+	m := newModelled(s.cfg, time.Now(), s.stats.token)
 	s.generator = m
 	s.tomb.Go(func() error { return m.run(&s.tomb) })
 	return s
