--- a/internal/relay/caller_test.go
+++ b/internal/relay/caller_test.go
@@ -161,6 +161,31 @@
 	})
 }
 
+// TestPlainAnswerToASlowCaller checks that a caller who doesn't read a plain
+// answer is given up.
+func TestPlainAnswerToASlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Settings{})
+		defer w.close()
+		w.engine("a", whole)
+		ended := make(chan error, 1)
+		srv := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			req := ChatRequest{RequestID: "req-1", Body: chatBody}
+			sink := NewPlainSink(rw, strings.Repeat("x", 64<<10), "m", time.Now())
+			_, err := w.relay.Chat(r.Context(), req, w.pick, sink)
+			ended <- err
+		})}
+		w.servers = append(w.servers, srv)
+		go srv.Serve(w.net.listen("gateway"))
+		c := w.call(t)
+		defer c.Close()
+		start := time.Now()
+		var gone *CallerGoneError
+		require.ErrorAs(t, <-ended, &gone)
+		require.LessOrEqual(t, time.Since(start), DefaultWriteTimeout)
+	})
+}
+
 func TestPlainAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Settings{})
--- a/internal/relay/sink.go
+++ b/internal/relay/sink.go
@@ -200,6 +200,10 @@
 		return errors.Wrap(err, "encode answer")
 	}
 	s.started = true
+	err = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(DefaultWriteTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(http.StatusOK)
