--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -88,6 +88,9 @@
 
 // Write implements net.Conn.
 func (g *gatedConn) Write(p []byte) (int, error) {
+	if !g.network.thawed(g.hosts, g.closed) {
+		return 0, net.ErrClosed
+	}
 	if g.silent.Load() {
 		return len(p), nil
 	}
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -14,11 +14,13 @@
 	mu        sync.Mutex
 	listeners map[string]*Listener
 	// at holds the host of each address.
-	at    map[string]Host
-	dead  map[string]bool
-	cut   map[[2]string]bool
-	delay time.Duration
-	conns map[*gatedConn]struct{}
+	at   map[string]Host
+	dead map[string]bool
+	cut  map[[2]string]bool
+	// frozen holds a channel for each frozen instance, closed when it thaws.
+	frozen map[string]chan struct{}
+	delay  time.Duration
+	conns  map[*gatedConn]struct{}
 }
 
 // NewNetwork returns a network whose zones are oneWay apart from each other.
@@ -28,6 +30,7 @@
 		at:        make(map[string]Host),
 		dead:      make(map[string]bool),
 		cut:       make(map[[2]string]bool),
+		frozen:    make(map[string]chan struct{}),
 		delay:     oneWay,
 		conns:     make(map[*gatedConn]struct{}),
 	}
@@ -60,6 +63,47 @@
 	}
 }
 
+// Freeze makes an instance's network stand still, as that of a paused process:
+// nothing goes in or out, and nothing is lost, until Thaw. Its timers run on.
+func (n *Network) Freeze(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen[name] == nil {
+		n.frozen[name] = make(chan struct{})
+	}
+}
+
+// Thaw ends a Freeze.
+func (n *Network) Thaw(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen[name] != nil {
+		close(n.frozen[name])
+		delete(n.frozen, name)
+	}
+}
+
+// thawed waits until neither host is frozen. It returns false when stop closes
+// first.
+func (n *Network) thawed(hosts [2]string, stop <-chan struct{}) bool {
+	for {
+		n.mu.Lock()
+		wait := n.frozen[hosts[0]]
+		if wait == nil {
+			wait = n.frozen[hosts[1]]
+		}
+		n.mu.Unlock()
+		if wait == nil {
+			return true
+		}
+		select {
+		case <-wait:
+		case <-stop:
+			return false
+		}
+	}
+}
+
 // matching returns the open connections that pass; n.mu is held.
 func (n *Network) matching(pass func(*gatedConn) bool) []*gatedConn {
 	var hit []*gatedConn
@@ -109,6 +153,9 @@
 	if l == nil || dead {
 		return nil, dialError(address, net.ErrClosed)
 	}
+	if !n.thawed([2]string{h.name, to.name}, ctx.Done()) {
+		return nil, dialError(address, ctx.Err())
+	}
 	if err := n.travel(ctx, h.zone, to.zone); err != nil {
 		return nil, dialError(address, err)
 	}
