--- a/Makefile
+++ b/Makefile
@@ -22,12 +22,13 @@
 race:
 	$(GO) test -race -timeout 15m ./...
 
-# virtual runs the tests of the whole system without the race detector, which
-# is quick.
+# virtual runs the tests of the whole system without the race detector; the
+# matrix of steps and faults runs only here, since it would take many minutes
+# with it.
 virtual:
 	$(GO) test -timeout 15m ./internal/app
 
-test: lint race fuzz
+test: lint race virtual fuzz
 
 # A short run with a fixed seed, one worker and no corpus of earlier runs, so
 # that it is the same every time. By hand: make fuzz FUZZ_RUNS=30s FUZZ_SEED=7
