relay: tests use the common network in memory

Cause: the relay's tests had a network in memory of their own. Change: they count dials around internal/standin/memnet.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -18,86 +18,45 @@
 
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/standin/fault"
+	"github.com/hickorystage/hickorystage/internal/standin/memnet"
 )
 
-// memNet is a network in memory: each address is a listener whose
-// connections are pipes.
+// memNet is a network in memory that counts its dials.
 type memNet struct {
 	mu        sync.Mutex
-	listeners map[string]*memListener
+	listeners map[string]*memnet.Listener
 	dials     map[string]int
 }
 
-type memListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-	wrap    func(net.Conn) net.Conn
-}
-
 func newMemNet() *memNet {
-	return &memNet{listeners: make(map[string]*memListener), dials: make(map[string]int)}
+	return &memNet{listeners: make(map[string]*memnet.Listener), dials: make(map[string]int)}
 }
 
-func (n *memNet) listen(address string) *memListener {
+func (n *memNet) listen(name string) *memnet.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &memListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address] = l
-	return l
+	n.listeners[name] = memnet.Listen(name)
+	return n.listeners[name]
 }
 
-func (n *memNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	address = strings.TrimSuffix(address, ":80")
+func (n *memNet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	name := strings.TrimSuffix(address, ":80")
 	n.mu.Lock()
-	n.dials[address]++
-	l := n.listeners[address]
+	n.dials[name]++
+	l := n.listeners[name]
 	n.mu.Unlock()
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	}
-	near, far := net.Pipe()
-	if l.wrap != nil {
-		near = l.wrap(near)
-	}
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return l.Dial(ctx, network, address)
 }
 
-func (n *memNet) dialed(address string) int {
+func (n *memNet) dialed(name string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.dials[address]
+	return n.dials[name]
 }
 
-func (l *memListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *memListener) Addr() net.Addr { return memAddr(l.address) }
-
-type memAddr string
-
-func (memAddr) Network() string  { return "mem" }
-func (a memAddr) String() string { return string(a) }
-
 // script is what a fake engine does with one attempt. It gets the attempt's
 // id and the number of the first chunk asked for.
 type script func(w *engineWriter)
