relay: a log line when an endpoint's connections go silent

Cause: the relay took a logger and wrote nothing, so that operators saw silence in the counters only. Change: one line when silence begins and one when the endpoint answers. Result: TestSilentIdleConnections counts two lines over 21 requests.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -159,6 +159,9 @@
 	if kind.suspect() {
 		x.pool.closeIdle()
 	}
+	if x.pool.note(kind) {
+		x.r.settings.Logger.Warn("silence of connections changed", "endpoint", x.info.Target.ID, "result", string(kind))
+	}
 	if x.workLeft(kind) && x.info.Target.Route == nil {
 		x.r.cancels.cancel(x.info.Target, x.info.ID)
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,6 +36,9 @@
 type pool struct {
 	kept  *http.Transport
 	fresh *http.Transport
+	// silent is set by an attempt that met a silent connection, and unset by
+	// the next whole answer.
+	silent atomic.Bool
 }
 
 func newPools(s *Settings) *pools {
@@ -118,5 +122,18 @@
 	return c.kept
 }
 
+// note keeps whether connections to the endpoint are silent, and returns
+// whether that has changed.
+func (c *pool) note(kind ResultKind) bool {
+	switch kind {
+	case ResultConnSilent, ResultSilent:
+		return c.silent.CompareAndSwap(false, true)
+	case ResultOK:
+		return c.silent.CompareAndSwap(true, false)
+	default:
+		return false
+	}
+}
+
 // closeIdle closes every idle connection to the endpoint.
 func (c *pool) closeIdle() { c.kept.CloseIdleConnections() }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -89,6 +90,9 @@
 	if s.Tracer == nil {
 		s.Tracer = telemetry.Tracer()
 	}
+	if s.Logger == nil {
+		s.Logger = log.New(io.Discard)
+	}
 	if s.NewID == nil {
 		s.NewID = randomID
 	}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,15 +1,19 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/standin/fault"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // slack is what a recovery may take in virtual time beyond the limit on
@@ -44,7 +48,8 @@
 func TestSilentIdleConnections(t *testing.T) {
 	const idle = 20
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, Settings{})
+		var lines bytes.Buffer
+		w := newWorld(t, Settings{Logger: telemetry.NewLogger(&lines, log.InfoLevel)})
 		defer w.close()
 		e := w.engine("a", hold)
 		w.warm(t, idle)
@@ -59,6 +64,7 @@
 		require.Equal(t, "a", sum.Target.ID)
 		require.Empty(t, w.seen.blame)
 		w.requireQuick(t, idle)
+		require.Equal(t, 2, strings.Count(lines.String(), "\n"), "one line for each change of state: %s", lines.String())
 	})
 }
 
