--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -219,6 +220,7 @@
 	for _, s := range w.servers {
 		s.Close()
 	}
+	synctest.Wait()
 	for _, e := range w.engines {
 		e.running.Wait()
 	}
