--- a/internal/action/world_test.go
+++ b/internal/action/world_test.go
@@ -27,6 +27,7 @@
 	pauseAfter  faultKind = "paused after"
 	cutOff      faultKind = "cut off"
 	storeAway   faultKind = "store away"
+	refused     faultKind = "refused"
 )
 
 var (
@@ -34,6 +35,18 @@
 	localFaults  = []faultKind{killBefore, pauseBefore, cutOff, storeAway}
 )
 
+// faultsAt are the faults that can strike at a step.
+func faultsAt(info action.StepInfo) []faultKind {
+	switch {
+	case info.Remote:
+		return remoteFaults
+	case info.Step == action.StepAdmit:
+		return append([]faultKind{refused}, localFaults...)
+	default:
+		return localFaults
+	}
+}
+
 // injection is a fault at the nth time that a node takes a step.
 type injection struct {
 	node int
@@ -61,7 +74,8 @@
 	fenced   map[string]bool
 	// checksFencing makes the service refuse an action's second delivery.
 	checksFencing bool
-	store         *memStore
+	store         *countedStore
+	storeAwayTill time.Time
 	over          chan struct{}
 	limits        action.Limits
 	running       sync.WaitGroup
@@ -74,6 +88,7 @@
 	incarnation string
 	m           *action.Manager
 	dead        bool
+	refuses     bool
 	pausedUntil time.Time
 	cutUntil    time.Time
 }
@@ -90,12 +105,12 @@
 		executed: map[string]int{},
 		fenced:   map[string]bool{},
 		over:     make(chan struct{}),
+		store:    newCountedStore(),
 		limits: action.Limits{
 			TicketValidity: 30 * time.Second, Retention: 90 * time.Second, ClaimRetention: 5 * time.Second,
 			ClaimTimeout: 2 * time.Second, StoreTimeout: giveUp, DefaultTimeout: time.Second, MaxRecords: 64, MaxVoids: 64,
 		},
 	}
-	w.store = &memStore{w: w, items: map[string]*memItem{}, leases: map[string]time.Time{}}
 	for range nodes {
 		w.start()
 	}
@@ -111,9 +126,10 @@
 		Incarnation: n.incarnation,
 		Limits:      w.limits,
 		Dispatcher:  serviceOf{n},
-		Store:       storeOf{n: n},
+		Store:       storeOf{w.store, n},
 		Forwarder:   peersOf{n},
 		Handover:    peersOf{n},
+		Admitter:    admissionOf{n},
 		Observe:     n.observe,
 	})
 	w.nodes = append(w.nodes, n)
@@ -187,6 +203,19 @@
 	fn()
 }
 
+// takeStoreAway makes the store refuse every call for d.
+func (w *world) takeStoreAway(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeAwayTill = time.Now().Add(d)
+}
+
+func (w *world) storeIsAway() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.storeAwayTill)
+}
+
 // alone reports whether the node is cut off or dead.
 func (n *node) alone() bool {
 	n.w.mu.Lock()
@@ -202,6 +231,19 @@
 	n.gate()
 }
 
+// admissionOf is a node's admission; it refuses when a fault says so.
+type admissionOf struct{ n *node }
+
+func (a admissionOf) AdmitAction(context.Context, action.Call) (func(), error) {
+	a.n.w.mu.Lock()
+	defer a.n.w.mu.Unlock()
+	if a.n.refuses {
+		a.n.refuses = false
+		return nil, failure.Refuse(failure.CodeLimited, "over the limit")
+	}
+	return func() {}, nil
+}
+
 // strike makes a fault of the process or its surroundings happen.
 func (n *node) strike(in injection) {
 	switch in.kind {
@@ -209,10 +251,12 @@
 		n.kill()
 	case pauseBefore, pauseAfter:
 		n.pause(in.lasts)
+	case refused:
+		n.set(func() { n.refuses = true })
 	case cutOff:
 		n.cut(in.lasts)
 	case storeAway:
-		n.w.store.away(in.lasts)
+		n.w.takeStoreAway(in.lasts)
 	}
 }
 
