Run the fault matrix and the process test in make test

Cause: make test no longer runs the tests that leave the race detector out. Change: make faults runs TestFaultMatrix, TestFaultMatrixPairs and TestProcesses; make test takes it in.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test fmt lint race virtual fuzz clean
+.PHONY: build run test fmt lint race virtual faults fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/hickorystage ./cmd/standin
@@ -27,7 +27,12 @@
 virtual:
 	$(GO) test -timeout 15m ./internal/app
 
-test: lint race fuzz
+# faults runs the fault matrix of the whole system and the test against real
+# processes, which take minutes under the race detector.
+faults:
+	$(GO) test -timeout 15m -run 'TestFaultMatrix|TestProcesses' ./internal/app
+
+test: lint race faults fuzz
 
 # A short run with a fixed seed, one worker and no corpus of earlier runs, so
 # that it is the same every time. By hand: make fuzz FUZZ_RUNS=30s FUZZ_SEED=7
