--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -33,6 +33,7 @@
 func (p *picker) pick(ctx context.Context, tried map[string]bool) (relay.Target, error) {
 	p.req.Exclude = tried
 	p.req.Remaining = p.call.remaining()
+	p.refresh()
 	if p.moved {
 		p.req.MovesLeft = 0
 	}
@@ -47,6 +48,12 @@
 	}
 }
 
+// refresh holds the request to the configuration in force now.
+func (p *picker) refresh() {
+	p.call = p.call.under(p.g.Board.Intent.Get())
+	p.req.PermittedRegions = p.call.permitted
+}
+
 // decision returns the decision at hand or asks for another one.
 func (p *picker) decision(ctx context.Context) (sched.Decision, error) {
 	if p.next != nil {
@@ -65,11 +72,17 @@
 }
 
 // target returns where a decision leads. It returns false when the endpoint or
-// region has vanished since; the next decision then does without it.
+// region has vanished since, or when a newer configuration forbids the region;
+// the next decision then does without it.
 func (p *picker) target(d sched.Decision, tried map[string]bool) (relay.Target, bool) {
+	p.refresh()
 	if d.Kind == sched.Away {
 		return p.away(d.Region, tried)
 	}
+	if !p.call.permitted[p.g.Board.Self.Region] {
+		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
+		return relay.Target{}, false
+	}
 	e, ok := p.g.Board.Endpoints.Get(d.Endpoint)
 	if !ok {
 		p.g.Store.Done(d.Endpoint, p.req.ID, datastore.Cancelled, time.Now())
@@ -81,24 +94,32 @@
 
 // away returns a gateway of another region, once for each request.
 func (p *picker) away(region string, tried map[string]bool) (relay.Target, bool) {
+	if !p.call.permitted[region] {
+		return relay.Target{}, false
+	}
 	p.moved = true
 	p.req.MovesLeft = 0
 	gateway, ok := p.g.gatewayOf(region, p.call, tried)
 	if !ok {
 		return relay.Target{}, false
 	}
-	fwd := p.call.forward(p.g.Board.Self.ID, 0, 0)
+	return p.g.peerTarget(gateway, p.call, ""), true
+}
+
+// peerTarget is a gateway of another region as a target of the relay. prefix
+// precedes the path that the request has at an endpoint.
+func (g *Gateway) peerTarget(to Entry, c *call, prefix string) relay.Target {
 	return relay.Target{
-		ID:      gateway.Instance,
-		Region:  region,
-		Address: gateway.Address,
+		ID:      to.Instance,
+		Region:  to.Region,
+		Address: to.Address,
 		Header:  http.Header{},
 		Route: &relay.Route{
-			PathPrefix:    peer.PathForward,
+			PathPrefix:    peer.PathForward + prefix,
 			HeaderTimeout: awayHeaderTimeout,
-			Prepare:       p.g.Peers.Prepare(fwd),
+			Prepare:       g.Peers.Prepare(c.forward(g.Board.Self.ID, 0, 0)),
 		},
-	}, true
+	}
 }
 
 // gatewayOf returns the peer address of a gateway of region that has not been
