Mend what the parts found in each other

Cause and change, each found by another part or in reading: - Requests were known by their callers' request ids, so two with one id at once met in the queue (TestRequestIDsNeedNotBeUnique; with the old ids it hangs). Each run has an id of its own. - Actions, outcome queries and service calls counted against no limit (TestLimitsCoverActionsAndServices; fails without the limit). - A refusal of an unknown service or call said not_run, which is untrue if the call has left the configuration after it ran. It says unknown. The test of bad input demanded the untrue answer; it now demands unknown for these two and not_run for the others, as before. - The queue's deadline left no time for the answer's tokens. - Connections to endpoints that are gone were kept; the wait for an endpoint's header had no setting (--answer-timeout). - Seekers of a seal asked only as many peers as had got it. - Gateways that know each other by seeds alone could form islands. - In a small region two gateways swapped summaries with each of twelve others twice over; one does now where there are more than three.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -122,7 +122,7 @@
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: newIntentParser(), Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
-		endpoints.New(a.board, list, a.peers, logger),
+		endpoints.New(a.board, list, a.peers, a.relay.Forget, logger),
 		loadpoll.New(a.board, s.PollInterval, a.exchange.TellPeers, network.Dial),
 		schedsync.New(a.board, data, admission),
 		a.exchange,
@@ -138,6 +138,7 @@
 func (a *App) relaySettings(data *datastore.Store, admission *admit.Controller) relay.Settings {
 	return relay.Settings{
 		DialTimeout:       a.settings.DialTimeout,
+		HeaderTimeout:     a.settings.AnswerTimeout,
 		FirstTokenTimeout: a.settings.FirstByteTimeout,
 		NextTokenTimeout:  a.settings.ChunkTimeout,
 		Budget:            gateway.Budget{Admit: admission},
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -47,6 +47,7 @@
 		Store:       store,
 		Forwarder:   owners,
 		Handover:    owners,
+		Admitter:    gateway.ActionAdmitter{Admit: a.gateway.Admit},
 		Log:         a.logger,
 	})
 }
--- a/internal/controller/endpoints/endpoints.go
+++ b/internal/controller/endpoints/endpoints.go
@@ -51,6 +51,7 @@
 	view   *membership.View
 	list   platform.InstanceList
 	peers  PeerSource
+	forget func(address string)
 	logger *log.Logger
 
 	listDown    bool
@@ -59,8 +60,10 @@
 }
 
 // New returns the controller.
-func New(board *blackboard.Board, list platform.InstanceList, peers PeerSource, logger *log.Logger) *Controller {
-	return &Controller{board: board, view: membership.New(board), list: list, peers: peers, logger: logger}
+//
+// forget is called with the address of each endpoint that is removed.
+func New(board *blackboard.Board, list platform.InstanceList, peers PeerSource, forget func(address string), logger *log.Logger) *Controller {
+	return &Controller{board: board, view: membership.New(board), list: list, peers: peers, forget: forget, logger: logger}
 }
 
 // Name implements controller.Controller.
@@ -195,6 +198,7 @@
 	for _, e := range gone {
 		c.view.Retire(e.ID, e.Incarnation, now)
 		c.board.Endpoints.Delete(e.ID)
+		c.forget(e.Address)
 		removed.Inc()
 	}
 }
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -226,9 +226,18 @@
 	}
 }
 
+// seedEvery is the number of exchanges of which one goes to a seed, so that
+// gateways that know each other by seeds alone form no islands.
+const seedEvery = 32
+
 // exchangeOnce exchanges with one peer and returns the time until the next.
 func (c *Controller) exchangeOnce(ctx context.Context) time.Duration {
 	p, ok := c.pickPeer(time.Now())
+	if !ok || c.turn.Load()%seedEvery == 0 {
+		if seed, has := c.pickSeed(); has {
+			p, ok = seed, true
+		}
+	}
 	if !ok {
 		return c.interval
 	}
@@ -283,7 +292,7 @@
 }
 
 // pickPeer returns the next peer of the region, each in turn and in an order
-// that is shuffled for each pass, or a seed while none is known.
+// that is shuffled for each pass.
 func (c *Controller) pickPeer(now time.Time) (blackboard.PeerState, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -296,7 +305,7 @@
 			}
 		}
 		if refilled {
-			return c.pickSeed()
+			return blackboard.PeerState{}, false
 		}
 		c.ring = c.shuffledPeers(now)
 	}
@@ -315,7 +324,10 @@
 	return ids
 }
 
+// pickSeed returns a random seed.
 func (c *Controller) pickSeed() (blackboard.PeerState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(c.seeds) == 0 {
 		return blackboard.PeerState{}, false
 	}
--- a/internal/controller/members/regions.go
+++ b/internal/controller/members/regions.go
@@ -31,8 +31,9 @@
 func (c *Controller) swapRegions(ctx context.Context, next map[string]time.Time) {
 	now := time.Now()
 	live := c.view.LiveIDs(now)
-	for region, addresses := range c.otherRegions() {
-		if now.Before(next[region]) || !membership.RegionSwap(region).HeldBy(c.board.Self.ID, live) {
+	others := c.otherRegions()
+	for region, addresses := range others {
+		if now.Before(next[region]) || !membership.RegionSwap(region, len(others)).HeldBy(c.board.Self.ID, live) {
 			continue
 		}
 		if c.swap(ctx, addresses) {
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -33,7 +33,9 @@
 	service, name := pat.Param(r, "service"), pat.Param(r, "call")
 	spec, err := lookupCall(c.state.Intent, service, name)
 	if err != nil {
-		return err
+		// The call may have left the configuration after an earlier request
+		// under this key ran.
+		return action.Uncertain(err)
 	}
 	key := r.Header.Get(HeaderIdempotencyKey)
 	if key == "" || len(key) > maxKeyBytes {
@@ -66,6 +68,11 @@
 
 // actionOutcome serves GET /v1/actions/{key}.
 func (g *Gateway) actionOutcome(w http.ResponseWriter, r *http.Request, c *call) error {
+	release, err := g.limit(c)
+	if err != nil {
+		return action.Uncertain(err)
+	}
+	defer release()
 	rec, err := g.Actions.Outcome(withCall(r.Context(), c), action.Query{
 		Customer: c.customerName,
 		Key:      pat.Param(r, "key"),
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,6 +42,8 @@
 const (
 	defaultDeadline   = 60 * time.Second
 	maxRequestIDBytes = 64
+	// runIDBytes is the length of what makes a run's id unique.
+	runIDBytes = 13
 	// regionMoves and ownerMoves are the moves of a fresh request.
 	regionMoves = 1
 	ownerMoves  = 1
@@ -64,6 +66,10 @@
 	fwd *peer.Forward
 }
 
+// runID names this run of the request at this gateway. Callers choose request
+// ids and another gateway may send one request twice, so they are not unique.
+func (c *call) runID() string { return c.id + "." + uuid.NewString()[:runIDBytes] }
+
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
 func (c *call) regionMoves() int {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -58,7 +58,7 @@
 		output = min(output, model.MaxOutputTokens)
 	}
 	return &sched.Request{
-		ID:               c.id,
+		ID:               c.runID(),
 		Customer:         c.customerName,
 		Model:            parsed.Model,
 		Groups:           model.Groups,
@@ -77,12 +77,12 @@
 func (g *Gateway) runChat(w http.ResponseWriter, r *http.Request, c *call, parsed relay.Chat, req *sched.Request) error {
 	ctx := r.Context()
 	item := admit.Item{
-		ID:       c.id,
+		ID:       req.ID,
 		Customer: c.customerName,
 		Group:    req.Groups[0],
 		Priority: c.priority,
 		Tokens:   req.PromptTokens + req.OutputTokens,
-		Deadline: c.deadline,
+		Deadline: c.deadline.Add(-time.Duration(req.OutputTokens) * g.Store.TokenTime(req.Groups[0])),
 	}
 	first, err := g.Dispatcher.Acquire(ctx, item, req)
 	if err != nil {
@@ -90,7 +90,7 @@
 	}
 	p := &picker{g: g, call: c, req: req, item: item, next: &first}
 	summary, err := g.Relay.Chat(ctx, relay.ChatRequest{
-		RequestID: c.id,
+		RequestID: req.ID,
 		Customer:  c.customerName,
 		Model:     parsed.Model,
 		Body:      c.body,
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -16,8 +16,12 @@
 // an incarnation id.
 const incarnationSeparator = "_"
 
-// sealHolders is the number of peers that get a seal.
-const sealHolders = 3
+// sealHolders is the number of peers that get a seal; sealSeekers is the number
+// that are asked for one, more since members may have come and gone.
+const (
+	sealHolders = 3
+	sealSeekers = 6
+)
 
 // NewIncarnation makes an incarnation id that names its region, so that any
 // gateway can tell where a ticket's owner stands.
@@ -130,7 +134,7 @@
 // FindSeal implements action.Forwarder.
 func (o *Owners) FindSeal(ctx context.Context, incarnation string) (action.Seal, error) {
 	var unreached error
-	for _, p := range o.sealPeers(incarnation) {
+	for _, p := range o.sealPeers(incarnation, sealSeekers) {
 		seal, err := o.g.Peers.FetchSeal(ctx, p, incarnation)
 		if err == nil {
 			return seal, nil
@@ -150,7 +154,7 @@
 func (o *Owners) Send(ctx context.Context, s action.Seal) error {
 	err := error(&action.PeerUnknownError{Incarnation: s.Incarnation})
 	sent := false
-	for _, address := range o.sealPeers(s.Incarnation) {
+	for _, address := range o.sealPeers(s.Incarnation, sealHolders) {
 		if e := o.g.Peers.SendSeal(ctx, address, s); e != nil {
 			err = e
 			continue
@@ -163,7 +167,7 @@
 	return err
 }
 
-func (o *Owners) sealPeers(incarnation string) []string {
+func (o *Owners) sealPeers(incarnation string, n int) []string {
 	addresses := make(map[string]string)
 	var ids []string
 	for _, p := range o.g.View.Peers(o.g.Board.Self.Region, time.Now()) {
@@ -171,7 +175,7 @@
 		ids = append(ids, p.ID)
 	}
 	var out []string
-	for _, id := range action.SealHolders(incarnation, ids, sealHolders) {
+	for _, id := range action.SealHolders(incarnation, ids, n) {
 		out = append(out, addresses[id])
 	}
 	return out
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -27,6 +27,11 @@
 	if !repeatable(spec, r.Method, path) {
 		return failure.Refuse(failure.CodeForbidden, "%s %s is not a repeatable call of %q; use /v1/actions", r.Method, path, name)
 	}
+	release, err := g.limit(c)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -31,8 +31,19 @@
 	return Role{Key: "load/" + endpoint, Holders: 2}
 }
 
-// RegionSwap is the role of swapping summaries with another region.
-func RegionSwap(region string) Role { return Role{Key: "region/" + region, Holders: 2} }
+// fewRegions is the number of other regions up to which two gateways swap
+// summaries with each.
+const fewRegions = 3
+
+// RegionSwap is the role of swapping summaries with another region: of two
+// gateways where there are few other regions, else of one, so that the gateways
+// of a small region can afford it.
+func RegionSwap(region string, others int) Role {
+	if others > fewRegions {
+		return Role{Key: "region/" + region, Holders: 1}
+	}
+	return Role{Key: "region/" + region, Holders: 2}
+}
 
 // HeldBy says whether the instance is among the role's holders.
 func (r Role) HeldBy(id string, live []string) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,9 +53,11 @@
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
 
-	// DialTimeout, FirstByteTimeout and ChunkTimeout are the limits on
-	// silence towards endpoints.
+	// DialTimeout, AnswerTimeout, FirstByteTimeout and ChunkTimeout are the
+	// limits on silence towards endpoints: for a connection, for the header of
+	// an answer, for its first token and for each further one.
 	DialTimeout      time.Duration
+	AnswerTimeout    time.Duration
 	FirstByteTimeout time.Duration
 	ChunkTimeout     time.Duration
 
