Leave a span for the hop to a ticket's owner

Cause: traces ended at the gateway that passed an action on; the owner's work and its dispatch began a trace of their own. Change: the peer listener takes the W3C header of requests about actions and the owner has its span; the dispatch's span has its documented name. Result: TestAnActionOfAnotherGatewaysTicketLeavesASpanForEachHop passes: two gateways, one dispatch, one trace.

--- a/internal/action/dispatch/dispatch.go
+++ b/internal/action/dispatch/dispatch.go
@@ -165,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
-	ctx, span := telemetry.Tracer().Start(ctx, "endpoint", trace.WithSpanKind(trace.SpanKindClient),
+	ctx, span := telemetry.Tracer().Start(ctx, telemetry.SpanAction, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", ep.ID), attribute.String("attempt_id", o.AttemptID)))
 	defer span.End()
 	reply, err := s.exchange(ctx, conn, ep, o)
--- a/internal/action/world_ports_test.go
+++ b/internal/action/world_ports_test.go
@@ -156,4 +156,3 @@
 	}
 	return err
 }
-
--- a/internal/app/regions_test.go
+++ b/internal/app/regions_test.go
@@ -17,13 +17,33 @@
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
-func TestOneRequestAcrossTwoRegionsLeavesASpanForEachHop(t *testing.T) {
+// recordSpans keeps every span of the test in memory.
+func recordSpans(t *testing.T) *tracetest.InMemoryExporter {
+	t.Helper()
 	spans := tracetest.NewInMemoryExporter()
 	old := otel.GetTracerProvider()
 	_, err := telemetry.StartTracing(nil, "", "")
 	require.NoError(t, err)
 	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)))
-	defer otel.SetTracerProvider(old)
+	t.Cleanup(func() { otel.SetTracerProvider(old) })
+	return spans
+}
+
+// requireOneTrace checks the number of spans of each name, and that all belong
+// to one trace.
+func requireOneTrace(t *testing.T, spans *tracetest.InMemoryExporter, want map[string]int) {
+	t.Helper()
+	got := spans.GetSpans()
+	names := map[string]int{}
+	for _, span := range got {
+		names[span.Name]++
+		require.Equal(t, got[0].SpanContext.TraceID(), span.SpanContext.TraceID(), "one trace for the whole way")
+	}
+	require.Equal(t, want, names)
+}
+
+func TestOneRequestAcrossTwoRegionsLeavesASpanForEachHop(t *testing.T) {
+	spans := recordSpans(t)
 	inWorld(t, func(t *testing.T, w *world) {
 		w.removeEngine(norrland, "10.1.0.2:80")
 		time.Sleep(15 * time.Second)
@@ -33,17 +53,24 @@
 		require.NoError(t, err)
 		require.Equal(t, 10, s.Chunks)
 		synctest.Wait()
-		got := spans.GetSpans()
-		names := map[string]int{}
-		for _, span := range got {
-			names[span.Name]++
-			require.Equal(t, got[0].SpanContext.TraceID(), span.SpanContext.TraceID(), "one trace for the whole way")
-		}
-		require.Equal(t, map[string]int{telemetry.SpanGateway: 2, telemetry.SpanAttempt: 2}, names)
+		requireOneTrace(t, spans, map[string]int{telemetry.SpanGateway: 2, telemetry.SpanAttempt: 2})
 		require.Positive(t, w.engines["engine-svealand"].Work().Whole)
 	})
 }
 
+func TestAnActionOfAnotherGatewaysTicketLeavesASpanForEachHop(t *testing.T) {
+	spans := recordSpans(t)
+	inWorld(t, func(t *testing.T, w *world) {
+		one := w.client(w.node("gw1-svealand"), "demo-key-svealand")
+		two := w.client(w.node("gw2-svealand"), "demo-key-svealand")
+		tickets := w.entries(one).Tickets
+		spans.Reset()
+		require.Equal(t, http.StatusOK, w.book(two, tickets.Key(tickets.First)).Status)
+		synctest.Wait()
+		requireOneTrace(t, spans, map[string]int{telemetry.SpanGateway: 2, telemetry.SpanAction: 1})
+	})
+}
+
 func TestServiceCallGoesToAPermittedRegionOnly(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		for _, region := range []string{norrland, gotaland} {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -176,15 +176,8 @@
 	defer g.inFlight.leave()
 	start := time.Now()
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := telemetry.Tracer().Start(ctx, telemetry.SpanGateway, trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := g.startSpan(ctx, c)
 	defer span.End()
-	span.SetAttributes(
-		attribute.String("request.id", c.id),
-		attribute.String("customer", c.customerName),
-		attribute.String("gateway.id", g.Board.Self.ID),
-		attribute.String("gateway.region", g.Board.Self.Region),
-		attribute.Bool("forwarded", c.fwd != nil),
-	)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	w.Header().Set(HeaderRequestID, c.id)
@@ -197,6 +190,19 @@
 	}
 }
 
+// startSpan begins the span of a request at this gateway.
+func (g *Gateway) startSpan(ctx context.Context, c *call) (context.Context, trace.Span) {
+	return telemetry.Tracer().Start(ctx, telemetry.SpanGateway,
+		trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(
+			attribute.String("request.id", c.id),
+			attribute.String("customer", c.customerName),
+			attribute.String("gateway.id", g.Board.Self.ID),
+			attribute.String("gateway.region", g.Board.Self.Region),
+			attribute.Bool("forwarded", c.fwd != nil),
+		))
+}
+
 // answer sends a refusal, unless the caller has gone.
 func (g *Gateway) answer(w http.ResponseWriter, id string, ctx context.Context, c *call, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -202,6 +202,8 @@
 	if err != nil {
 		return refusalReply(action.Uncertain(err))
 	}
+	ctx, span := g.startSpan(ctx, c)
+	defer span.End()
 	a, err := g.Actions.Do(withCall(ctx, c), g.lastMove(*req.Call, c))
 	if err != nil {
 		return refusalReply(err)
@@ -224,6 +226,8 @@
 	if err != nil {
 		return refusalReply(action.Uncertain(err))
 	}
+	ctx, span := g.startSpan(ctx, c)
+	defer span.End()
 	q := *req.Query
 	q.Forwarded = c.ownerMoves() == 0
 	rec, err := g.Actions.Outcome(withCall(ctx, c), q)
--- a/internal/peer/owners.go
+++ b/internal/peer/owners.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/failure"
 )
@@ -150,7 +153,8 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), req.Forward.Remaining()+actionSlack)
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, cancel := context.WithTimeout(ctx, req.Forward.Remaining()+actionSlack)
 		defer cancel()
 		writeJSON(w, serve(ctx, req))
 	}
--- a/internal/telemetry/tracing.go
+++ b/internal/telemetry/tracing.go
@@ -18,10 +18,13 @@
 
 // Names of spans, one for each hop.
 const (
+	// SpanGateway is a request at one gateway.
 	SpanGateway = "gateway"
-	SpanForward = "forward"
+	// SpanAttempt is one sending of a chat or service call to an endpoint or to
+	// another region's gateway.
 	SpanAttempt = "attempt"
-	SpanAction  = "action"
+	// SpanAction is the dispatch of an action to an endpoint.
+	SpanAction = "action"
 )
 
 // StartTracing installs the W3C propagator and, if w is not nil, an exporter
