Replace the whole fleet under load; cut connections of real processes

Change: TestReplacingTheWholeFleetCutsNothing replaces six gateways, three engines and three services while callers of every region stream; callers follow the entries that a refusal names. TestProcesses cuts the streams of both engines, makes open connections silent and cuts off the answer of a booking that ran. Ruled out: a fault of the gateways: the test's callers first kept to entries older than their own long answer and found them all gone; then they shared one slice that each appended to (a race in the test). Seen to fail: no waiting for what is in flight; no entries in the refusal.

--- a/internal/app/isolation_test.go
+++ b/internal/app/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"testing"
@@ -167,6 +168,64 @@
 	})
 }
 
+// TestReplacingTheWholeFleetCutsNothing replaces every gateway, engine and
+// service of every region, one after the other, while callers stream and book.
+func TestReplacingTheWholeFleetCutsNothing(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		stop := make(chan struct{})
+		results := make(chan error, 3)
+		for i, region := range allRegions {
+			key := "demo-key-" + region
+			entries := w.entries(w.client(w.node(fmt.Sprintf("gw%d-%s", 2*i+1, region)), key)).Entries
+			go func() { results <- w.keepChattingAs(key, region, entries, stop) }()
+		}
+		for i, region := range allRegions {
+			w.replaceEndpoints(region, 20+i)
+			for j := range 2 {
+				old := w.node(fmt.Sprintf("gw%d-%s", 2*i+j+1, region))
+				fresh := w.addGateway(region, 30+2*i+j)
+				w.await(20*time.Second, "the replacement serves", func() bool { return fresh.serving() && fresh.knows(2) })
+				require.NoError(t, w.stop(old), "a graceful shutdown cuts nothing off")
+			}
+			w.serveCallers(w.node(fmt.Sprintf("gw%d-%s", 30+2*i, region)), "demo-key-"+region)
+		}
+		close(stop)
+		for range allRegions {
+			require.NoError(t, <-results)
+		}
+		for id, e := range w.engines {
+			work := e.Work()
+			require.Equal(t, work.Whole, work.Attempts, "nothing in flight was cut off at %s", id)
+		}
+	})
+}
+
+// replaceEndpoints starts another engine and another service in a region, then
+// lets the old ones leave.
+func (w *world) replaceEndpoints(region string, number int) {
+	w.t.Helper()
+	engineAddress, serviceAddress := w.addressOf("engine-"+region), w.addressOf("booking-"+region)
+	w.addEngine(region, fmt.Sprintf("engine-%d", number), fmt.Sprintf("10.1.0.%d:80", number))
+	w.addService(region, fmt.Sprintf("booking-%d", number), fmt.Sprintf("10.2.0.%d:80", number))
+	time.Sleep(5 * time.Second)
+	for id, group := range map[string]string{"engine-" + region: "assistant", "booking-" + region: "booking"} {
+		w.directory.PutInstance(platform.Instance{
+			ID: id, Incarnation: "1", Group: group, Region: region,
+			Address: w.addressOf(id), State: platform.InstanceLeaving,
+		})
+	}
+	w.engines["engine-"+region].MarkLeaving()
+	time.Sleep(15 * time.Second)
+	work := w.engines["engine-"+region].Work()
+	require.Zero(w.t, work.InFlight)
+	require.LessOrEqual(w.t, work.LatestAfterLeavingMillis, int64(3000))
+	for _, id := range []string{"engine-" + region, "booking-" + region} {
+		w.directory.DeleteInstance(id)
+	}
+	w.kill(engineAddress)
+	w.kill(serviceAddress)
+}
+
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		c := w.client(w.node("gw1-svealand"), "demo-key-svealand")
--- a/internal/app/process_test.go
+++ b/internal/app/process_test.go
@@ -3,6 +3,7 @@
 package app_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/gateway"
 	"github.com/hickorystage/hickorystage/internal/standin/caller"
+	"github.com/hickorystage/hickorystage/internal/standin/fault"
 	"github.com/hickorystage/hickorystage/internal/standin/service"
 )
 
@@ -268,6 +270,7 @@
 		{"configuration reaches all", f.configuration},
 		{"store killed", f.storeKilled},
 		{"engine paused under a stream", f.enginePaused},
+		{"connections cut and silent", f.connectionsCut},
 		{"owner killed", f.ownerKilled},
 		{"gateways stopped under load", f.stopUnderLoad},
 	} {
@@ -347,6 +350,52 @@
 	require.Equal(t, want.Text, got.stream.Text, "no token lost or doubled")
 }
 
+// fault throws a switch of a stand-in.
+func (f *fleet) fault(id string, s fault.Setting) {
+	f.t.Helper()
+	raw, err := json.Marshal(s)
+	require.NoError(f.t, err)
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.addr(id+"-admin")+"/faults", bytes.NewReader(raw))
+	require.NoError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	require.NoError(f.t, resp.Body.Close())
+	require.Less(f.t, resp.StatusCode, 300)
+}
+
+// connectionsCut cuts the connections of streams at both engines of a region,
+// makes the open ones silent, and cuts off the answer of a booking that ran.
+func (f *fleet) connectionsCut(t *testing.T) {
+	c := f.client("gw-svealand-1")
+	want, err := c.Stream(context.Background(), question(40))
+	require.NoError(t, err)
+	for _, id := range []string{"engine-svealand-1", "engine-svealand-2"} {
+		f.fault(id, fault.Setting{Kind: fault.Truncate, Path: "/v1/chat", Chunks: 5, Count: 1})
+	}
+	got, err := c.Stream(context.Background(), question(40))
+	require.NoError(t, err, "resumed after each cut")
+	require.Equal(t, want.Text, got.Text, "no token lost or doubled")
+	for _, id := range []string{"engine-svealand-1", "engine-svealand-2"} {
+		f.fault(id, fault.Setting{Kind: fault.Silent})
+	}
+	got, err = c.Stream(context.Background(), question(40))
+	require.NoError(t, err, "new connections work")
+	require.Equal(t, want.Text, got.Text)
+
+	before := f.executions()
+	for _, region := range processRegions {
+		f.fault("booking-"+region, fault.Setting{Kind: fault.DropAnswer, Path: "/bookings", Count: 1})
+	}
+	tickets := f.entries(c).Tickets
+	a := f.book(c, tickets.Key(tickets.First))
+	var body gateway.ErrorBody
+	require.NoError(t, json.Unmarshal(a.Body, &body), string(a.Body))
+	require.Equal(t, failure.Unknown, body.Error.Outcome, "the booking ran and its answer is lost")
+	require.Equal(t, before+1, f.executions())
+	_ = f.book(c, tickets.Key(tickets.First))
+	require.Equal(t, before+1, f.executions(), "a repeat runs nothing")
+}
+
 // ownerKilled kills the owner of a ticket after a booking, by SIGKILL.
 func (f *fleet) ownerKilled(t *testing.T) {
 	one, two := f.client("gw-svealand-1"), f.client("gw-svealand-2")
--- a/internal/app/world_test.go
+++ b/internal/app/world_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/gateway"
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/intent/publish"
@@ -112,11 +113,28 @@
 func (w *world) addEndpoints(region string) {
 	n := len(w.engines) + 1
 	w.addEngine(region, fmt.Sprintf("engine-%s", region), fmt.Sprintf("10.1.0.%d:80", n))
-	s := service.New(service.Config{ID: "booking-" + region, MaxConcurrent: 8})
-	w.services[region] = s
-	address := fmt.Sprintf("10.2.0.%d:80", n)
+	w.addService(region, "booking-"+region, fmt.Sprintf("10.2.0.%d:80", n))
+}
+
+// addService adds a booking service to a region.
+func (w *world) addService(region, id, address string) *service.Server {
+	s := service.New(service.Config{ID: id, MaxConcurrent: 8})
+	w.services[id] = s
 	w.serve(region, address, s.Handler())
-	w.directory.PutInstance(platform.Instance{ID: "booking-" + region, Incarnation: "1", Group: "booking", Region: region, Address: address, State: platform.InstanceLive})
+	w.directory.PutInstance(platform.Instance{ID: id, Incarnation: "1", Group: "booking", Region: region, Address: address, State: platform.InstanceLive})
+	return s
+}
+
+// addressOf returns the address of a listed instance.
+func (w *world) addressOf(id string) string {
+	w.t.Helper()
+	for _, in := range w.directory.Instances("") {
+		if in.ID == id {
+			return in.Address
+		}
+	}
+	w.t.Fatalf("instance %s is not listed", id)
+	return ""
 }
 
 func (w *world) addEngine(region, id, address string) *engine.Server {
@@ -192,9 +210,14 @@
 // instance refuses truthfully. It fails at the first answer that is cut off or
 // refused with nowhere to go.
 func (w *world) keepChatting(entries []gateway.Entry, stop <-chan struct{}) error {
-	transport := &http.Transport{DialContext: w.net.Host(svealand, "caller").Dial}
+	return w.keepChattingAs("demo-key-svealand", svealand, entries, stop)
+}
+
+// keepChattingAs is keepChatting for another customer.
+func (w *world) keepChattingAs(key, region string, entries []gateway.Entry, stop <-chan struct{}) error {
+	transport := &http.Transport{DialContext: w.net.Host(region, "caller").Dial}
 	defer transport.CloseIdleConnections()
-	c := &caller.Client{HTTP: &http.Client{Transport: transport}, Key: "demo-key-svealand"}
+	c := &caller.Client{HTTP: &http.Client{Transport: transport}, Key: key}
 	for {
 		select {
 		case <-stop:
@@ -213,10 +236,18 @@
 // so that a stop which doesn't wait for it is seen.
 var longChat = caller.ChatBody{Model: "quilt-care", Messages: []caller.Message{{Role: "user", Content: "rolling"}}, MaxTokens: 400}
 
-// chatOnce tries the entries in turn and returns those for the next time.
+// chatOnce tries the entries in turn, and those that a refusal names, and
+// returns the entries for the next time.
 func chatOnce(c *caller.Client, entries []gateway.Entry) ([]gateway.Entry, error) {
 	var last error = &caller.NoEntryError{}
-	for _, e := range entries {
+	tried := map[string]bool{}
+	for queue := slices.Clone(entries); len(queue) > 0; {
+		e := queue[0]
+		queue = queue[1:]
+		if tried[e.Address] {
+			continue
+		}
+		tried[e.Address] = true
 		c.Address = e.Address
 		s, err := c.Stream(context.Background(), longChat)
 		if err == nil && s.Chunks != longChat.MaxTokens {
@@ -225,19 +256,31 @@
 		if err == nil {
 			return freshEntries(c, entries), nil
 		}
-		var status *caller.StatusError
-		var dial *net.OpError
-		switch {
-		case errors.As(err, &status) && strings.Contains(status.Body, `"outcome":"not_run"`):
-		case errors.As(err, &dial) && dial.Op == "dial":
-		default:
+		named, ok := refusedTruthfully(err)
+		if !ok {
 			return nil, err
 		}
-		last = err
+		queue = append(queue, named...)
+		last = errors.CombineErrors(errors.Wrapf(err, "entry %s", e.Instance), last)
 	}
 	return nil, last
 }
 
+// refusedTruthfully says whether a chat certainly did not run, and returns the
+// entries that the refusal names.
+func refusedTruthfully(err error) ([]gateway.Entry, bool) {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, true
+	}
+	var status *caller.StatusError
+	var body gateway.ErrorBody
+	if !errors.As(err, &status) || json.Unmarshal([]byte(status.Body), &body) != nil {
+		return nil, false
+	}
+	return body.Error.Entries, body.Error.Outcome == failure.NotRun
+}
+
 func freshEntries(c *caller.Client, old []gateway.Entry) []gateway.Entry {
 	a, err := c.Do(context.Background(), http.MethodGet, "/v1/entries", nil, nil)
 	if err != nil || a.Status != http.StatusOK {
