--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -76,7 +76,7 @@
 	ring []string
 	// rng picks peers; its seed differs between instances.
 	rng *rand.Rand
-	// urgent is closed when peers are to be told at once.
+	// urgent holds a token while peers are to be told at once.
 	urgent chan struct{}
 }
 
