Prove that a leaving endpoint is heard of from peers alone

Cause: the leaving test let every gateway hear of it from the list. Change: four gateways without a list, of which two ask the engine for its load. Seen to fail: marks not taken from peers: new work went there for 19.8 s.

--- a/internal/app/isolation_test.go
+++ b/internal/app/isolation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,6 +135,42 @@
 	})
 }
 
+// TestLeavingIsHeardFromPeersAlone takes the instance list away, so that only
+// the two gateways that ask the engine for its load see that it leaves; the
+// others have it from them.
+func TestLeavingIsHeardFromPeersAlone(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		gateways := []*node{w.node("gw1-svealand"), w.node("gw2-svealand"), w.addGateway(svealand, 11), w.addGateway(svealand, 12)}
+		stays := w.addEngine(svealand, "engine-b", "10.1.0.9:80")
+		for _, n := range gateways {
+			w.await(20*time.Second, "the gateway knows its endpoints", func() bool { return n.serving() && n.knows(3) })
+		}
+		w.kill(directoryAddress)
+		leaves := w.engines["engine-svealand"]
+		leaves.MarkLeaving()
+		start := time.Now()
+		var callers sync.WaitGroup
+		failed := make(chan error, len(gateways))
+		for _, n := range gateways {
+			c := w.client(n, "demo-key-svealand")
+			callers.Go(func() {
+				for time.Since(start) < 20*time.Second {
+					if _, err := c.Stream(context.Background(), chatBody("who serves")); err != nil {
+						failed <- err
+						return
+					}
+				}
+			})
+		}
+		callers.Wait()
+		require.Empty(t, failed)
+		work := leaves.Work()
+		require.LessOrEqual(t, work.LatestAfterLeavingMillis, int64(3000))
+		require.Equal(t, work.Whole, work.Attempts, "nothing in flight was cut off")
+		require.Positive(t, stays.Work().Whole)
+	})
+}
+
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		stop := make(chan struct{})
