Start and end processes of the scripts in one place

Cause: scripts/run.sh and scripts/config-in-force.sh held the same lines. Change: scripts/processes.sh, which both source. Result: on a clean clone make run ended by itself with RUN_ONCE=1 and was interrupted after 0.15, 0.4, 0.9, 1.6 and 4 s: no process left, each time. config-in-force.sh was only checked for its syntax and started once.

--- a/scripts/config-in-force.sh
+++ b/scripts/config-in-force.sh
@@ -8,35 +8,7 @@
 
 changes=${CHANGES:-20}
 out=out/in-force
-mkdir -p "$out"
-gateways=()
-others=()
-
-# end PID... asks processes to stop and waits for them.
-end() {
-  [ $# -gt 0 ] || return 0
-  kill -TERM "$@" 2>/dev/null || true
-  wait "$@" 2>/dev/null || true
-}
-
-stop() {
-  trap - EXIT INT TERM
-  end "${gateways[@]}"
-  end "${others[@]}"
-}
-trap stop EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$out/$name.log" 2>&1 &
-  case "$name" in
-    gw-*) gateways+=($!) ;;
-    *) others+=($!) ;;
-  esac
-}
+source scripts/processes.sh
 
 export HICKORYSTAGE_STORE_URL=http://127.0.0.1:27100
 export HICKORYSTAGE_DIRECTORY_URL=http://127.0.0.1:27200
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -6,37 +6,7 @@
 cd "$(dirname "$0")/.."
 
 out=out/run
-mkdir -p "$out"
-gateways=()
-others=()
-
-# end PID... asks processes to stop and waits for them.
-end() {
-  [ $# -gt 0 ] || return 0
-  kill -TERM "$@" 2>/dev/null || true
-  wait "$@" 2>/dev/null || true
-}
-
-stop() {
-  trap - EXIT INT TERM
-  end "${gateways[@]}"
-  end "${others[@]}"
-  echo "step: every process has ended"
-}
-trap 'stop' EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-
-# start NAME COMMAND... runs a process with its output in out/run/NAME.log.
-start() {
-  local name=$1
-  shift
-  "$@" >"$out/$name.log" 2>&1 &
-  case "$name" in
-    gw-*) gateways+=($!) ;;
-    *) others+=($!) ;;
-  esac
-}
+source scripts/processes.sh
 
 export HICKORYSTAGE_STORE_URL=http://127.0.0.1:7100
 export HICKORYSTAGE_DIRECTORY_URL=http://127.0.0.1:7200
