--- /dev/null
+++ b/cmd/hickorystage/edge.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hickorystage/hickorystage/internal/edgeapp"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+	"github.com/hickorystage/hickorystage/platform"
+)
+
+// runEdge runs the daemon on the platform whose settings file is given, until
+// it is stopped, and returns the exit code.
+func runEdge(path string) int {
+	site, err := platform.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hickorystage gateway:", err)
+		return exitSettings
+	}
+	logger := telemetry.NewLogger(os.Stdout, log.InfoLevel).With("instance", site.Instance)
+	tuneCollector()
+	s := platform.NewStore(site.StoreAddress, platform.StoreOptions{})
+	app, err := edgeapp.New(site, edgeapp.Platform{
+		Store:     s,
+		Operators: platform.Operators{Store: s},
+		Endpoints: platform.Endpoints{Store: s},
+		Codec:     platform.Codec{},
+		Directory: func(addresses func(string) ([]string, time.Duration)) http.Handler {
+			return platform.DirectoryHandler(directory(addresses))
+		},
+		Readiness: platform.ReadyHandler,
+	}, logger)
+	if err != nil {
+		logger.Error("not started", "err", err)
+		return exitFailed
+	}
+	ctx, _ := signals()
+	if err := app.Run(ctx); err != nil {
+		logger.Error("stopped by a failure", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// directory answers by region alone.
+type directory func(region string) ([]string, time.Duration)
+
+// Addresses implements platform.Directory.
+func (d directory) Addresses(_ string, from platform.Place) ([]string, time.Duration) {
+	return d(from.Region)
+}
--- a/cmd/hickorystage/main.go
+++ b/cmd/hickorystage/main.go
@@ -8,10 +8,14 @@
 
 	"github.com/hickorystage/hickorystage/internal/command"
 	"github.com/hickorystage/hickorystage/internal/platform"
+	platformadapter "github.com/hickorystage/hickorystage/platform"
 )
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == command.GatewayName {
+		if path, ok := os.LookupEnv(platformadapter.SettingsVariable); ok {
+			os.Exit(runEdge(path))
+		}
 		os.Exit(runGateway(os.Args[2:]))
 	}
 	os.Exit(command.Run(context.Background(), os.Args[1:], &command.Env{
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,35 @@
+// Package fleet is what a gateway believes of the instances around it: the
+// endpoints of its region and the gateways of all regions. It merges what the
+// store and the peers tell, and is pure but for the blackboard it writes to.
+package fleet
+
+import "time"
+
+// EndpointState is what an endpoint says of itself.
+type EndpointState int
+
+// The states of an endpoint.
+const (
+	Ready EndpointState = iota
+	Draining
+)
+
+// Endpoint is one incarnation of an endpoint as its entry in the store tells.
+type Endpoint struct {
+	ID string
+	// Incarnation changes with each start under the same id. It orders the
+	// incarnations of one id and compares with nothing else.
+	Incarnation int64
+	// Sequence grows with each entry of one incarnation.
+	Sequence int64
+	Service  string
+	// Address is host:port.
+	Address    string
+	DataCentre string
+	Slots      int
+	State      EndpointState
+	// ColdFor is how much longer the endpoint is slow after its start.
+	ColdFor time.Duration
+	// GoneIn is the time until a draining endpoint is removed; 0 if unknown.
+	GoneIn time.Duration
+}
--- /dev/null
+++ b/internal/fleet/registry.go
@@ -0,0 +1,322 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Entry is what the store holds under one endpoint's key.
+type Entry struct {
+	ID string
+	// Endpoint is nil if the key is gone or its content names no endpoint.
+	Endpoint *Endpoint
+	// Gone says that the key is gone.
+	Gone bool
+	// Err says why the content names no endpoint.
+	Err error
+}
+
+// Belief is what this gateway believes of one endpoint.
+type Belief struct {
+	Endpoint
+	Region string
+	// Updated is when the last entry of it was learned.
+	Updated time.Time
+	// Leaving is when this gateway learned that the endpoint leaves; zero if
+	// it doesn't.
+	Leaving time.Time
+	// ColdUntil is until when it takes few requests.
+	ColdUntil time.Time
+	// Missing is when its entry was found missing after an outage of the
+	// store; zero if it wasn't.
+	Missing time.Time
+	// Misplaced says that another endpoint answered at its address.
+	Misplaced bool
+	// Unproven says that it broke connections since its last entry, so that
+	// it may have started again and be cold.
+	Unproven bool
+}
+
+// ReturnTime is how long after an outage of the store entries that lapsed
+// meanwhile may take to be back.
+const ReturnTime = 2 * time.Second
+
+// coldMargin is added to the time that an endpoint says it stays cold: the
+// entry was written before it was read.
+const coldMargin = 200 * time.Millisecond
+
+// incarnation names one start of an endpoint.
+type incarnation struct {
+	id   string
+	born int64
+}
+
+// Registry merges the entries of endpoints. It is safe for concurrent use.
+type Registry struct {
+	regions map[string]string
+	// own is the region whose endpoints are kept.
+	own string
+
+	mu      sync.RWMutex
+	beliefs map[string]*Belief
+	// left holds the incarnations that leave, which nothing lifts.
+	left map[incarnation]time.Time
+	// returned is when the store came back after the last outage.
+	returned time.Time
+	// evacuated holds the data centres that are to get nothing.
+	evacuated map[string]bool
+	// freed is when the evacuation of a data centre ended.
+	freed map[string]time.Time
+}
+
+// NewRegistry returns an empty registry of the endpoints in region own.
+// regions maps data centres to their regions.
+func NewRegistry(own string, regions map[string]string) *Registry {
+	return &Registry{
+		regions:   regions,
+		own:       own,
+		beliefs:   make(map[string]*Belief),
+		left:      make(map[incarnation]time.Time),
+		evacuated: make(map[string]bool),
+		freed:     make(map[string]time.Time),
+	}
+}
+
+// Change is a change of belief worth a log line.
+type Change struct {
+	ID   string
+	What string
+}
+
+// The changes of belief.
+const (
+	ChangeNew       = "new"
+	ChangeRestarted = "restarted"
+	ChangeLeaving   = "leaving"
+	ChangeGone      = "gone"
+	ChangeMissing   = "missing"
+	ChangeBack      = "back"
+	ChangeBroken    = "entry_broken"
+)
+
+// Apply takes in changed entries.
+func (r *Registry) Apply(entries []Entry, now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Change
+	for _, e := range entries {
+		out = append(out, r.apply(e, now)...)
+	}
+	return out
+}
+
+// Replace takes in all entries that there are; what is not among them is gone.
+func (r *Registry) Replace(entries []Entry, now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Change
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.ID] = true
+		out = append(out, r.apply(e, now)...)
+	}
+	for id := range r.beliefs {
+		if !present[id] {
+			out = append(out, r.apply(Entry{ID: id, Gone: true}, now)...)
+		}
+	}
+	return out
+}
+
+// StoreReturned notes that the store answers again after an outage.
+func (r *Registry) StoreReturned(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returned = now
+}
+
+func (r *Registry) apply(e Entry, now time.Time) []Change {
+	switch {
+	case e.Gone:
+		return r.remove(e.ID, now)
+	case e.Endpoint == nil:
+		return r.broken(e.ID)
+	default:
+		return r.update(*e.Endpoint, now)
+	}
+}
+
+// remove takes in that an entry is gone. Right after an outage the endpoint is
+// given the time to write it again.
+func (r *Registry) remove(id string, now time.Time) []Change {
+	b, ok := r.beliefs[id]
+	if !ok {
+		return nil
+	}
+	if b.Leaving.IsZero() && now.Before(r.returned.Add(ReturnTime)) {
+		if !b.Missing.IsZero() {
+			return nil
+		}
+		b.Missing = now
+		return []Change{{id, ChangeMissing}}
+	}
+	delete(r.beliefs, id)
+	return []Change{{id, ChangeGone}}
+}
+
+// broken takes in an entry that names no endpoint: until a sound one comes the
+// endpoint is not used.
+func (r *Registry) broken(id string) []Change {
+	if _, ok := r.beliefs[id]; !ok {
+		return nil
+	}
+	delete(r.beliefs, id)
+	return []Change{{id, ChangeBroken}}
+}
+
+func (r *Registry) update(e Endpoint, now time.Time) []Change {
+	if r.regions[e.DataCentre] != r.own {
+		return nil
+	}
+	key := incarnation{e.ID, e.Incarnation}
+	old, known := r.beliefs[e.ID]
+	if known && isOlder(e, old.Endpoint) {
+		return nil
+	}
+	next := Belief{Endpoint: e, Region: r.own, Updated: now}
+	if e.ColdFor > 0 {
+		next.ColdUntil = now.Add(e.ColdFor + coldMargin)
+	}
+	if since, left := r.left[key]; left {
+		next.Leaving = since
+	} else if e.State == Draining {
+		r.left[key] = now
+		next.Leaving = now
+	}
+	r.beliefs[e.ID] = &next
+	return changesOf(old, &next)
+}
+
+// isOlder says whether an entry was written before another one of the same id.
+func isOlder(e, than Endpoint) bool {
+	if e.Incarnation != than.Incarnation {
+		return e.Incarnation < than.Incarnation
+	}
+	return e.Sequence < than.Sequence
+}
+
+func changesOf(old, next *Belief) []Change {
+	var out []Change
+	switch {
+	case old == nil:
+		out = append(out, Change{next.ID, ChangeNew})
+	case old.Incarnation != next.Incarnation:
+		out = append(out, Change{next.ID, ChangeRestarted})
+	case !old.Missing.IsZero():
+		out = append(out, Change{next.ID, ChangeBack})
+	}
+	if !next.Leaving.IsZero() && (old == nil || old.Leaving.IsZero() || old.Incarnation != next.Incarnation) {
+		out = append(out, Change{next.ID, ChangeLeaving})
+	}
+	return out
+}
+
+// SetEvacuated takes in the data centres that are to get nothing. Endpoints of
+// one that is taken back may be cold without having said so yet.
+func (r *Registry) SetEvacuated(set map[string]bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for dc := range r.evacuated {
+		if !set[dc] {
+			r.freed[dc] = now
+		}
+	}
+	r.evacuated = set
+}
+
+// Sweep ends the waits that are over: entries that did not come back, and the
+// marks of incarnations that left long ago.
+func (r *Registry) Sweep(now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Change
+	for id, b := range r.beliefs {
+		if !b.Missing.IsZero() && now.Sub(b.Missing) >= ReturnTime {
+			delete(r.beliefs, id)
+			out = append(out, Change{id, ChangeGone})
+		}
+	}
+	for key, since := range r.left {
+		if now.Sub(since) > rememberLeft {
+			delete(r.left, key)
+		}
+	}
+	return out
+}
+
+// rememberLeft is how long the mark of a leaving incarnation is kept, which is
+// longer than a late entry of it can take.
+const rememberLeft = 10 * time.Minute
+
+// MarkLeaving takes in from a peer that an incarnation leaves, and says whether
+// that is news.
+func (r *Registry) MarkLeaving(id string, born int64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := incarnation{id, born}
+	if _, ok := r.left[key]; ok {
+		return false
+	}
+	r.left[key] = now
+	if b, ok := r.beliefs[id]; ok && b.Incarnation == born {
+		b.Leaving = now
+	}
+	return true
+}
+
+// MarkMisplaced notes that another endpoint answers at the address of one.
+func (r *Registry) MarkMisplaced(id string, born int64) {
+	r.mark(id, born, func(b *Belief) { b.Misplaced = true })
+}
+
+// MarkUnproven notes that an endpoint broke a connection.
+func (r *Registry) MarkUnproven(id string, born int64) {
+	r.mark(id, born, func(b *Belief) { b.Unproven = true })
+}
+
+func (r *Registry) mark(id string, born int64, set func(*Belief)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b, ok := r.beliefs[id]; ok && b.Incarnation == born {
+		set(b)
+	}
+}
+
+// Usable returns the endpoints of a service that may get new requests.
+func (r *Registry) Usable(service string, now time.Time) []Belief {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []Belief
+	for _, b := range r.beliefs {
+		if b.Service != service || !b.Leaving.IsZero() || b.Misplaced || r.evacuated[b.DataCentre] {
+			continue
+		}
+		c := *b
+		if freed, ok := r.freed[b.DataCentre]; ok && b.Updated.Before(freed) {
+			c.Unproven = true
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// All returns every endpoint that is known.
+func (r *Registry) All() []Belief {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]Belief, 0, len(r.beliefs))
+	for _, b := range r.beliefs {
+		out = append(out, *b)
+	}
+	return out
+}
