Place by shared prompt parts, over regions, within the shared budgets

Cause: requests of one region stood in a queue while others were idle, parts of prompts were read again on every engine, and homes were not respected. Change: a pure placement over the endpoints of all regions, a ledger of the work at each endpoint that gateways share in beats, forwarding to gateways of other regions, whole events with resuming, retry budget and cold limit.

--- /dev/null
+++ b/internal/budget/cold.go
@@ -0,0 +1,71 @@
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// coldSpan is the time over which requests to cold endpoints are counted.
+const coldSpan = time.Second
+
+// coldSenders is the number of gateways that may send to one cold endpoint at
+// the same time: the one that is chosen, and one that has not yet seen that
+// another was.
+const coldSenders = 2
+
+// ColdSettings bound the requests that a cold endpoint gets.
+type ColdSettings struct {
+	// Overage multiplies the rate that the endpoint's service allows, Slack is
+	// added to it.
+	Overage float64
+	Slack   float64
+}
+
+// Cold limits the requests to endpoints that have just started. It is safe for
+// concurrent use.
+type Cold struct {
+	settings ColdSettings
+
+	mu   sync.Mutex
+	sent map[string][]time.Time
+}
+
+// NewCold returns a limiter.
+func NewCold(s ColdSettings) *Cold {
+	return &Cold{settings: s, sent: make(map[string][]time.Time)}
+}
+
+// Allows says whether a cold endpoint whose service allows rate requests a
+// second may get one more now. A rate of 0 sets no limit.
+func (c *Cold) Allows(id string, rate float64, now time.Time) bool {
+	if rate <= 0 {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.recent(id, now)) < c.limit(rate)
+}
+
+// Note counts a request that is sent to a cold endpoint now.
+func (c *Cold) Note(id string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[id] = append(c.recent(id, now), now)
+}
+
+func (c *Cold) limit(rate float64) int {
+	return int(math.Floor((rate*c.settings.Overage + c.settings.Slack) / coldSenders))
+}
+
+// recent drops what was sent before the span and returns the rest.
+func (c *Cold) recent(id string, now time.Time) []time.Time {
+	list := c.sent[id]
+	for len(list) > 0 && now.Sub(list[0]) >= coldSpan {
+		list = list[1:]
+	}
+	if len(list) == 0 {
+		delete(c.sent, id)
+	}
+	return list
+}
--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -37,12 +38,15 @@
 // Beat is one datagram.
 type Beat struct {
 	From fleet.Sign `json:"from"`
+	// Rows are the sender's requests under way at endpoints.
+	Rows []ledger.Row `json:"rows,omitempty"`
 }
 
 // Controller sends and receives beats.
 type Controller struct {
 	board    *blackboard.Edge
 	gateways *fleet.Gateways
+	ledger   *ledger.Ledger
 	conn     net.PacketConn
 	logger   *log.Logger
 	// newer is called when another gateway holds a newer configuration.
@@ -52,8 +56,8 @@
 }
 
 // New returns the controller, which beats over conn.
-func New(board *blackboard.Edge, gateways *fleet.Gateways, conn net.PacketConn, newer func(), logger *log.Logger) *Controller {
-	return &Controller{board: board, gateways: gateways, conn: conn, newer: newer, logger: logger}
+func New(board *blackboard.Edge, gateways *fleet.Gateways, accounts *ledger.Ledger, conn net.PacketConn, newer func(), logger *log.Logger) *Controller {
+	return &Controller{board: board, gateways: gateways, ledger: accounts, conn: conn, newer: newer, logger: logger}
 }
 
 // Name implements controller.Controller.
@@ -97,7 +101,7 @@
 
 // send beats to the gateways of the region, and at times to the others.
 func (c *Controller) send() {
-	body, err := json.Marshal(Beat{From: c.sign()})
+	body, err := json.Marshal(Beat{From: c.sign(), Rows: c.ledger.Rows(time.Now())})
 	if err != nil {
 		c.logger.Error("beat not encoded", "err", err)
 		return
@@ -148,6 +152,7 @@
 
 func (c *Controller) hear(b Beat) {
 	heard.Inc()
+	c.ledger.Hear(b.From.ID, b.Rows, time.Now())
 	if c.gateways.Hear(b.From, time.Now()) {
 		c.logger.Info("gateway heard", "id", b.From.ID, "region", b.From.Region)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,25 +6,32 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 var (
-	requests = telemetry.NewCounter("route_requests", "requests", "requests of callers on routes")
-	refusals = telemetry.NewCounter("route_refusals", "requests", "requests on routes that were refused as not run")
-	failures = telemetry.NewCounter("route_failures", "requests", "requests on routes that failed with an unknown outcome")
-	total    = telemetry.NewHistogram("route_time")
+	requests      = telemetry.NewCounter("route_requests", "requests", "requests of callers on routes")
+	refusals      = telemetry.NewCounter("route_refusals", "requests", "requests on routes that were refused as not run")
+	failures      = telemetry.NewCounter("route_failures", "requests", "requests on routes that failed with an unknown outcome")
+	received      = telemetry.NewCounter("route_forwards_received", "requests", "requests on routes that gateways of other regions sent on")
+	brokenOff     = telemetry.NewCounter("route_broken_off", "requests", "answers on routes that were broken off after they had begun")
+	retriesDenied = telemetry.NewCounter("route_retries_denied", "requests", "repeats on routes that the shared budget did not allow")
+	total         = telemetry.NewHistogram("route_time")
 )
 
 // Config is what an Edge works with.
@@ -33,6 +40,9 @@
 	Registry *fleet.Registry
 	Gateways *fleet.Gateways
 	Codec    exchange.Codec
+	Ledger   *ledger.Ledger
+	Retries  *budget.Retries
+	Cold     *budget.Cold
 	// Near carries requests to endpoints, Far to gateways of other regions.
 	Near   *transport.Transport
 	Far    *transport.Transport
@@ -43,12 +53,14 @@
 type Edge struct {
 	Config
 	inFlight *inFlight
-	ledger   *ledger
+	paths    *paths
+	// turn takes the gateways of other regions in turn.
+	turn atomic.Uint64
 }
 
 // New returns an edge.
 func New(c Config) *Edge {
-	return &Edge{Config: c, inFlight: newInFlight(), ledger: newLedger()}
+	return &Edge{Config: c, inFlight: newInFlight(), paths: newPaths()}
 }
 
 // bodyTimeout bounds the time that a caller may take to send its body.
@@ -64,31 +76,57 @@
 	requests.Inc()
 	s, err := e.open(w, r, arrived)
 	if err != nil {
-		e.refuse(w, r, s, failure.AsRefusal(err))
+		e.refuse(s, failure.AsRefusal(err))
 		return
 	}
 	s.run(r.Context())
 	total.Observe(time.Since(arrived))
 }
 
+// newSession begins the session of a request whose header has been read.
+func (e *Edge) newSession(w http.ResponseWriter, r *http.Request, arrived time.Time) *session {
+	return &session{
+		edge: e, w: w, method: r.Method, target: r.RequestURI, host: r.Host, path: r.URL.Path,
+		header: r.Header, arrived: arrived, req: e.Codec.Request(r.Header),
+	}
+}
+
 // open reads a request whole and finds its route.
 func (e *Edge) open(w http.ResponseWriter, r *http.Request, arrived time.Time) (*session, error) {
-	s := &session{edge: e, w: w, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: arrived}
-	s.req = e.Codec.Request(r.Header)
-	table := e.Board.Routes.Get()
+	s := e.newSession(w, r, arrived)
+	if err := s.match(r); err != nil {
+		return s, err
+	}
+	s.setDeadline()
+	return s, s.readBody(r)
+}
+
+// match finds the route and the service of the request.
+func (s *session) match(r *http.Request) error {
+	table := s.edge.Board.Routes.Get()
 	if table == nil {
-		return s, failure.Refuse(failure.CodeNotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
+		return failure.Refuse(failure.CodeNotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
 	}
 	s.table = table
 	s.route = table.Match(r.Host, r.URL.Path)
 	if s.route == nil {
-		return s, failure.Refuse(failure.CodeNotFound, "no route")
+		return failure.Refuse(failure.CodeNotFound, "no route")
 	}
 	if s.req.ID == "" {
-		return s, failure.Refuse(failure.CodeBadRequest, "the request has no attempt id")
+		return failure.Refuse(failure.CodeBadRequest, "the request has no attempt id")
 	}
-	s.setDeadline()
-	return s, s.readBody(r)
+	s.service = s.serviceNamed(s.route.Service(s.req.ID))
+	s.readParts()
+	return nil
+}
+
+// serviceNamed returns a service, which may be one that the configuration does
+// not describe.
+func (s *session) serviceNamed(name string) *route.Service {
+	if svc, ok := s.table.Services[name]; ok {
+		return svc
+	}
+	return &route.Service{Name: name}
 }
 
 // notReadyRetry is what callers of a gateway without configuration are told to
@@ -147,11 +185,20 @@
 // number of requests under way.
 func (e *Edge) Idle() (<-chan struct{}, int) { return e.inFlight.wait() }
 
-// services returns the service of a request on a route.
-func (s *session) service() *route.Service {
-	name := s.route.Service(s.req.ID)
-	if svc, ok := s.table.Services[name]; ok {
-		return svc
+// refuse gives the caller the gateway's own answer.
+func (e *Edge) refuse(s *session, r *failure.Refusal) {
+	if r.Outcome == failure.NotRun {
+		refusals.Inc()
+	} else {
+		failures.Inc()
 	}
-	return &route.Service{Name: name}
+	h := s.w.Header()
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if s.fwd != nil {
+		h.Set(headerOutcome, string(r.Outcome))
+	}
+	s.log("refused", "code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
+	s.w.WriteHeader(r.Status())
 }
--- /dev/null
+++ b/internal/edge/place.go
@@ -0,0 +1,173 @@
+package edge
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorystage/hickorystage/internal/exchange"
+	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
+	"github.com/hickorystage/hickorystage/internal/placement"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+)
+
+// farLag is how old the word of another region's gateways is at most: the time
+// between their beats and the way of one.
+const farLag = 600 * time.Millisecond
+
+// place finds the request a place. ok is false if there is none now.
+func (s *session) place() (d placement.Decision, ok bool) {
+	now := time.Now()
+	candidates := s.candidates(now)
+	d = placement.Decide(s.request(now), candidates)
+	if d.Kind != placement.Serve {
+		return d, false
+	}
+	c := d.Candidate
+	s.log("placed", "endpoint", c.ID, "region", c.Region, "candidates", len(candidates),
+		"estimate_ms", d.Estimate.Milliseconds(), "queued_ms", c.Queued.Milliseconds(),
+		"running", c.Running, "waiting", c.Waiting, "cached", c.Cached, "home", c.Home)
+	return d, true
+}
+
+// request sums up the session for placement.
+func (s *session) request(now time.Time) placement.Request {
+	r := placement.Request{
+		Urgency:    s.route.Priority,
+		Objective:  s.arrived.Add(s.route.Objective).Sub(now),
+		Left:       s.deadline.Sub(now),
+		Repeatable: s.route.Repeatable(),
+	}
+	if p := s.req.Prompt; p != nil {
+		r.Tokens, r.Shared, r.Output = p.Tokens, s.shared, likelyOutput(p)
+	}
+	return r
+}
+
+// likelyOutput is the number of tokens that an answer probably has.
+func likelyOutput(p *exchange.Prompt) int {
+	if p.LikelyOutput > 0 && (p.MaxOutput == 0 || p.LikelyOutput < p.MaxOutput) {
+		return p.LikelyOutput
+	}
+	return p.MaxOutput / 2
+}
+
+// readParts works out what the prompt shares with others.
+func (s *session) readParts() {
+	p := s.req.Prompt
+	if p == nil {
+		return
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(p.Model)
+	for i, part := range p.Parts {
+		_, _ = h.WriteString("\x00" + part.ID)
+		s.parts = append(s.parts, ledger.Part{Hash: h.Sum64(), Tokens: part.Tokens})
+		if i < len(p.Parts)-1 {
+			s.shared += part.Tokens
+			s.meet = strconv.FormatUint(h.Sum64(), 16)
+		}
+	}
+}
+
+// candidates returns the endpoints that may serve the request now.
+func (s *session) candidates(now time.Time) []placement.Candidate {
+	e := s.edge
+	own := e.Gateways.Self().Region
+	reachable := make(map[string]bool)
+	var out []placement.Candidate
+	top := -1
+	for _, b := range e.Registry.Usable(s.service.Name, now) {
+		if s.tried[b.ID] || s.tried[regionKey(b.Region)] || !s.route.Permits(b.Region) {
+			continue
+		}
+		far := b.Region != own
+		if far && (s.fwd != nil || !s.reaches(b.Region, reachable, now)) {
+			continue
+		}
+		if !far && !s.mayUseCold(b, now) {
+			continue
+		}
+		c, ok := e.Ledger.Candidate(s.query(b, far), now)
+		if !ok {
+			continue
+		}
+		c.Region = b.Region
+		c.Rank = rendezvous.Weight(s.rankKey(), b.ID)
+		if far {
+			c.Path = e.paths.roundTrip(b.Region)
+		}
+		out = append(out, c)
+		if top < 0 || c.Rank > out[top].Rank {
+			top = len(out) - 1
+		}
+	}
+	if top >= 0 && s.meet != "" {
+		out[top].Home = true
+	}
+	return out
+}
+
+func (s *session) rankKey() string {
+	if s.meet != "" {
+		return s.meet
+	}
+	return s.req.ID
+}
+
+func regionKey(region string) string { return "region " + region }
+
+// reaches says whether a gateway of the region can take the request.
+func (s *session) reaches(region string, known map[string]bool, now time.Time) bool {
+	ok, seen := known[region]
+	if !seen {
+		_, ok = s.edge.farGateway(region, now)
+		known[region] = ok
+	}
+	return ok
+}
+
+func (s *session) query(b fleet.Belief, far bool) ledger.Query {
+	q := ledger.Query{
+		ID: b.ID, Born: b.Incarnation, Service: b.Service, Parts: s.parts,
+		Urgency: s.route.Priority, Slots: b.Slots, Far: far, Lag: farLag,
+	}
+	if s.service.Engine != nil {
+		q.Capacity = s.service.Engine.CacheTokens
+	}
+	return q
+}
+
+// isCold says whether an endpoint takes few requests only.
+func isCold(b fleet.Belief, now time.Time) bool { return b.Unproven || now.Before(b.ColdUntil) }
+
+// mayUseCold says whether an endpoint that is cold may get this request: one
+// gateway of the region alone sends to it, within its limit.
+func (s *session) mayUseCold(b fleet.Belief, now time.Time) bool {
+	if !isCold(b, now) || s.service.ColdRate <= 0 {
+		return true
+	}
+	e := s.edge
+	self := e.Gateways.Self()
+	ids := []string{self.ID}
+	for _, g := range e.Gateways.Alive(self.Region, now) {
+		ids = append(ids, g.ID)
+	}
+	return rendezvous.Owns("cold "+b.ID, self.ID, ids, 1) && e.Cold.Allows(b.ID, s.service.ColdRate, now)
+}
+
+// farGateway returns a gateway of another region that takes requests.
+func (e *Edge) farGateway(region string, now time.Time) (fleet.Sign, bool) {
+	var ready []fleet.Sign
+	for _, g := range e.Gateways.Alive(region, now) {
+		if g.Ready {
+			ready = append(ready, g)
+		}
+	}
+	if len(ready) == 0 {
+		return fleet.Sign{}, false
+	}
+	return ready[e.turn.Add(1)%uint64(len(ready))], true
+}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/failure"
-	"github.com/hickorystage/hickorystage/internal/fleet"
-	"github.com/hickorystage/hickorystage/internal/rendezvous"
+	"github.com/hickorystage/hickorystage/internal/ledger"
+	"github.com/hickorystage/hickorystage/internal/placement"
 	"github.com/hickorystage/hickorystage/internal/route"
-	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // session is one request over all its attempts.
@@ -24,147 +19,129 @@
 	method  string
 	target  string
 	host    string
+	path    string
 	header  http.Header
 	body    []byte
 	arrived time.Time
 
 	table    *route.Table
 	route    *route.Route
+	service  *route.Service
 	req      exchange.Request
 	deadline time.Time
+	// fwd is set when a gateway of another region sent the request on.
+	fwd *forward
+
+	// parts are the prompt's parts with all before them; shared is the number
+	// of tokens in all but the last.
+	parts  []ledger.Part
+	shared int
+	// meet identifies the requests that share all parts but the last.
+	meet string
 
-	tried      map[string]bool
-	attempts   int
+	// tried holds the endpoints, and the regions, that earlier attempts were
+	// made at.
+	tried map[string]bool
+	// attempts counts the endpoints that the request was sent to.
+	attempts int
+	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun bool
-	started    bool
+	// stream is what the caller has been sent of a stream.
+	stream streamState
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	// done says that the caller has got the final answer, or has gone.
+	done bool
+	// elsewhere says that the request may be tried again.
+	elsewhere bool
+	// repeat says that another attempt counts as a repeat.
+	repeat bool
+	// refusal is what the caller is told if there is no other attempt.
+	refusal *failure.Refusal
 }
 
+// run carries the request to its end.
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	s.tried = make(map[string]bool)
-	svc := s.service()
+	s.edge.Retries.Request(s.service.Name, time.Now())
 	for {
-		b, ok := s.pick(svc.Name)
+		d, ok := s.place()
 		if !ok {
-			s.end(ctx, failure.Refuse(failure.CodeNoEndpoint, "no endpoint").WithRetryAfter(200*time.Millisecond))
+			s.finish(ctx, s.refusalOf(d))
 			return
 		}
-		again, err := s.attempt(ctx, b)
-		if err == nil {
+		out := s.attempt(ctx, d)
+		if out.done {
 			return
 		}
-		s.edge.Logger.Info("attempt failed", "request", s.req.ID, "route", s.route.Name, "endpoint", b.ID, "err", err)
-		s.tried[b.ID] = true
-		if !again || s.attempts >= s.route.MaxAttempts || ctx.Err() != nil {
-			s.end(ctx, err)
+		if !s.mayGoOn(ctx, out) {
+			s.finish(ctx, out.refusal)
 			return
 		}
 	}
 }
 
-func (s *session) pick(service string) (fleet.Belief, bool) {
-	var best fleet.Belief
-	bestScore, found := 0, false
-	for _, b := range s.edge.Registry.Usable(service, time.Now()) {
-		if s.tried[b.ID] {
-			continue
+// mayGoOn says whether another attempt may follow one that failed.
+func (s *session) mayGoOn(ctx context.Context, out outcome) bool {
+	if !out.elsewhere || ctx.Err() != nil || s.fwd != nil && out.repeat {
+		return false
+	}
+	if out.repeat {
+		if s.attempts >= s.route.MaxAttempts {
+			return false
 		}
-		score := s.edge.ledger.get(b.ID)
-		if !found || score < bestScore || score == bestScore && rendezvous.Weight(s.req.ID, b.ID) > rendezvous.Weight(s.req.ID, best.ID) {
-			best, bestScore, found = b, score, true
+		now := time.Now()
+		if !s.edge.Retries.Spend(s.service.Name, s.edge.Gateways.Count(now), now) {
+			retriesDenied.Inc()
+			s.log("retry_denied")
+			return false
 		}
 	}
-	return best, found
+	return true
 }
 
-func (s *session) attempt(ctx context.Context, b fleet.Belief) (again bool, err error) {
-	s.edge.ledger.add(b.ID, 1)
-	defer s.edge.ledger.add(b.ID, -1)
-	header := s.header.Clone()
-	exchange.StripHopByHop(header)
-	s.edge.Codec.WriteAttempt(header, exchange.Attempt{
-		Endpoint:  b.ID,
-		Remaining: time.Until(s.deadline),
-		Urgency:   min(s.route.Priority, 9),
-	})
-	resp, err := s.edge.Near.Do(ctx, transport.Call{
-		Address: b.Address, Method: s.method, Target: s.target, Host: s.host,
-		Header: header, Body: s.body, Fresh: !s.route.Repeatable(),
-	})
-	var notSent *transport.NotSentError
-	if errors.As(err, &notSent) {
-		return true, err
-	}
-	s.attempts++
-	if err != nil {
-		s.mayHaveRun = true
-		return s.route.Repeatable(), err
+// refusalOf turns a decision against a request into what the caller is told.
+func (s *session) refusalOf(d placement.Decision) *failure.Refusal {
+	code := failure.CodeOverloaded
+	if d.Reason == placement.NoEndpoint {
+		code = failure.CodeNoEndpoint
 	}
-	defer resp.Body.Close()
-	a := s.edge.Codec.Answer(resp.Header)
-	if a.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
-		if resp.StatusCode == http.StatusMisdirectedRequest {
-			s.edge.Registry.MarkMisplaced(b.ID, b.Incarnation)
-		}
-		return true, failure.Refuse(failure.CodeOverloaded, "endpoint did not run it: %d", resp.StatusCode).WithRetryAfter(300 * time.Millisecond)
-	}
-	s.mayHaveRun = true
-	if a.ID != s.req.ID {
-		return s.route.Repeatable(), failure.New(failure.CodeEndpointFailed, failure.Unknown, "answer of %q", a.ID)
-	}
-	if resp.StatusCode >= 500 && s.route.Repeatable() && s.attempts < s.route.MaxAttempts {
-		return true, failure.New(failure.CodeEndpointFailed, failure.Unknown, "status %d", resp.StatusCode)
-	}
-	s.pass(resp)
-	return false, nil
+	return failure.Refuse(code, "%s", d.Reason).WithRetryAfter(d.RetryAfter)
 }
 
-func (s *session) pass(resp *http.Response) {
-	h := s.w.Header()
-	for k, v := range resp.Header {
-		h[k] = v
+// finish gives the caller the final answer of a request that failed.
+func (s *session) finish(ctx context.Context, r *failure.Refusal) {
+	if context.Cause(ctx) == context.Canceled {
+		s.log("caller_gone")
+		return
 	}
-	exchange.StripHopByHop(h)
-	s.edge.Codec.CleanAnswer(h)
-	s.w.WriteHeader(resp.StatusCode)
-	rc := http.NewResponseController(s.w)
-	buf := make([]byte, 4096)
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			if _, werr := s.w.Write(buf[:n]); werr != nil {
-				panic(http.ErrAbortHandler)
-			}
-			if s.route.Kind == route.Streaming {
-				_ = rc.Flush()
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	if s.stream.started {
+		s.log("broken_off", "err", r)
+		brokenOff.Inc()
+		panic(http.ErrAbortHandler)
 	}
-}
-
-func (s *session) end(ctx context.Context, err error) {
-	if ctx.Err() == context.Canceled {
-		return
+	if s.mayHaveRun && r.Outcome == failure.NotRun {
+		r = failure.New(failure.CodeEndpointFailed, failure.Unknown, "%s", r.Message)
 	}
-	refusal := failure.AsRefusal(err)
-	if s.mayHaveRun {
-		refusal = failure.New(failure.CodeEndpointFailed, failure.Unknown, "no answer").WithCause(err)
+	if ctx.Err() != nil && r.Outcome != failure.NotRun {
+		r = failure.New(failure.CodeDeadline, r.Outcome, "no answer in time")
 	}
-	s.edge.refuse(s.w, nil, s, refusal)
+	s.edge.refuse(s, r)
+}
+
+// log writes one line about the request.
+func (s *session) log(event string, more ...any) {
+	fields := append([]any{"request", s.req.ID, "route", s.routeName(), "ms", time.Since(s.arrived).Milliseconds()}, more...)
+	s.edge.Logger.Info(event, fields...)
 }
 
-func (e *Edge) refuse(w http.ResponseWriter, _ *http.Request, s *session, r *failure.Refusal) {
-	refusals.Inc()
-	if r.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+func (s *session) routeName() string {
+	if s.route == nil {
+		return ""
 	}
-	e.Logger.Info("refused", "request", s.req.ID, "code", r.Code, "outcome", r.Outcome, "err", r)
-	w.WriteHeader(r.Status())
+	return s.route.Name
 }
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -17,6 +17,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/controller"
 	"github.com/hickorystage/hickorystage/internal/controller/beats"
 	"github.com/hickorystage/hickorystage/internal/controller/discovery"
@@ -25,6 +26,7 @@
 	"github.com/hickorystage/hickorystage/internal/edge"
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
 	"github.com/hickorystage/hickorystage/internal/transport"
@@ -75,12 +77,17 @@
 		Peer:        site.PeerAddress,
 		Beat:        beatAddress,
 	})
-	registry := fleet.NewRegistry(site.Region, site.Regions)
+	registry := fleet.NewRegistry(site.Regions)
+	accounts := ledger.New()
+	bounds := site.Bounds
 	a.edge = edge.New(edge.Config{
 		Board:    a.board,
 		Registry: registry,
 		Gateways: a.gateways,
 		Codec:    p.Codec,
+		Ledger:   accounts,
+		Retries:  budget.NewRetries(budget.RetrySettings{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}),
+		Cold:     budget.NewCold(budget.ColdSettings{Overage: bounds.ColdOverage, Slack: bounds.ColdSlack}),
 		Near:     transport.New(transport.Dialer(), transport.DialTimeout),
 		Far:      transport.New(transport.Dialer(), transport.FarDialTimeout),
 		Logger:   logger,
@@ -94,7 +101,7 @@
 		routes,
 		discovery.New(a.board, registry, p.Endpoints, logger),
 		enlist.New(a.board, p.Store, a.gateways, logger),
-		beats.New(a.board, a.gateways, conn, routes.Refresh, logger),
+		beats.New(a.board, a.gateways, accounts, conn, routes.Refresh, logger),
 	}
 	return a, a.listen()
 }
@@ -128,6 +135,9 @@
 	if _, err = a.open(a.site.ReadyAddress, a.platform.Readiness(a.edge.Ready)); err != nil {
 		return err
 	}
+	if _, err = a.open(a.site.PeerAddress, a.edge.PeerHandler()); err != nil {
+		return err
+	}
 	if a.site.DirectoryAddress == "" {
 		return nil
 	}
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -125,6 +125,19 @@
 	return g.filter(func(m *member) bool { return m.sign.Region == region })
 }
 
+// Count returns the number of gateways that were heard or listed lately, this
+// one included.
+func (g *Gateways) Count(now time.Time) int {
+	recent := func(m *member) bool {
+		return now.Sub(m.heard) <= countTime || now.Sub(m.listed) <= countTime
+	}
+	return len(g.filter(recent)) + 1
+}
+
+// countTime is how long a gateway that is no longer heard still counts as one
+// that takes its part of shared limits.
+const countTime = 10 * time.Second
+
 // Regions returns the regions of the gateways that are known.
 func (g *Gateways) Regions() []string {
 	g.mu.RLock()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -51,11 +53,10 @@
 	born int64
 }
 
-// Registry merges the entries of endpoints. It is safe for concurrent use.
+// Registry merges the entries of the endpoints of all regions. It is safe for concurrent use.
 type Registry struct {
+	// regions maps data centres to their regions.
 	regions map[string]string
-	// own is the region whose endpoints are kept.
-	own string
 
 	mu      sync.RWMutex
 	beliefs map[string]*Belief
@@ -69,12 +70,11 @@
 	freed map[string]time.Time
 }
 
-// NewRegistry returns an empty registry of the endpoints in region own.
-// regions maps data centres to their regions.
-func NewRegistry(own string, regions map[string]string) *Registry {
+// NewRegistry returns an empty registry. regions maps data centres to their
+// regions; endpoints of others are not used.
+func NewRegistry(regions map[string]string) *Registry {
 	return &Registry{
 		regions:   regions,
-		own:       own,
 		beliefs:   make(map[string]*Belief),
 		left:      make(map[incarnation]time.Time),
 		evacuated: make(map[string]bool),
@@ -175,15 +175,16 @@
 }
 
 func (r *Registry) update(e Endpoint, now time.Time) []Change {
-	if r.regions[e.DataCentre] != r.own {
+	region, known := r.regions[e.DataCentre]
+	if !known {
 		return nil
 	}
 	key := incarnation{e.ID, e.Incarnation}
-	old, known := r.beliefs[e.ID]
-	if known && isOlder(e, old.Endpoint) {
+	old, ok := r.beliefs[e.ID]
+	if ok && isOlder(e, old.Endpoint) {
 		return nil
 	}
-	next := Belief{Endpoint: e, Region: r.own, Updated: now}
+	next := Belief{Endpoint: e, Region: region, Updated: now}
 	if e.ColdFor > 0 {
 		next.ColdUntil = now.Add(e.ColdFor + coldMargin)
 	}
@@ -307,9 +308,20 @@
 		}
 		out = append(out, c)
 	}
+	slices.SortFunc(out, func(a, b Belief) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
+// Get returns one endpoint.
+func (r *Registry) Get(id string) (Belief, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if b, ok := r.beliefs[id]; ok {
+		return *b, true
+	}
+	return Belief{}, false
+}
+
 // All returns every endpoint that is known.
 func (r *Registry) All() []Belief {
 	r.mu.RLock()
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,213 @@
+// Package placement decides which endpoint serves a request, here or in
+// another region, or that none can. It is pure: no I/O, no clock, no random
+// source. Everything that a decision needs comes in as arguments.
+//
+// It answers loads in which engines read prompts one after another while they
+// generate for others, prompts share long parts, and the peaks of regions of
+// unequal size follow each other.
+package placement
+
+import "time"
+
+// Request is what placement knows of one request.
+type Request struct {
+	// Tokens is the length of the prompt, Shared the part of it that other
+	// requests have too. Both are 0 for plain services.
+	Tokens int
+	Shared int
+	// Output is the likely number of tokens of the answer.
+	Output int
+	// Urgency is 0 for the most urgent requests.
+	Urgency int
+	// Objective is the time left until the answer is late; it may be negative.
+	Objective time.Duration
+	// Left is the time left until the answer is of no use.
+	Left time.Duration
+	// Repeatable says that the request may run again elsewhere.
+	Repeatable bool
+}
+
+// Candidate is one endpoint that may serve the request, as it is believed to
+// be now.
+type Candidate struct {
+	ID     string
+	Region string
+	// Far says that it stands in another region; Path is the round trip there.
+	Far  bool
+	Path time.Duration
+	// Slots is the number of requests that it runs at once, 0 if unknown.
+	Slots int
+	// Running and Waiting are the requests that it generates for, and those
+	// that it has not begun to answer.
+	Running int
+	Waiting int
+	// Queued is the time that the prompts take that it reads before this one.
+	Queued time.Duration
+	// Memory and Capacity are in tokens; a Capacity of 0 means unknown.
+	Memory   int
+	Capacity int
+	// Cached is the part of the prompt that it holds, in tokens.
+	Cached int
+	// Home says that requests with the same shared parts meet here.
+	Home bool
+	// TokenTime is the time that it takes to read one token of a prompt.
+	TokenTime time.Duration
+	// Service is the time that a plain request takes, and the overhead of a
+	// model request.
+	Service time.Duration
+	// Failing is the share of recent requests that failed, 0 to 1.
+	Failing float64
+	// Rank breaks ties; it differs between requests.
+	Rank uint64
+}
+
+// Kind is the kind of a decision.
+type Kind int
+
+// The kinds of decisions.
+const (
+	// Refuse says that no candidate can serve the request.
+	Refuse Kind = iota
+	// Serve says to send it to Decision.Candidate.
+	Serve
+)
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// NoEndpoint says that there is no candidate at all.
+	NoEndpoint Reason = "no_endpoint"
+	// Full says that every candidate is at its bound.
+	Full Reason = "full"
+	// TooLate says that no candidate answers in time.
+	TooLate Reason = "too_late"
+)
+
+// Decision is what to do with a request.
+type Decision struct {
+	Kind      Kind
+	Candidate Candidate
+	// Estimate is the time until the first part of the answer.
+	Estimate time.Duration
+	// Reason and RetryAfter are set for refusals.
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Weights of the decision.
+const (
+	// workWeight is the weight of the time that an engine spends on reading
+	// the prompt, beside the wait that it causes this request: others wait for
+	// it as well, and it could have been spared where the parts are kept.
+	workWeight = 2.0
+	// farMargin is what another region must be better by: links between
+	// regions are thin, and what is believed of endpoints there is older.
+	farMargin = 60 * time.Millisecond
+	// failWeight is the time that a certain failure counts as.
+	failWeight = 3 * time.Second
+	// runningWeight is what each running request counts as: it slows down
+	// the generation of all others.
+	runningWeight = 1500 * time.Microsecond
+	// interleave is the share of an engine's time that goes to reading prompts
+	// while it generates for others.
+	interleave = 0.85
+	// memoryShare is the share of an engine's memory that requests may take
+	// until it is full; cached parts have the rest.
+	memoryShare = 0.9
+)
+
+// Decide chooses among the candidates.
+func Decide(req Request, candidates []Candidate) Decision {
+	if len(candidates) == 0 {
+		return Decision{Kind: Refuse, Reason: NoEndpoint, RetryAfter: shortRetry}
+	}
+	best, bestScore, found := 0, time.Duration(0), false
+	soonest := time.Duration(-1)
+	full := true
+	for i := range candidates {
+		c := &candidates[i]
+		if !hasRoom(req, c) {
+			continue
+		}
+		full = false
+		t := estimate(req, c)
+		if soonest < 0 || t < soonest {
+			soonest = t
+		}
+		if t > req.Left {
+			continue
+		}
+		s := score(req, c, t)
+		if !found || s < bestScore || s == bestScore && c.Rank > candidates[best].Rank {
+			best, bestScore, found = i, s, true
+		}
+	}
+	switch {
+	case found:
+		return Decision{Kind: Serve, Candidate: candidates[best], Estimate: estimate(req, &candidates[best])}
+	case full:
+		return Decision{Kind: Refuse, Reason: Full, RetryAfter: shortRetry}
+	default:
+		return Decision{Kind: Refuse, Reason: TooLate, RetryAfter: max(soonest-req.Left, shortRetry)}
+	}
+}
+
+// shortRetry is what callers are told to wait when endpoints may be free again
+// at any moment.
+const shortRetry = 250 * time.Millisecond
+
+// hasRoom says whether the endpoint can take the request at once.
+func hasRoom(req Request, c *Candidate) bool {
+	if c.Slots > 0 && c.Running+c.Waiting >= c.Slots+c.Slots/queueShare {
+		return false
+	}
+	need := req.Tokens + req.Output - c.Cached
+	return c.Capacity == 0 || float64(c.Memory+need) <= memoryShare*float64(c.Capacity) || c.Memory == 0
+}
+
+// queueShare: an endpoint takes one more waiting request for so many slots.
+const queueShare = 2
+
+// estimate is the time until the first part of the answer comes.
+func estimate(req Request, c *Candidate) time.Duration {
+	wait := time.Duration(float64(c.Queued+readTime(req, c)) / interleave)
+	if req.Tokens == 0 {
+		wait = plainWait(c)
+	}
+	return c.Path + wait + c.Service
+}
+
+// plainWait is the wait at an endpoint that takes requests one by one.
+func plainWait(c *Candidate) time.Duration {
+	if c.Slots == 0 {
+		return 0
+	}
+	ahead := c.Running + c.Waiting + 1 - c.Slots
+	if ahead <= 0 {
+		return 0
+	}
+	return c.Service * time.Duration(ahead) / time.Duration(c.Slots)
+}
+
+// readTime is the time that the engine takes to read what it does not hold.
+func readTime(req Request, c *Candidate) time.Duration {
+	return time.Duration(max(req.Tokens-c.Cached, 0)) * c.TokenTime
+}
+
+// score is what the placement costs, as a time. The least is the best.
+func score(req Request, c *Candidate, t time.Duration) time.Duration {
+	work := readTime(req, c)
+	if c.Home && c.Cached < req.Shared {
+		// Whoever reads the shared parts here reads them for all to come.
+		work -= time.Duration(req.Shared-c.Cached) * c.TokenTime
+	}
+	s := t + time.Duration(workWeight*float64(work))
+	s += time.Duration(c.Running+c.Waiting) * runningWeight
+	s += time.Duration(c.Failing * float64(failWeight))
+	if c.Far {
+		s += farMargin
+	}
+	return s
+}
