Reload settings on SIGHUP and on unannounced change; break off a stream whose rest fails

Change: a controller reads the settings again; an answer that is not a stream fails the attempt once the stream has begun.

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/hickorystage/hickorystage/internal/edgeapp"
+	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/platform"
 )
@@ -25,6 +28,8 @@
 	tuneCollector()
 	s := platform.NewStore(site.StoreAddress, platform.StoreOptions{})
 	app, err := edgeapp.New(site, edgeapp.Platform{
+		Settings:  func() (*settings.Site, error) { return platform.ReadSettings(path) },
+		Hangup:    hangup(),
 		Store:     s,
 		Operators: platform.Operators{Store: s},
 		Endpoints: platform.Endpoints{Store: s},
@@ -46,6 +51,22 @@
 	return exitOK
 }
 
+// hangup returns a channel that has a value after SIGHUP.
+func hangup() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	out := make(chan struct{}, 1)
+	go func() {
+		for range signals {
+			select {
+			case out <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return out
+}
+
 // directory answers by region alone.
 type directory func(region string) ([]string, time.Duration)
 
--- a/internal/blackboard/edge.go
+++ b/internal/blackboard/edge.go
@@ -4,10 +4,13 @@
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/route"
+	"github.com/hickorystage/hickorystage/internal/settings"
 )
 
 // Edge is the part of the blackboard that the traffic of routes uses.
 type Edge struct {
+	// Site is what the platform tells this gateway; it is never nil.
+	Site      *Value[*settings.Site]
 	Lifecycle *Value[Lifecycle]
 	// Routes is the configuration in force; nil until one is known.
 	Routes *Value[*route.Table]
@@ -19,9 +22,10 @@
 	StoreLost *Value[time.Time]
 }
 
-// NewEdge returns an empty blackboard.
-func NewEdge() *Edge {
+// NewEdge returns an empty blackboard of a gateway at the given site.
+func NewEdge(site *settings.Site) *Edge {
 	return &Edge{
+		Site:       NewValue(site),
 		Lifecycle:  NewValue(Starting),
 		Routes:     NewValue[*route.Table](nil),
 		Evacuated:  NewValue(map[string]bool{}),
--- a/internal/budget/cold.go
+++ b/internal/budget/cold.go
@@ -25,10 +25,9 @@
 // Cold limits the requests to endpoints that have just started. It is safe for
 // concurrent use.
 type Cold struct {
+	mu       sync.Mutex
 	settings ColdSettings
-
-	mu   sync.Mutex
-	sent map[string][]time.Time
+	sent     map[string][]time.Time
 }
 
 // NewCold returns a limiter.
@@ -36,6 +35,13 @@
 	return &Cold{settings: s, sent: make(map[string][]time.Time)}
 }
 
+// Configure takes changed settings.
+func (c *Cold) Configure(s ColdSettings) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settings = s
+}
+
 // Allows says whether a cold endpoint whose service allows rate requests a
 // second may get one more now. A rate of 0 sets no limit.
 func (c *Cold) Allows(id string, rate float64, now time.Time) bool {
--- a/internal/budget/retries.go
+++ b/internal/budget/retries.go
@@ -58,9 +58,8 @@
 
 // Retries is the retry budget of one gateway. It is safe for concurrent use.
 type Retries struct {
-	settings RetrySettings
-
 	mu       sync.Mutex
+	settings RetrySettings
 	services map[string]*retryCounts
 }
 
@@ -71,6 +70,16 @@
 	return &Retries{settings: s, services: make(map[string]*retryCounts)}
 }
 
+// Configure takes changed settings. A changed window begins empty.
+func (r *Retries) Configure(s RetrySettings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Window != r.settings.Window {
+		clear(r.services)
+	}
+	r.settings = s
+}
+
 func (r *Retries) counts(service string) *retryCounts {
 	c, ok := r.services[service]
 	if !ok {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -97,6 +97,9 @@
 		return a.again(failure.New(failure.CodeEndpointFailed, failure.Unknown, "the endpoint failed")), ledger.Failed
 	case a.isStream(resp):
 		return a.passStream(ctx, resp)
+	case a.stream.started:
+		a.attempts++
+		return a.failed(ctx, &EventError{Reason: "status " + resp.Status + " in place of the rest"})
 	default:
 		return a.passWhole(ctx, resp)
 	}
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/beats"
 	"github.com/hickorystage/hickorystage/internal/controller/discovery"
 	"github.com/hickorystage/hickorystage/internal/controller/enlist"
+	"github.com/hickorystage/hickorystage/internal/controller/reload"
 	"github.com/hickorystage/hickorystage/internal/controller/routesync"
 	"github.com/hickorystage/hickorystage/internal/edge"
 	"github.com/hickorystage/hickorystage/internal/exchange"
@@ -34,6 +35,10 @@
 
 // Platform is what the gateway uses of the platform that it runs on.
 type Platform struct {
+	// Settings returns the settings of the site as they are now.
+	Settings func() (*settings.Site, error)
+	// Hangup has a value when the settings have changed.
+	Hangup    <-chan struct{}
 	Store     store.Store
 	Operators routesync.Source
 	Endpoints discovery.Source
@@ -45,11 +50,11 @@
 
 // App is one gateway process.
 type App struct {
-	site     *settings.Site
 	platform Platform
 	logger   *log.Logger
 	board    *blackboard.Edge
 	edge     *edge.Edge
+	registry *fleet.Registry
 	gateways *fleet.Gateways
 
 	controllers []controller.Controller
@@ -66,7 +71,7 @@
 
 // New assembles a gateway and opens its listeners. Nothing runs yet.
 func New(site *settings.Site, p Platform, logger *log.Logger) (*App, error) {
-	a := &App{site: site, platform: p, logger: logger, board: blackboard.NewEdge()}
+	a := &App{platform: p, logger: logger, board: blackboard.NewEdge(site)}
 	beatAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort))
 	a.gateways = fleet.NewGateways(fleet.Gateway{
 		ID:          site.Instance,
@@ -77,17 +82,16 @@
 		Peer:        site.PeerAddress,
 		Beat:        beatAddress,
 	})
-	registry := fleet.NewRegistry(site.Regions)
+	a.registry = fleet.NewRegistry(site.Regions)
 	accounts := ledger.New()
-	bounds := site.Bounds
 	a.edge = edge.New(edge.Config{
 		Board:    a.board,
-		Registry: registry,
+		Registry: a.registry,
 		Gateways: a.gateways,
 		Codec:    p.Codec,
 		Ledger:   accounts,
-		Retries:  budget.NewRetries(budget.RetrySettings{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}),
-		Cold:     budget.NewCold(budget.ColdSettings{Overage: bounds.ColdOverage, Slack: bounds.ColdSlack}),
+		Retries:  budget.NewRetries(retrySettings(site)),
+		Cold:     budget.NewCold(coldSettings(site)),
 		Near:     transport.New(transport.Dialer(), transport.DialTimeout),
 		Far:      transport.New(transport.Dialer(), transport.FarDialTimeout),
 		Logger:   logger,
@@ -99,11 +103,35 @@
 	routes := routesync.New(a.board, p.Operators, logger)
 	a.controllers = []controller.Controller{
 		routes,
-		discovery.New(a.board, registry, p.Endpoints, logger),
+		discovery.New(a.board, a.registry, p.Endpoints, logger),
 		enlist.New(a.board, p.Store, a.gateways, logger),
+		reload.New(a.board, p.Settings, p.Hangup, logger),
 		beats.New(a.board, a.gateways, accounts, conn, routes.Refresh, logger),
 	}
-	return a, a.listen()
+	return a, a.listen(site)
+}
+
+func retrySettings(s *settings.Site) budget.RetrySettings {
+	return budget.RetrySettings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
+}
+
+func coldSettings(s *settings.Site) budget.ColdSettings {
+	return budget.ColdSettings{Overage: s.Bounds.ColdOverage, Slack: s.Bounds.ColdSlack}
+}
+
+// followSite passes changed settings of the site on to the parts.
+func (a *App) followSite() error {
+	for {
+		site, changed := a.board.Site.Watch()
+		a.edge.Retries.Configure(retrySettings(site))
+		a.edge.Cold.Configure(coldSettings(site))
+		a.registry.SetRegions(site.Regions)
+		select {
+		case <-a.tomb.Dying():
+			return nil
+		case <-changed:
+		}
+	}
 }
 
 // ListenError says that a listener could not be opened.
@@ -127,21 +155,21 @@
 	maxHeaderBytes = 64 << 10
 )
 
-func (a *App) listen() error {
+func (a *App) listen(site *settings.Site) error {
 	var err error
-	if a.callers, err = a.open(a.site.CallerAddress, a.edge.CallerHandler()); err != nil {
+	if a.callers, err = a.open(site.CallerAddress, a.edge.CallerHandler()); err != nil {
 		return err
 	}
-	if _, err = a.open(a.site.ReadyAddress, a.platform.Readiness(a.edge.Ready)); err != nil {
+	if _, err = a.open(site.ReadyAddress, a.platform.Readiness(a.edge.Ready)); err != nil {
 		return err
 	}
-	if _, err = a.open(a.site.PeerAddress, a.edge.PeerHandler()); err != nil {
+	if _, err = a.open(site.PeerAddress, a.edge.PeerHandler()); err != nil {
 		return err
 	}
-	if a.site.DirectoryAddress == "" {
+	if site.DirectoryAddress == "" {
 		return nil
 	}
-	_, err = a.open(a.site.DirectoryAddress, a.platform.Directory(a.edge.Addresses))
+	_, err = a.open(site.DirectoryAddress, a.platform.Directory(a.edge.Addresses))
 	return err
 }
 
@@ -162,7 +190,8 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (a *App) Run(ctx context.Context) error {
-	a.logger.Info("starting", "region", a.site.Region, "data_centre", a.site.DataCentre, "incarnation", a.gateways.Self().Incarnation)
+	self := a.gateways.Self()
+	a.logger.Info("starting", "region", self.Region, "data_centre", self.DataCentre, "incarnation", self.Incarnation)
 	for _, s := range a.servers {
 		a.tomb.Go(func() error {
 			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -175,6 +204,7 @@
 		a.tomb.Go(func() error { return errors.Wrapf(c.Run(&a.tomb), "controller %s", c.Name()) })
 	}
 	a.tomb.Go(a.becomeReady)
+	a.tomb.Go(a.followSite)
 	select {
 	case <-ctx.Done():
 		a.stop()
@@ -220,7 +250,7 @@
 // stop leaves the fleet, lets callers go elsewhere, and finishes what is in
 // flight.
 func (a *App) stop() {
-	deadline := time.Now().Add(a.site.Bounds.Grace - stopMargin)
+	deadline := time.Now().Add(a.board.Site.Get().Bounds.Grace - stopMargin)
 	a.board.Lifecycle.Set(blackboard.Draining)
 	a.callers.SetKeepAlivesEnabled(false)
 	_, n := a.edge.Idle()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -55,10 +55,9 @@
 
 // Registry merges the entries of the endpoints of all regions. It is safe for concurrent use.
 type Registry struct {
+	mu sync.RWMutex
 	// regions maps data centres to their regions.
 	regions map[string]string
-
-	mu      sync.RWMutex
 	beliefs map[string]*Belief
 	// left holds the incarnations that leave, which nothing lifts.
 	left map[incarnation]time.Time
@@ -82,6 +81,21 @@
 	}
 }
 
+// SetRegions takes in changed regions of data centres.
+func (r *Registry) SetRegions(regions map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.regions = regions
+	for id, b := range r.beliefs {
+		region, known := regions[b.DataCentre]
+		if !known {
+			delete(r.beliefs, id)
+			continue
+		}
+		b.Region = region
+	}
+}
+
 // Change is a change of belief worth a log line.
 type Change struct {
 	ID   string
