Keep prompts with shared parts together; leave time for generating

Engines that read all the time let streams run into the deadline. Change: gateways tell each other in beats what engines have read; speed is a low quantile of what is seen; waits cost little far from the objective; an engine whose time goes to reading takes no more.

--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -40,6 +40,8 @@
 	From fleet.Sign `json:"from"`
 	// Rows are the sender's requests under way at endpoints.
 	Rows []ledger.Row `json:"rows,omitempty"`
+	// Readings are the prompt parts that the sender lately had endpoints read.
+	Readings []ledger.Reading `json:"read,omitempty"`
 }
 
 // Controller sends and receives beats.
@@ -101,24 +103,37 @@
 
 // send beats to the gateways of the region, and at times to the others.
 func (c *Controller) send() {
-	body, err := json.Marshal(Beat{From: c.sign(), Rows: c.ledger.Rows(time.Now())})
-	if err != nil {
-		c.logger.Error("beat not encoded", "err", err)
-		return
-	}
+	now := time.Now()
+	beat := Beat{From: c.sign(), Rows: c.ledger.Rows(now), Readings: c.ledger.Readings(told*interval, now)}
 	own := c.gateways.Self().Region
+	c.sendTo(c.gateways.Addressable(own), beat)
 	c.turn++
+	if c.turn%farEvery != 0 {
+		return
+	}
+	beat.Readings = c.ledger.Readings(told*farEvery*interval, now)
 	for _, region := range c.gateways.Regions() {
-		if region != own && c.turn%farEvery != 0 {
-			continue
-		}
-		for _, peer := range c.gateways.Addressable(region) {
-			c.sendTo(peer.Beat, body)
+		if region != own {
+			c.sendTo(c.gateways.Addressable(region), beat)
 		}
 	}
 }
 
-func (c *Controller) sendTo(address string, body []byte) {
+// told is the number of beats that tell of a reading: one may be lost.
+const told = 2
+
+func (c *Controller) sendTo(peers []fleet.Sign, beat Beat) {
+	body, err := json.Marshal(beat)
+	if err != nil {
+		c.logger.Error("beat not encoded", "err", err)
+		return
+	}
+	for _, p := range peers {
+		c.sendBody(p.Beat, body)
+	}
+}
+
+func (c *Controller) sendBody(address string, body []byte) {
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		c.logger.Warn("beat address not usable", "address", address, "err", err)
@@ -153,6 +168,7 @@
 func (c *Controller) hear(b Beat) {
 	heard.Inc()
 	c.ledger.Hear(b.From.ID, b.Rows, time.Now())
+	c.ledger.HearReadings(b.Readings, time.Now())
 	if c.gateways.Hear(b.From, time.Now()) {
 		c.logger.Info("gateway heard", "id", b.From.ID, "region", b.From.Region)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -62,7 +62,7 @@
 func (a *attempt) job(d placement.Decision) ledger.Job {
 	j := ledger.Job{
 		Service: a.service.Name, Cached: d.Candidate.Cached, Urgency: a.route.Priority,
-		Parts: a.parts, Away: a.gateway != nil,
+		Parts: a.parts, Shared: a.sharedHash, Away: a.gateway != nil,
 	}
 	if p := a.req.Prompt; p != nil {
 		j.Tokens, j.Output = p.Tokens, likelyOutput(p)
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -67,6 +67,7 @@
 		s.parts = append(s.parts, ledger.Part{Hash: h.Sum64(), Tokens: part.Tokens})
 		if i < len(p.Parts)-1 {
 			s.shared += part.Tokens
+			s.sharedHash = h.Sum64()
 			s.meet = strconv.FormatUint(h.Sum64(), 16)
 		}
 	}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -36,6 +36,8 @@
 	// of tokens in all but the last.
 	parts  []ledger.Part
 	shared int
+	// sharedHash is the hash of the last part but one with all before it.
+	sharedHash uint64
 	// meet identifies the requests that share all parts but the last.
 	meet string
 
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -31,6 +31,10 @@
 	running int
 	// memory is what all of them take, in tokens.
 	memory int
+	// busy is the time that reading the prompts of late requests takes, as of
+	// busyAt; it fades with busyTime.
+	busy   time.Duration
+	busyAt time.Time
 	// progress is when the endpoint last began an answer, or got work after a
 	// pause.
 	progress time.Time
@@ -54,10 +58,26 @@
 	a.pending = append(a.pending, e)
 	if !e.job.Away {
 		a.memory += e.job.Tokens + e.job.Output
+		a.busy = a.busyNow(now) + e.work
+		a.busyAt = now
 	}
 	a.parts.touch(e.job.Parts, now)
 }
 
+// busyTime is the time constant in which an endpoint's use is measured: a few
+// times what reading a long prompt takes.
+const busyTime = 2 * time.Second
+
+func (a *account) busyNow(now time.Time) time.Duration { return fade(a.busy, now.Sub(a.busyAt)) }
+
+// fade is what is left of a use after some time.
+func fade(busy, age time.Duration) time.Duration {
+	if busy == 0 {
+		return 0
+	}
+	return time.Duration(float64(busy) * math.Exp(-age.Seconds()/busyTime.Seconds()))
+}
+
 func (a *account) begin(e *Entry, now time.Time) {
 	a.drop(e)
 	if !e.job.Away {
--- a/internal/ledger/candidate.go
+++ b/internal/ledger/candidate.go
@@ -41,27 +41,37 @@
 	if len(theirs.Queued) > 0 {
 		c.Queued = time.Duration(theirs.Queued[min(q.Urgency, len(theirs.Queued)-1)]) * time.Millisecond
 	}
+	busy := time.Duration(theirs.Busy) * time.Millisecond
 	ok = true
 	l.with(q.ID, q.Born, func(a *account) {
 		ok = !now.Before(a.ejected)
-		c.Cached = a.parts.held(q.Parts, now)
 		c.Failing = a.failingAt(now)
 		if q.Far {
-			a.addRecent(&c, q, now)
+			busy += a.addRecent(&c, q, now)
+			c.Use = busy.Seconds() / busyTime.Seconds()
+			c.Cached = a.held(&c, q, now)
 			return
 		}
 		c.Running += a.running
 		c.Waiting += len(a.pending)
 		c.Memory += a.memory
 		c.Queued += a.queued(q.Urgency, now)
-		a.parts.trim(max(q.Capacity-c.Memory, q.Capacity/4))
+		busy += a.busyNow(now)
+		c.Use = busy.Seconds() / busyTime.Seconds()
+		c.Cached = a.held(&c, q, now)
 	})
 	return c, ok
 }
 
+// held is the part of the prompt that the endpoint is believed to hold.
+func (a *account) held(c *placement.Candidate, q Query, now time.Time) int {
+	return a.parts.held(q.Parts, keepTime(max(q.Capacity-c.Memory, 0), c.Use, c.TokenTime), now)
+}
+
 // addRecent adds the requests that this gateway sent on and that the other
-// region's word can't show yet.
-func (a *account) addRecent(c *placement.Candidate, q Query, now time.Time) {
+// region's word can't show yet, and returns the time that reading them takes.
+func (a *account) addRecent(c *placement.Candidate, q Query, now time.Time) time.Duration {
+	var busy time.Duration
 	for _, e := range a.pending {
 		if now.Sub(e.start) > q.Lag {
 			continue
@@ -71,5 +81,7 @@
 		if e.job.Urgency <= q.Urgency {
 			c.Queued += e.work
 		}
+		busy += e.work
 	}
+	return busy
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,6 +18,8 @@
 	shards [shardCount]shard
 	speeds *speeds
 	peers  *peers
+	// readings are told to the other gateways.
+	readings *readings
 }
 
 type shard struct {
@@ -27,7 +29,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{speeds: newSpeeds(), peers: newPeers()}
+	l := &Ledger{speeds: newSpeeds(), peers: newPeers(), readings: newReadings()}
 	for i := range l.shards {
 		l.shards[i].accounts = make(map[string]*account)
 	}
@@ -64,6 +66,9 @@
 	Urgency int
 	// Parts identify the prompt's parts, each with all before it.
 	Parts []Part
+	// Shared is the hash of the last part that other prompts have too, 0 if
+	// there is none.
+	Shared uint64
 	// Away says that a gateway of another region serves the request, and
 	// accounts for it.
 	Away bool
@@ -117,6 +122,9 @@
 		e.alone = len(a.pending) == 0 && theirs.Waiting == 0
 		a.add(e, now)
 	})
+	if job.Shared != 0 {
+		l.readings.note(Reading{ID: id, Hash: job.Shared}, now)
+	}
 	return e
 }
 
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -1,58 +1,149 @@
 package ledger
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// partTime is how long a part that was read is believed to be kept.
-const partTime = 60 * time.Second
+// Bounds of the time for which a part that was read is believed to be kept.
+const (
+	minPartTime = 2 * time.Second
+	maxPartTime = 60 * time.Second
+)
 
-// partCache is what an endpoint is believed to hold of prompts.
-type partCache struct{ read map[uint64]cachedPart }
+// maxParts is the number of parts beyond which old ones are dropped.
+const maxParts = 4096
 
-type cachedPart struct {
-	tokens int
-	used   time.Time
-}
+// partCache is what an endpoint is believed to hold of prompts: when each part,
+// known by its hash with all parts before it, was last used.
+type partCache struct{ used map[uint64]time.Time }
 
-func newPartCache() partCache { return partCache{read: make(map[uint64]cachedPart)} }
+func newPartCache() partCache { return partCache{used: make(map[uint64]time.Time)} }
 
 // touch notes that the endpoint reads the parts.
 func (c *partCache) touch(parts []Part, now time.Time) {
 	for _, p := range parts {
-		c.read[p.Hash] = cachedPart{tokens: p.Tokens, used: now}
+		c.set(p.Hash, now)
 	}
 }
 
-// held returns the number of leading tokens that the endpoint holds.
-func (c *partCache) held(parts []Part, now time.Time) int {
-	n := 0
-	for _, p := range parts {
-		known, ok := c.read[p.Hash]
-		if !ok || now.Sub(known.used) > partTime {
-			break
+func (c *partCache) set(hash uint64, at time.Time) {
+	if at.After(c.used[hash]) {
+		c.used[hash] = at
+	}
+	if len(c.used) > maxParts {
+		c.drop(at)
+	}
+}
+
+// drop forgets what is too old to count.
+func (c *partCache) drop(now time.Time) {
+	for hash, used := range c.used {
+		if now.Sub(used) > maxPartTime {
+			delete(c.used, hash)
 		}
-		n += p.Tokens
 	}
-	return n
 }
 
-func (c *partCache) clear() { clear(c.read) }
+// held returns the number of leading tokens that the endpoint holds of a
+// prompt, if it keeps parts for the given time. A part is kept with all those
+// before it.
+func (c *partCache) held(parts []Part, keep time.Duration, now time.Time) int {
+	for i := len(parts) - 1; i >= 0; i-- {
+		used, ok := c.used[parts[i].Hash]
+		if !ok || now.Sub(used) > keep {
+			continue
+		}
+		n := 0
+		for _, p := range parts[:i+1] {
+			n += p.Tokens
+		}
+		return n
+	}
+	return 0
+}
+
+func (c *partCache) clear() { clear(c.used) }
+
+// keepTime is how long an endpoint keeps a part that it does not use: until it
+// has read as many tokens as its free memory holds. use is the share of its
+// time that it reads.
+func keepTime(free int, use float64, tokenTime time.Duration) time.Duration {
+	if use <= 0 {
+		return maxPartTime
+	}
+	t := time.Duration(float64(free) * float64(tokenTime) / use)
+	return min(max(t, minPartTime), maxPartTime)
+}
+
+// Reading tells that an endpoint has read a prompt up to a part.
+type Reading struct {
+	ID   string `json:"i"`
+	Hash uint64 `json:"h"`
+}
+
+// readings is the log of what this gateway had endpoints read.
+type readings struct {
+	mu  sync.Mutex
+	log []loggedReading
+	// last is when each reading was logged last.
+	last map[Reading]time.Time
+}
+
+type loggedReading struct {
+	Reading
+	at time.Time
+}
+
+const (
+	// repeatReading is the time after which a reading is told again.
+	repeatReading = 3 * time.Second
+	// maxReadings bounds what is told at once.
+	maxReadings = 64
+)
 
-// trim forgets the parts that were used least lately until no more than limit
-// tokens are left.
-func (c *partCache) trim(limit int) {
-	total := 0
-	for _, p := range c.read {
-		total += p.tokens
+func newReadings() *readings { return &readings{last: make(map[Reading]time.Time)} }
+
+// note logs a reading unless it was logged lately.
+func (r *readings) note(x Reading, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.last[x]; ok && now.Sub(at) < repeatReading {
+		return
+	}
+	r.last[x] = now
+	r.log = append(r.log, loggedReading{Reading: x, at: now})
+	for len(r.log) > 0 && now.Sub(r.log[0].at) > repeatReading {
+		delete(r.last, r.log[0].Reading)
+		r.log = r.log[1:]
 	}
-	for total > limit && len(c.read) > 0 {
-		var oldest uint64
-		var at time.Time
-		for hash, p := range c.read {
-			if at.IsZero() || p.used.Before(at) {
-				oldest, at = hash, p.used
-			}
+}
+
+// since returns what was logged in the last while, the newest first.
+func (r *readings) since(from time.Time) []Reading {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Reading
+	for i := len(r.log) - 1; i >= 0 && r.log[i].at.After(from) && len(out) < maxReadings; i-- {
+		out = append(out, r.log[i].Reading)
+	}
+	return out
+}
+
+// Readings returns what this gateway had endpoints read in the last while, for
+// the other gateways.
+func (l *Ledger) Readings(within time.Duration, now time.Time) []Reading {
+	return l.readings.since(now.Add(-within))
+}
+
+// HearReadings takes in what other gateways had endpoints read.
+func (l *Ledger) HearReadings(list []Reading, now time.Time) {
+	for _, x := range list {
+		sh := l.shard(x.ID)
+		sh.mu.Lock()
+		if a, ok := sh.accounts[x.ID]; ok {
+			a.parts.set(x.Hash, now)
 		}
-		total -= c.read[oldest].tokens
-		delete(c.read, oldest)
+		sh.mu.Unlock()
 	}
 }
--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -20,6 +20,8 @@
 	// Queued is the reading time of the waiting ones in milliseconds, by
 	// urgency from 0 on, each with what comes before it.
 	Queued []int `json:"q,omitempty"`
+	// Busy is the reading time of late requests in milliseconds, faded.
+	Busy int `json:"b,omitempty"`
 }
 
 // peers holds what the other gateways told.
@@ -72,6 +74,7 @@
 		total.Running += r.Running
 		total.Waiting += r.Waiting
 		total.Memory += r.Memory
+		total.Busy += int(fade(time.Duration(r.Busy)*time.Millisecond, age).Milliseconds())
 		for u, ms := range r.Queued {
 			for len(total.Queued) <= u {
 				total.Queued = append(total.Queued, 0)
@@ -105,13 +108,13 @@
 }
 
 func (a *account) row(id string, now time.Time) (Row, bool) {
-	r := Row{ID: id, Running: a.running, Memory: a.memory}
+	r := Row{ID: id, Running: a.running, Memory: a.memory, Busy: int(a.busyNow(now).Milliseconds())}
 	for _, e := range a.pending {
 		if !e.job.Away {
 			r.Waiting++
 		}
 	}
-	if r.Running == 0 && r.Waiting == 0 {
+	if r.Running == 0 && r.Waiting == 0 && r.Busy == 0 {
 		return r, false
 	}
 	for u := range urgencies {
--- a/internal/ledger/speeds.go
+++ b/internal/ledger/speeds.go
@@ -17,8 +17,10 @@
 	engineOverhead = 20 * time.Millisecond
 	// observeTokens is the shortest read that is long enough to learn from.
 	observeTokens = 1000
-	// speedStep is the weight of one observation.
-	speedStep = 0.1
+	// speedStep is the weight of one observation, speedQuantile the quantile of
+	// the observed speeds that is taken for that of an engine at rest.
+	speedStep     = 0.1
+	speedQuantile = 0.25
 	// minTokenTime and maxTokenTime bound what is learned.
 	minTokenTime = 2 * time.Microsecond
 	maxTokenTime = 500 * time.Microsecond
@@ -62,7 +64,20 @@
 	seen := min(max((took-engineOverhead)/time.Duration(tokens), minTokenTime), maxTokenTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.token[job.Service] = blend(s.token[job.Service], seen, firstTokenTime)
+	s.token[job.Service] = towardsQuantile(s.token[job.Service], seen)
+}
+
+// towardsQuantile moves a speed a step towards the quantile speedQuantile of
+// what is seen. A request takes longer when others are read that this gateway
+// doesn't know of yet, so that the mean would be too high.
+func towardsQuantile(old, seen time.Duration) time.Duration {
+	if old == 0 {
+		old = firstTokenTime
+	}
+	if seen < old {
+		return old - time.Duration((1-speedQuantile)*speedStep*float64(old))
+	}
+	return old + time.Duration(speedQuantile*speedStep*float64(old))
 }
 
 func (s *speeds) observePlain(service string, took time.Duration) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,9 @@
 	Waiting int
 	// Queued is the time that the prompts take that it reads before this one.
 	Queued time.Duration
+	// Use is the share of its time that it lately spent on reading prompts; the
+	// rest is left for generating.
+	Use float64
 	// Memory and Capacity are in tokens; a Capacity of 0 means unknown.
 	Memory   int
 	Capacity int
@@ -110,6 +113,14 @@
 	// runningWeight is what each running request counts as: it slows down
 	// the generation of all others.
 	runningWeight = 1500 * time.Microsecond
+	// easyShare is the share of the objective up to which a wait has easyWeight;
+	// from there to the objective it has hardWeight. Estimates err by up to
+	// about half.
+	easyShare  = 0.5
+	easyWeight = 0.25
+	hardWeight = 2.0
+	// lateCost is what a late answer costs beyond the wait itself.
+	lateCost = 2 * time.Second
 	// interleave is the share of an engine's time that goes to reading prompts
 	// while it generates for others.
 	interleave = 0.85
@@ -128,7 +139,7 @@
 	full := true
 	for i := range candidates {
 		c := &candidates[i]
-		if !hasRoom(req, c) {
+		if !hasRoom(req, c) || isBusy(req, c) {
 			continue
 		}
 		full = false
@@ -167,6 +178,27 @@
 	return c.Capacity == 0 || float64(c.Memory+need) <= memoryShare*float64(c.Capacity) || c.Memory == 0
 }
 
+// isBusy says whether reading one more prompt would leave too little time for
+// generating: the streams under way would not end in time. An endpoint without
+// streams has no one to slow down. More urgent requests may go further, so that
+// there is room for them when the others are refused.
+func isBusy(req Request, c *Candidate) bool {
+	if req.Tokens == 0 || c.Running+c.Waiting == 0 {
+		return false
+	}
+	limit := fullUse - useStep*float64(min(req.Urgency, 2))
+	return c.Use+readTime(req, c).Seconds()/useTime.Seconds() > limit
+}
+
+const (
+	// fullUse is the use up to which the most urgent requests are taken; each
+	// lower urgency ends useStep before.
+	fullUse = 0.95
+	useStep = 0.15
+	// useTime is the time over which Candidate.Use is measured.
+	useTime = 2 * time.Second
+)
+
 // queueShare: an endpoint takes one more waiting request for so many slots.
 const queueShare = 2
 
@@ -203,7 +235,7 @@
 		// Whoever reads the shared parts here reads them for all to come.
 		work -= time.Duration(req.Shared-c.Cached) * c.TokenTime
 	}
-	s := t + time.Duration(workWeight*float64(work))
+	s := waitCost(req, t) + time.Duration(workWeight*float64(work))
 	s += time.Duration(c.Running+c.Waiting) * runningWeight
 	s += time.Duration(c.Failing * float64(failWeight))
 	if c.Far {
@@ -211,3 +243,17 @@
 	}
 	return s
 }
+
+// waitCost is what a wait of t costs. Callers hardly mind while the answer is
+// well within the objective; near it each delay may make the answer late.
+func waitCost(req Request, t time.Duration) time.Duration {
+	easy := time.Duration(easyShare * float64(req.Objective))
+	switch {
+	case t <= easy:
+		return time.Duration(easyWeight * float64(t))
+	case t <= req.Objective:
+		return time.Duration(easyWeight*float64(easy) + hardWeight*float64(t-easy))
+	default:
+		return t + lateCost
+	}
+}
