Finish requests of other regions before a stop; go on with begun streams

Change: a stop waits for forwarded requests and lingers 2.5 s; the rest of a begun stream is placed beyond the bound, and tried again.

--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -82,6 +82,8 @@
 		case <-t.Dying():
 			return nil
 		case <-changed:
+			// Other regions are told of this at once, too.
+			c.turn = -1
 		case <-ticker.C:
 		}
 	}
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -35,10 +35,10 @@
 // request sums up the session for placement.
 func (s *session) request(now time.Time) placement.Request {
 	r := placement.Request{
-		Urgency:    s.route.Priority,
-		Objective:  s.arrived.Add(s.route.Objective).Sub(now),
-		Left:       s.deadline.Sub(now),
-		Repeatable: s.route.Repeatable(),
+		Urgency:   s.route.Priority,
+		Objective: s.arrived.Add(s.route.Objective).Sub(now),
+		Left:      s.deadline.Sub(now),
+		Begun:     s.stream.started || s.fwd != nil && s.fwd.LastEventID != "",
 	}
 	if p := s.req.Prompt; p != nil {
 		r.Tokens, r.Shared, r.Output = p.Tokens, s.shared, likelyOutput(p)
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -72,6 +72,13 @@
 	s.edge.Retries.Request(s.service.Name, time.Now())
 	for {
 		d, ok := s.place()
+		if !ok && s.stream.started {
+			// A region that refused may have room again.
+			clear(s.tried)
+		}
+		if !ok && s.stream.started && pause(ctx, resumePause) {
+			continue
+		}
 		if !ok {
 			s.finish(ctx, s.refusalOf(d))
 			return
@@ -87,6 +94,20 @@
 	}
 }
 
+// resumePause is the time between two looks for an endpoint that can go on with
+// a stream that the caller has a part of.
+const resumePause = 100 * time.Millisecond
+
+// pause waits, and returns false if ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // mayGoOn says whether another attempt may follow one that failed.
 func (s *session) mayGoOn(ctx context.Context, out outcome) bool {
 	if !out.elsewhere || ctx.Err() != nil || s.fwd != nil && out.repeat {
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -243,6 +243,9 @@
 	// acceptAfterStop is how long a stopping gateway still takes requests of
 	// callers that have not heard of its leaving.
 	acceptAfterStop = 1200 * time.Millisecond
+	// lingerAfterStop is how long it still answers other gateways, which may
+	// have sent requests on before they heard of its leaving.
+	lingerAfterStop = 2500 * time.Millisecond
 	// stopMargin is kept free at the end of the grace time.
 	stopMargin = 500 * time.Millisecond
 )
@@ -250,15 +253,41 @@
 // stop leaves the fleet, lets callers go elsewhere, and finishes what is in
 // flight.
 func (a *App) stop() {
-	deadline := time.Now().Add(a.board.Site.Get().Bounds.Grace - stopMargin)
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(a.board.Site.Get().Bounds.Grace-stopMargin))
+	defer cancel()
 	a.board.Lifecycle.Set(blackboard.Draining)
 	a.callers.SetKeepAlivesEnabled(false)
 	_, n := a.edge.Idle()
 	a.logger.Info("stopping", "in_flight", n)
-	time.Sleep(acceptAfterStop)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := a.callers.Shutdown(ctx)
-	_, n = a.edge.Idle()
-	a.logger.Info("stopped", "cut_off", n, "err", err)
+	sleep(ctx, acceptAfterStop)
+	if err := a.callers.Shutdown(ctx); err != nil {
+		a.logger.Warn("callers' requests not finished", "err", err)
+	}
+	sleep(ctx, time.Until(began.Add(lingerAfterStop)))
+	n = a.finishInFlight(ctx)
+	a.logger.Info("stopped", "cut_off", n, "took", time.Since(began))
+}
+
+// finishInFlight waits until no request is under way, and returns how many
+// are when ctx ends.
+func (a *App) finishInFlight(ctx context.Context) int {
+	for {
+		idle, n := a.edge.Idle()
+		if n == 0 {
+			return 0
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return n
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -11,7 +11,7 @@
 	// failMemory is the time constant in which failures are forgotten.
 	failMemory = 4 * time.Second
 	// failStep is the weight of one request in the share of failures.
-	failStep = 0.25
+	failStep = 0.1
 	// firstEjection and lastEjection bound the time for which an endpoint that
 	// can't be reached gets nothing.
 	firstEjection = 500 * time.Millisecond
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,7 +7,10 @@
 // unequal size follow each other.
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Request is what placement knows of one request.
 type Request struct {
@@ -23,8 +26,9 @@
 	Objective time.Duration
 	// Left is the time left until the answer is of no use.
 	Left time.Duration
-	// Repeatable says that the request may run again elsewhere.
-	Repeatable bool
+	// Begun says that the caller has a part of the answer already, which is lost
+	// if the rest can't be had.
+	Begun bool
 }
 
 // Candidate is one endpoint that may serve the request, as it is believed to
@@ -108,8 +112,10 @@
 	// farMargin is what another region must be better by: links between
 	// regions are thin, and what is believed of endpoints there is older.
 	farMargin = 60 * time.Millisecond
-	// failWeight is the time that a certain failure counts as.
-	failWeight = 3 * time.Second
+	// failWeight is the time that a certain failure counts as. Shares of
+	// failures up to failSlack beyond the usual one are chance.
+	failWeight = 2 * time.Second
+	failSlack  = 0.1
 	// runningWeight is what each running request counts as: it slows down
 	// the generation of all others.
 	runningWeight = 1500 * time.Microsecond
@@ -134,6 +140,7 @@
 	if len(candidates) == 0 {
 		return Decision{Kind: Refuse, Reason: NoEndpoint, RetryAfter: shortRetry}
 	}
+	usual := usualFailing(candidates)
 	best, bestScore, found := 0, time.Duration(0), false
 	soonest := time.Duration(-1)
 	full := true
@@ -150,7 +157,7 @@
 		if t > req.Left {
 			continue
 		}
-		s := score(req, c, t)
+		s := score(req, c, t, usual)
 		if !found || s < bestScore || s == bestScore && c.Rank > candidates[best].Rank {
 			best, bestScore, found = i, s, true
 		}
@@ -183,7 +190,7 @@
 // streams has no one to slow down. More urgent requests may go further, so that
 // there is room for them when the others are refused.
 func isBusy(req Request, c *Candidate) bool {
-	if req.Tokens == 0 || c.Running+c.Waiting == 0 {
+	if req.Tokens == 0 || req.Begun || c.Running+c.Waiting == 0 {
 		return false
 	}
 	limit := fullUse - useStep*float64(min(req.Urgency, 2))
@@ -229,7 +236,7 @@
 }
 
 // score is what the placement costs, as a time. The least is the best.
-func score(req Request, c *Candidate, t time.Duration) time.Duration {
+func score(req Request, c *Candidate, t time.Duration, usual float64) time.Duration {
 	work := readTime(req, c)
 	if c.Home && c.Cached < req.Shared {
 		// Whoever reads the shared parts here reads them for all to come.
@@ -237,13 +244,24 @@
 	}
 	s := waitCost(req, t) + time.Duration(workWeight*float64(work))
 	s += time.Duration(c.Running+c.Waiting) * runningWeight
-	s += time.Duration(c.Failing * float64(failWeight))
+	s += time.Duration(max(c.Failing-usual-failSlack, 0) * float64(failWeight))
 	if c.Far {
 		s += farMargin
 	}
 	return s
 }
 
+// usualFailing is the median share of failures: requests that fail everywhere
+// don't speak against an endpoint.
+func usualFailing(candidates []Candidate) float64 {
+	shares := make([]float64, 0, len(candidates))
+	for i := range candidates {
+		shares = append(shares, candidates[i].Failing)
+	}
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
+}
+
 // waitCost is what a wait of t costs. Callers hardly mind while the answer is
 // well within the objective; near it each delay may make the answer late.
 func waitCost(req Request, t time.Duration) time.Duration {
