--- a/internal/blackboard/edge.go
+++ b/internal/blackboard/edge.go
@@ -18,6 +18,10 @@
 	Evacuated *Value[map[string]bool]
 	// Discovered turns true when the region's endpoints are known.
 	Discovered *Value[bool]
+	// EndpointsRead and OperatorsRead are when the store is last known to have
+	// answered with the entries of endpoints, and with what operators wrote.
+	EndpointsRead *Value[time.Time]
+	OperatorsRead *Value[time.Time]
 	// StoreLost is since when the store has not answered; zero while it does.
 	StoreLost *Value[time.Time]
 }
@@ -25,11 +29,13 @@
 // NewEdge returns an empty blackboard of a gateway at the given site.
 func NewEdge(site *settings.Site) *Edge {
 	return &Edge{
-		Site:       NewValue(site),
-		Lifecycle:  NewValue(Starting),
-		Routes:     NewValue[*route.Table](nil),
-		Evacuated:  NewValue(map[string]bool{}),
-		Discovered: NewValue(false),
-		StoreLost:  NewValue(time.Time{}),
+		Site:          NewValue(site),
+		Lifecycle:     NewValue(Starting),
+		Routes:        NewValue[*route.Table](nil),
+		Evacuated:     NewValue(map[string]bool{}),
+		Discovered:    NewValue(false),
+		EndpointsRead: NewValue(time.Time{}),
+		OperatorsRead: NewValue(time.Time{}),
+		StoreLost:     NewValue(time.Time{}),
 	}
 }
--- /dev/null
+++ b/internal/controller/beats/beat.go
@@ -0,0 +1,36 @@
+package beats
+
+import (
+	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
+)
+
+// Beat is one datagram.
+type Beat struct {
+	From fleet.Sign `json:"from"`
+	// Rows are the sender's requests under way at endpoints, Readings the
+	// prompt parts that it lately had endpoints read.
+	Rows     []ledger.Row     `json:"rows,omitempty"`
+	Readings []ledger.Reading `json:"read,omitempty"`
+	// Digests sum up regions: a hub tells other regions and the gateways of a
+	// large region of its own, and its own region of the others.
+	Digests []Digest `json:"digests,omitempty"`
+	// Word is set by the gateway that reads the store for its region.
+	Word *fleet.Word `json:"word,omitempty"`
+}
+
+// Digest sums up a region.
+type Digest struct {
+	Region string `json:"region"`
+	// Hub and Seq order the digests of one sender; AgeMillis is the time since
+	// the hub made it.
+	Hub       string `json:"hub"`
+	Seq       uint64 `json:"seq"`
+	AgeMillis int64  `json:"age_ms,omitempty"`
+	// Members are the region's gateways that are alive; nil stands for those
+	// of an earlier digest.
+	Members []fleet.Sign `json:"members,omitempty"`
+	// Rows are the sums over all of them.
+	Rows     []ledger.Row     `json:"rows,omitempty"`
+	Readings []ledger.Reading `json:"read,omitempty"`
+}
--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -1,13 +1,17 @@
 // Package beats is the controller by which gateways tell each other of
-// themselves in datagrams: whether they live, and what they know that others
-// need at once. Beats repeat all of it, so that a lost one does no harm.
+// themselves in datagrams: that they live, and what they know that others need
+// at once. Beats repeat all of it, so that a lost one does no harm.
+//
+// In a small region every gateway beats to every other one. In a large region
+// gateways beat to two hubs, which tell all of them the sum. Hubs also swap
+// sums with the hubs of other regions and pass these on in their own.
 package beats
 
 import (
 	"context"
 	"encoding/json"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,45 +25,69 @@
 )
 
 const (
-	// interval is the time between two beats to the gateways of the region.
+	// interval is the time between two beats.
 	interval = 150 * time.Millisecond
-	// farEvery is the number of beats of which one goes to other regions.
-	farEvery = 3
+	// largeEvery is the number of beats of which one is sent in a large region,
+	// farEvery that of which one brings other regions.
+	largeEvery = 2
+	farEvery   = 3
+	// membersEvery is the number of digests of which one lists the gateways.
+	membersEvery = 4
+	// told is the number of beats that tell of a reading: one may be lost.
+	told = 2
 	// maxBeatBytes bounds a datagram.
 	maxBeatBytes = 60 << 10
 )
 
 var (
 	sent      = telemetry.NewCounter("beats_sent", "beats", "beats sent to other gateways")
+	sentBytes = telemetry.NewCounter("beats_sent_bytes", "bytes", "size of the beats sent")
 	heard     = telemetry.NewCounter("beats_heard", "beats", "beats received from other gateways")
 	malformed = telemetry.NewCounter("beats_malformed", "beats", "datagrams that are no beat")
 )
 
-// Beat is one datagram.
-type Beat struct {
-	From fleet.Sign `json:"from"`
-	// Rows are the sender's requests under way at endpoints.
-	Rows []ledger.Row `json:"rows,omitempty"`
-	// Readings are the prompt parts that the sender lately had endpoints read.
-	Readings []ledger.Reading `json:"read,omitempty"`
+// Config is what the controller works with.
+type Config struct {
+	Board    *blackboard.Edge
+	Gateways *fleet.Gateways
+	Ledger   *ledger.Ledger
+	Words    *fleet.Words
+	// Word returns what this gateway has read from the store.
+	Word func(now time.Time) fleet.Word
+	// Conn carries the beats.
+	Conn net.PacketConn
+	// Seeds are the beat addresses of a few gateways that may be alive.
+	Seeds  []string
+	Logger *log.Logger
 }
 
 // Controller sends and receives beats.
 type Controller struct {
-	board    *blackboard.Edge
-	gateways *fleet.Gateways
-	ledger   *ledger.Ledger
-	conn     net.PacketConn
-	logger   *log.Logger
-	// newer is called when another gateway holds a newer configuration.
-	newer func()
-	seq   atomic.Uint64
-	turn  int
+	Config
+
+	mu   sync.Mutex
+	seq  uint64
+	turn int
+	// foreign holds the newest digest of each other region.
+	foreign map[string]*heardDigest
+	// own is what the hubs were last told of this gateway.
+	own map[string]ledger.Row
+	// listed are the members that digests told of last.
+	listed string
 }
 
-// New returns the controller, which beats over conn.
-func New(board *blackboard.Edge, gateways *fleet.Gateways, accounts *ledger.Ledger, conn net.PacketConn, newer func(), logger *log.Logger) *Controller {
-	return &Controller{board: board, gateways: gateways, ledger: accounts, conn: conn, newer: newer, logger: logger}
+type heardDigest struct {
+	Digest
+	at time.Time
+	// members are those of the last digest that listed them.
+	members []fleet.Sign
+	// passed says that it has been passed on.
+	passed bool
+}
+
+// New returns the controller.
+func New(c Config) *Controller {
+	return &Controller{Config: c, foreign: make(map[string]*heardDigest)}
 }
 
 // Name implements controller.Controller.
@@ -70,92 +98,34 @@
 	ctx := t.Context(context.Background())
 	t.Go(func() error {
 		<-t.Dying()
-		return c.conn.Close()
+		return c.Conn.Close()
 	})
 	t.Go(func() error { return c.receive(ctx) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		_, changed := c.board.Lifecycle.Watch()
-		c.send()
+		_, changed := c.Board.Lifecycle.Watch()
+		c.beat(time.Now())
 		select {
 		case <-t.Dying():
 			return nil
 		case <-changed:
 			// Other regions are told of this at once, too.
-			c.turn = -1
+			c.hurry()
 		case <-ticker.C:
 		}
 	}
 }
 
-func (c *Controller) sign() fleet.Sign {
-	state := c.board.Lifecycle.Get()
-	s := fleet.Sign{
-		Gateway: c.gateways.Self(),
-		Seq:     c.seq.Add(1),
-		Ready:   state == blackboard.Serving,
-		Leaving: state == blackboard.Draining || state == blackboard.Stopped,
-	}
-	if routes := c.board.Routes.Get(); routes != nil {
-		s.Routes = routes.Version
-	}
-	return s
-}
-
-// send beats to the gateways of the region, and at times to the others.
-func (c *Controller) send() {
-	now := time.Now()
-	beat := Beat{From: c.sign(), Rows: c.ledger.Rows(now), Readings: c.ledger.Readings(told*interval, now)}
-	own := c.gateways.Self().Region
-	c.sendTo(c.gateways.Addressable(own), beat)
-	c.turn++
-	if c.turn%farEvery != 0 {
-		return
-	}
-	beat.Readings = c.ledger.Readings(told*farEvery*interval, now)
-	for _, region := range c.gateways.Regions() {
-		if region != own {
-			c.sendTo(c.gateways.Addressable(region), beat)
-		}
-	}
-}
-
-// told is the number of beats that tell of a reading: one may be lost.
-const told = 2
-
-func (c *Controller) sendTo(peers []fleet.Sign, beat Beat) {
-	body, err := json.Marshal(beat)
-	if err != nil {
-		c.logger.Error("beat not encoded", "err", err)
-		return
-	}
-	for _, p := range peers {
-		c.sendBody(p.Beat, body)
-	}
-}
-
-func (c *Controller) sendBody(address string, body []byte) {
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		c.logger.Warn("beat address not usable", "address", address, "err", err)
-		return
-	}
-	sent.Inc()
-	if _, err := c.conn.WriteTo(body, to); err != nil {
-		c.logger.Debug("beat not sent", "to", address, "err", err)
-	}
-}
-
 func (c *Controller) receive(ctx context.Context) error {
 	buffer := make([]byte, maxBeatBytes)
 	for {
-		n, _, err := c.conn.ReadFrom(buffer)
+		n, _, err := c.Conn.ReadFrom(buffer)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			c.logger.Warn("beat not received", "err", err)
+			c.Logger.Warn("beat not received", "err", err)
 			continue
 		}
 		var b Beat
@@ -163,18 +133,77 @@
 			malformed.Inc()
 			continue
 		}
-		c.hear(b)
+		c.hear(b, time.Now())
 	}
 }
 
-func (c *Controller) hear(b Beat) {
+// hear takes in a beat. A gateway that was not known to be alive is answered
+// at once, so that it learns of the others.
+func (c *Controller) hear(b Beat, now time.Time) {
 	heard.Inc()
-	c.ledger.Hear(b.From.ID, b.Rows, time.Now())
-	c.ledger.HearReadings(b.Readings, time.Now())
-	if c.gateways.Hear(b.From, time.Now()) {
-		c.logger.Info("gateway heard", "id", b.From.ID, "region", b.From.Region)
+	own := c.Gateways.Self().Region
+	if b.From.ID == c.Gateways.Self().ID {
+		return
+	}
+	if c.Gateways.Hear(b.From, now) {
+		c.Logger.Info("gateway heard", "id", b.From.ID, "region", b.From.Region, "ready", b.From.Ready)
+		c.welcome(b.From, now)
+	}
+	if b.From.Region == own {
+		c.Ledger.Hear(b.From.ID, b.Rows, now)
+		if b.Word != nil {
+			c.Words.Hear(b.From.ID, *b.Word, now)
+		}
+	}
+	c.Ledger.HearReadings(b.Readings, b.From.Region == own, now)
+	for _, d := range b.Digests {
+		c.hearDigest(b.From, d, now)
+	}
+}
+
+// hearDigest takes in what a hub tells of a region.
+func (c *Controller) hearDigest(from fleet.Sign, d Digest, now time.Time) {
+	own := c.Gateways.Self().Region
+	if d.Region == own {
+		if from.Region == own && !c.Gateways.IsMesh() && !c.Gateways.IsHub(now) {
+			c.Gateways.HearRegion(own, d.Members, now)
+			c.Ledger.HearSum(own, c.withoutOwn(d.Rows), now)
+			c.Ledger.HearReadings(d.Readings, false, now)
+		}
+		return
+	}
+	made := now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)
+	if !c.keep(d, made, from.Region != own) {
+		return
+	}
+	c.Gateways.HearRegion(d.Region, d.Members, made)
+	c.Ledger.HearSum(d.Region, d.Rows, made)
+	c.Ledger.HearReadings(d.Readings, false, now)
+}
+
+// keep stores a digest of another region unless a newer one is held.
+func (c *Controller) keep(d Digest, made time.Time, direct bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old, ok := c.foreign[d.Region]
+	if ok && (old.Hub == d.Hub && old.Seq >= d.Seq || !made.After(old.at)) {
+		return false
+	}
+	next := &heardDigest{Digest: d, at: made, members: d.Members, passed: !direct}
+	if d.Members == nil && ok {
+		next.members = old.members
 	}
-	if routes := c.board.Routes.Get(); b.From.Routes > 0 && (routes == nil || routes.Version < b.From.Routes) {
-		c.newer()
+	c.foreign[d.Region] = next
+	return true
+}
+
+// withoutOwn takes this gateway's own part out of the sums of its region.
+func (c *Controller) withoutOwn(rows []ledger.Row) []ledger.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]ledger.Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, r.Minus(c.own[r.ID]))
 	}
+	return out
 }
--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -1,6 +1,7 @@
-// Package discovery is the controller that reads the entries of the region's
-// endpoints in the store. Endpoints rewrite their entries all the time, so it
-// asks for the changes at a steady pace instead of waiting for each.
+// Package discovery is the controller that keeps the entries of endpoints. One
+// gateway of each region reads them in the store, the others fetch them from it
+// when a beat says that they changed. Whoever has not heard for a while that
+// the store was read reads it itself.
 package discovery
 
 import (
@@ -13,22 +14,30 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/neighbour"
 	"github.com/hickorystage/hickorystage/internal/store"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
 // Times of the controller.
 const (
-	// interval is the time between two reads, a third of the shortest bound
-	// on the use of a leaving endpoint.
-	interval = 900 * time.Millisecond
+	// tick is the time between two looks at what beats say.
+	tick = 300 * time.Millisecond
+	// readInterval is the time between two reads of the store, a third of the
+	// shortest bound on the use of a leaving endpoint. Endpoints rewrite their
+	// entries all the time, so that waiting for each change would cost more.
+	readInterval = 900 * time.Millisecond
+	// staleAfter is the age of the last known read of the store from which a
+	// gateway reads it itself.
+	staleAfter = 1600 * time.Millisecond
 	// quiet is how long the store may hold a read without changes.
 	quiet = 10 * time.Millisecond
 )
 
 var (
-	reads    = telemetry.NewCounter("endpoint_reads", "calls", "reads of the endpoints' entries")
+	reads    = telemetry.NewCounter("endpoint_reads", "calls", "reads of the endpoints' entries in the store")
 	failures = telemetry.NewCounter("endpoint_read_failures", "calls", "reads of the endpoints' entries that failed")
+	fetches  = telemetry.NewCounter("endpoint_fetches", "calls", "fetches of the endpoints' entries from other gateways")
 )
 
 // Source reads the entries of endpoints.
@@ -40,22 +49,30 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]fleet.Entry, uint64, error)
 }
 
+// Config is what the controller works with.
+type Config struct {
+	Board    *blackboard.Edge
+	Registry *fleet.Registry
+	Gateways *fleet.Gateways
+	Words    *fleet.Words
+	Source   Source
+	Client   *neighbour.Client
+	Logger   *log.Logger
+}
+
 // Controller keeps the registry of endpoints.
 type Controller struct {
-	board    *blackboard.Edge
-	registry *fleet.Registry
-	source   Source
-	logger   *log.Logger
+	Config
 
 	// at is the revision to watch from; 0 asks for a whole read.
-	at   uint64
-	lost bool
+	at uint64
+	// tried is when the store was asked last.
+	tried time.Time
+	lost  bool
 }
 
 // New returns the controller.
-func New(board *blackboard.Edge, registry *fleet.Registry, source Source, logger *log.Logger) *Controller {
-	return &Controller{board: board, registry: registry, source: source, logger: logger}
-}
+func New(c Config) *Controller { return &Controller{Config: c} }
 
 // Name implements controller.Controller.
 func (c *Controller) Name() string { return "discovery" }
@@ -63,70 +80,132 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
-		c.read(ctx)
-		c.registry.SetEvacuated(c.board.Evacuated.Get(), time.Now())
-		c.report(c.registry.Sweep(time.Now()))
-		_, evacuated := c.board.Evacuated.Watch()
+		c.step(ctx, time.Now())
 		select {
 		case <-t.Dying():
 			return nil
-		case <-evacuated:
-			c.registry.SetEvacuated(c.board.Evacuated.Get(), time.Now())
 		case <-ticker.C:
 		}
 	}
 }
 
+// step brings the entries up to date by the cheapest way that is open.
+func (c *Controller) step(ctx context.Context, now time.Time) {
+	word, from, _, _ := c.Words.Last()
+	readAt := c.Words.EndpointsAt()
+	switch {
+	case c.Gateways.IsReader(now):
+		c.readPaced(ctx, now)
+	case c.Board.Discovered.Get() && now.Sub(readAt) < staleAfter:
+		c.follow(ctx, word, from, readAt)
+	case !c.Board.Discovered.Get() && from != "" && c.fetch(ctx, from):
+	default:
+		c.readPaced(ctx, now)
+	}
+	c.Registry.SetEvacuated(c.Board.Evacuated.Get(), time.Now())
+	c.report(c.Registry.Sweep(time.Now()))
+}
+
+// follow takes in the word of the gateway that reads the store.
+func (c *Controller) follow(ctx context.Context, word fleet.Word, from string, readAt time.Time) {
+	if word.Endpoints != c.Registry.Fingerprint() && !c.fetch(ctx, from) {
+		return
+	}
+	c.storeAnswered(readAt)
+	// What is read from here on may miss changes that the fetch brought.
+	c.at = 0
+}
+
+// fetch takes all entries from another gateway.
+func (c *Controller) fetch(ctx context.Context, id string) bool {
+	gw, ok := c.Gateways.Get(id)
+	if !ok {
+		return false
+	}
+	fetches.Inc()
+	list, err := c.Client.Endpoints(ctx, gw.Peer)
+	if err != nil {
+		c.Logger.Warn("endpoints not fetched", "gateway", id, "err", err)
+		return false
+	}
+	entries := make([]fleet.Entry, 0, len(list))
+	for i := range list {
+		entries = append(entries, fleet.Entry{ID: list[i].ID, Endpoint: &list[i]})
+	}
+	c.report(c.Registry.Replace(entries, time.Now()))
+	c.discovered()
+	return true
+}
+
+func (c *Controller) discovered() {
+	c.Board.Discovered.Update(func(old bool) (bool, bool) { return true, !old })
+}
+
+// readPaced reads the store unless that was done lately.
+func (c *Controller) readPaced(ctx context.Context, now time.Time) {
+	if now.Sub(c.tried) < readInterval {
+		return
+	}
+	c.tried = now
+	c.read(ctx)
+}
+
 func (c *Controller) read(ctx context.Context) {
 	reads.Inc()
-	var changes []fleet.Change
-	entries, at, err := c.fetch(ctx)
+	asked := time.Now()
+	entries, at, err := c.call(ctx)
 	now := time.Now()
 	if err != nil {
 		failures.Inc()
 		c.failed(err)
 		return
 	}
-	if c.lost {
-		c.lost = false
-		c.registry.StoreReturned(now)
-		c.logger.Info("endpoint entries readable again")
-	}
+	c.storeAnswered(asked)
 	if c.at == 0 {
-		changes = c.registry.Replace(entries, now)
+		c.report(c.Registry.Replace(entries, now))
 	} else {
-		changes = c.registry.Apply(entries, now)
+		c.report(c.Registry.Apply(entries, now))
 	}
 	c.at = at
-	c.board.Discovered.Update(func(old bool) (bool, bool) { return true, !old })
-	c.report(changes)
+	c.discovered()
+}
+
+// storeAnswered notes that the store answered a read made at a time.
+func (c *Controller) storeAnswered(at time.Time) {
+	if c.lost {
+		c.lost = false
+		c.Registry.StoreReturned(time.Now())
+		c.Logger.Info("endpoint entries readable again")
+	}
+	c.Board.EndpointsRead.Set(at)
 }
 
-func (c *Controller) fetch(ctx context.Context) ([]fleet.Entry, uint64, error) {
+func (c *Controller) call(ctx context.Context) ([]fleet.Entry, uint64, error) {
 	if c.at == 0 {
-		return c.source.Read(ctx)
+		return c.Source.Read(ctx)
 	}
-	return c.source.Watch(ctx, c.at, quiet)
+	return c.Source.Watch(ctx, c.at, quiet)
 }
 
 func (c *Controller) failed(err error) {
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
-		c.logger.Info("endpoint changes forgotten, reading all")
+		c.Logger.Info("endpoint changes forgotten, reading all")
 		c.at = 0
+		c.tried = time.Time{}
 		return
 	}
 	if !c.lost {
 		c.lost = true
-		c.logger.Warn("endpoint entries not readable", "err", err)
+		c.Logger.Warn("endpoint entries not readable", "err", err)
 	}
 }
 
 func (c *Controller) report(changes []fleet.Change) {
 	for _, change := range changes {
-		c.logger.Info("endpoint", "id", change.ID, "change", change.What)
+		c.Logger.Info("endpoint", "id", change.ID, "change", change.What)
 	}
 }
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -1,10 +1,13 @@
 // Package routesync is the controller that keeps the operators' configuration
-// and evacuations in force: it watches the store, reads it again whenever a
-// watch may have missed something, and never goes back to an older version.
+// and evacuations in force. One gateway of each region watches the store, the
+// others fetch from it what a beat says is new. Whoever has not heard for a
+// while that the store answers watches it itself. No gateway ever goes back to
+// an older version.
 package routesync
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -12,6 +15,8 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/neighbour"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/store"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -21,7 +26,10 @@
 const (
 	// watchWait is how long the store may hold a watch. A connection that went
 	// silent is found when it is over, within the shortest bound on changes.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
+	// staleAfter is the age of the store's last known answer from which a
+	// gateway watches it itself: that of a held watch, and two beats.
+	staleAfter = 1600 * time.Millisecond
 	// retryWait is the pause after a call that failed.
 	retryWait = 250 * time.Millisecond
 )
@@ -29,6 +37,7 @@
 var (
 	adopted = telemetry.NewCounter("routes_adopted", "versions", "versions of the configuration put in force")
 	refused = telemetry.NewCounter("routes_refused", "versions", "versions of the configuration that could not be read")
+	fetched = telemetry.NewCounter("routes_fetched", "versions", "versions of the configuration fetched from other gateways")
 )
 
 // Change is one change that operators made.
@@ -49,69 +58,129 @@
 	// Watch returns the changes since a revision and the next one to watch
 	// from. The error is a *store.CompactedError if they are not known.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Decode reads a configuration that another gateway holds.
+	Decode(raw []byte) (*route.Table, error)
+}
+
+// Config is what the controller works with.
+type Config struct {
+	Board    *blackboard.Edge
+	Gateways *fleet.Gateways
+	Words    *fleet.Words
+	Source   Source
+	Client   *neighbour.Client
+	Logger   *log.Logger
 }
 
 // Controller keeps the blackboard's configuration.
 type Controller struct {
-	board  *blackboard.Edge
-	source Source
-	logger *log.Logger
-	kick   chan struct{}
+	Config
 	// at is the revision to watch from; 0 asks for a whole read.
 	at uint64
 }
 
 // New returns the controller.
-func New(board *blackboard.Edge, source Source, logger *log.Logger) *Controller {
-	return &Controller{board: board, source: source, logger: logger, kick: make(chan struct{}, 1)}
-}
+func New(c Config) *Controller { return &Controller{Config: c} }
 
 // Name implements controller.Controller.
 func (c *Controller) Name() string { return "routesync" }
 
-// Refresh asks for a whole read, since a newer version is known elsewhere.
-func (c *Controller) Refresh() {
-	select {
-	case c.kick <- struct{}{}:
-	default:
-	}
-}
-
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
 	for ctx.Err() == nil {
-		if err := c.step(ctx); err != nil && ctx.Err() == nil {
+		if err := c.step(ctx, time.Now()); err != nil && ctx.Err() == nil {
 			c.lost(err)
-			c.pause(ctx)
+			pause(ctx, retryWait)
 		}
 	}
 	return nil
 }
 
-func (c *Controller) pause(ctx context.Context) {
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryWait):
+	case <-time.After(d):
 	}
 }
 
-// step makes one call and takes in what it brings.
-func (c *Controller) step(ctx context.Context) error {
-	if c.at == 0 {
+// step brings the configuration up to date by the cheapest way that is open.
+func (c *Controller) step(ctx context.Context, now time.Time) error {
+	word, from, _, news := c.Words.Last()
+	known := c.Board.Routes.Get() != nil
+	fresh := now.Sub(c.Words.OperatorsAt()) < staleAfter
+	switch {
+	case !known && word.Routes > 0 && c.fetch(ctx, from):
+		return nil
+	case known && fresh && !c.Gateways.IsReader(now):
+		c.follow(ctx, word, from)
+		c.await(ctx, news)
+		return nil
+	case c.at == 0:
 		return c.readAll(ctx)
+	default:
+		return c.watch(ctx)
 	}
-	changes, at, err := c.watch(ctx)
+}
+
+// follow takes in the word of the gateway that watches the store.
+func (c *Controller) follow(ctx context.Context, word fleet.Word, from string) {
+	if word.Routes > c.Board.Routes.Get().Version && !c.fetch(ctx, from) {
+		return
+	}
+	evacuated := make(map[string]bool, len(word.Evacuated))
+	for _, dc := range word.Evacuated {
+		evacuated[dc] = true
+	}
+	c.setEvacuated(evacuated)
+	c.found(c.Words.OperatorsAt())
+	// What is watched from here on may miss changes that the word brought.
+	c.at = 0
+}
+
+// await waits for the next word, or until the last one is stale.
+func (c *Controller) await(ctx context.Context, news <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-news:
+	case <-time.After(max(time.Until(c.Words.OperatorsAt().Add(staleAfter)), time.Millisecond)):
+	}
+}
+
+// fetch takes the configuration from another gateway.
+func (c *Controller) fetch(ctx context.Context, id string) bool {
+	gw, ok := c.Gateways.Get(id)
+	if !ok {
+		return false
+	}
+	raw, err := c.Client.Routes(ctx, gw.Peer)
+	if err != nil {
+		c.Logger.Warn("configuration not fetched", "gateway", id, "err", err)
+		return false
+	}
+	table, err := c.Source.Decode(raw)
+	if err != nil {
+		c.apply(Change{Err: err})
+		return false
+	}
+	fetched.Inc()
+	c.adopt(table)
+	return true
+}
+
+// watch waits for changes in the store.
+func (c *Controller) watch(ctx context.Context) error {
+	changes, at, err := c.Source.Watch(ctx, c.at, watchWait)
 	if err != nil {
 		// Whatever the watch missed, a whole read shows.
 		c.at = 0
 		var compacted *store.CompactedError
-		if errors.As(err, &compacted) || errors.Is(err, errRefresh) {
+		if errors.As(err, &compacted) {
 			return nil
 		}
 		return err
 	}
-	c.found()
+	c.found(time.Now())
 	c.at = at
 	for _, change := range changes {
 		c.apply(change)
@@ -119,35 +188,12 @@
 	return nil
 }
 
-// errRefresh ends a watch in favour of a whole read.
-var errRefresh = errors.New("a newer version is known elsewhere")
-
-// watch waits for changes, or for Refresh.
-func (c *Controller) watch(ctx context.Context) ([]Change, uint64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-c.kick:
-			cancel(errRefresh)
-		case <-done:
-		}
-	}()
-	changes, at, err := c.source.Watch(ctx, c.at, watchWait)
-	if err != nil && context.Cause(ctx) != nil {
-		return nil, 0, context.Cause(ctx)
-	}
-	return changes, at, err
-}
-
 func (c *Controller) readAll(ctx context.Context) error {
-	changes, at, err := c.source.Read(ctx)
+	changes, at, err := c.Source.Read(ctx)
 	if err != nil {
 		return err
 	}
-	c.found()
+	c.found(time.Now())
 	c.at = at
 	evacuated := make(map[string]bool)
 	for _, change := range changes {
@@ -165,12 +211,12 @@
 	switch {
 	case change.Err != nil:
 		refused.Inc()
-		c.logger.Error("configuration not usable", "err", change.Err)
+		c.Logger.Error("configuration not usable", "err", change.Err)
 	case change.Routes != nil:
 		c.adopt(change.Routes)
 	case change.DataCentre != "":
 		evacuated := make(map[string]bool)
-		for dc := range c.board.Evacuated.Get() {
+		for dc := range c.Board.Evacuated.Get() {
 			evacuated[dc] = true
 		}
 		delete(evacuated, change.DataCentre)
@@ -184,7 +230,7 @@
 // adopt puts a version in force unless a newer one is.
 func (c *Controller) adopt(next *route.Table) {
 	before := uint64(0)
-	changed := c.board.Routes.Update(func(old *route.Table) (*route.Table, bool) {
+	changed := c.Board.Routes.Update(func(old *route.Table) (*route.Table, bool) {
 		if old != nil {
 			before = old.Version
 		}
@@ -192,36 +238,37 @@
 	})
 	if changed {
 		adopted.Inc()
-		c.logger.Info("configuration in force", "version", next.Version, "before", before, "routes", next.Len())
+		c.Logger.Info("configuration in force", "version", next.Version, "before", before, "routes", next.Len())
 	}
 }
 
 func (c *Controller) setEvacuated(next map[string]bool) {
-	changed := c.board.Evacuated.Update(func(old map[string]bool) (map[string]bool, bool) {
+	changed := c.Board.Evacuated.Update(func(old map[string]bool) (map[string]bool, bool) {
 		return next, !sameSet(old, next)
 	})
 	if changed {
-		c.logger.Info("evacuated data centres", "data_centres", keys(next))
+		c.Logger.Info("evacuated data centres", "data_centres", Names(next))
 	}
 }
 
 // lost notes that the store did not answer.
 func (c *Controller) lost(err error) {
 	now := time.Now()
-	if c.board.StoreLost.Update(func(old time.Time) (time.Time, bool) { return now, old.IsZero() }) {
-		c.logger.Warn("store lost", "err", err)
+	if c.Board.StoreLost.Update(func(old time.Time) (time.Time, bool) { return now, old.IsZero() }) {
+		c.Logger.Warn("store lost", "err", err)
 	}
 }
 
-// found notes that the store answered.
-func (c *Controller) found() {
+// found notes that the store answered at a time.
+func (c *Controller) found(at time.Time) {
+	c.Board.OperatorsRead.Set(at)
 	var since time.Time
-	changed := c.board.StoreLost.Update(func(old time.Time) (time.Time, bool) {
+	changed := c.Board.StoreLost.Update(func(old time.Time) (time.Time, bool) {
 		since = old
 		return time.Time{}, !old.IsZero()
 	})
 	if changed {
-		c.logger.Info("store regained", "lost_for", time.Since(since))
+		c.Logger.Info("store regained", "lost_for", time.Since(since))
 	}
 }
 
@@ -237,10 +284,12 @@
 	return true
 }
 
-func keys(set map[string]bool) []string {
+// Names returns the members of a set in order.
+func Names(set map[string]bool) []string {
 	out := make([]string, 0, len(set))
-	for k := range set {
-		out = append(out, k)
+	for name := range set {
+		out = append(out, name)
 	}
+	slices.Sort(out)
 	return out
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -42,7 +42,7 @@
 			return outcome{elsewhere: true, refusal: notSent("region not reached")}
 		}
 		a.gateway = &g
-	} else if isCold(b, now) {
+	} else if b.IsCold(s.edge.heartbeat(), now) {
 		s.edge.Cold.Note(b.ID, now)
 	}
 	a.entry = s.edge.Ledger.Begin(b.ID, b.Incarnation, a.job(d), now)
@@ -151,6 +151,9 @@
 		}
 		a.log("not_sent", "endpoint", a.endpoint.ID, "far", a.gateway != nil, "err", err)
 		a.exclude()
+		if a.gateway == nil {
+			a.edge.Registry.MarkUnreached(a.endpoint.ID, a.endpoint.Incarnation, time.Now())
+		}
 		return outcome{elsewhere: true, refusal: notSent("no connection")}, ledger.Unreachable
 	}
 	a.attempts++
@@ -164,7 +167,6 @@
 		return
 	}
 	a.tried[a.endpoint.ID] = true
-	a.edge.Registry.MarkUnproven(a.endpoint.ID, a.endpoint.Incarnation)
 }
 
 // failed handles a request that may have run and whose answer is lost.
@@ -192,7 +194,7 @@
 // misplaced handles the answer of another endpoint at the same address.
 func (a *attempt) misplaced() (outcome, ledger.Result) {
 	a.log("misplaced", "endpoint", a.endpoint.ID, "address", a.endpoint.Address)
-	a.edge.Registry.MarkMisplaced(a.endpoint.ID, a.endpoint.Incarnation)
+	a.edge.Registry.MarkMisplaced(a.endpoint.ID, a.endpoint.Incarnation, time.Now())
 	return a.again(notSent("another endpoint has the address")), ledger.Unreachable
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -73,10 +73,19 @@
 	return a.again(refusal), ledger.Failed
 }
 
-// PeerHandler returns the handler of the listener for other gateways.
-func (e *Edge) PeerHandler() http.Handler { return http.HandlerFunc(e.servePeer) }
+// PeerHandler returns the handler of the listener for other gateways. Requests
+// that are not sent on go to fetches.
+func (e *Edge) PeerHandler(fetches http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerForward) == "" {
+			fetches.ServeHTTP(w, r)
+			return
+		}
+		e.serveForwarded(w, r)
+	})
+}
 
-func (e *Edge) servePeer(w http.ResponseWriter, r *http.Request) {
+func (e *Edge) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	var f forward
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &f); err != nil {
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -80,7 +80,7 @@
 	reachable := make(map[string]bool)
 	var out []placement.Candidate
 	top := -1
-	for _, b := range e.Registry.Usable(s.service.Name, now) {
+	for _, b := range e.Registry.Usable(s.service.Name, e.heartbeat(), now) {
 		if s.tried[b.ID] || s.tried[regionKey(b.Region)] || !s.route.Permits(b.Region) {
 			continue
 		}
@@ -141,13 +141,13 @@
 	return q
 }
 
-// isCold says whether an endpoint takes few requests only.
-func isCold(b fleet.Belief, now time.Time) bool { return b.Unproven || now.Before(b.ColdUntil) }
+// heartbeat is the time between two heartbeats of an endpoint.
+func (e *Edge) heartbeat() time.Duration { return e.Board.Site.Get().HeartbeatInterval }
 
 // mayUseCold says whether an endpoint that is cold may get this request: one
 // gateway of the region alone sends to it, within its limit.
 func (s *session) mayUseCold(b fleet.Belief, now time.Time) bool {
-	if !isCold(b, now) || s.service.ColdRate <= 0 {
+	if s.service.ColdRate <= 0 || !b.IsCold(s.edge.heartbeat(), now) {
 		return true
 	}
 	e := s.edge
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -28,6 +28,7 @@
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/ledger"
+	"github.com/hickorystage/hickorystage/internal/neighbour"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
 	"github.com/hickorystage/hickorystage/internal/transport"
@@ -100,17 +101,67 @@
 	if err != nil {
 		return nil, &ListenError{Address: beatAddress, Cause: err}
 	}
-	routes := routesync.New(a.board, p.Operators, logger)
+	words := fleet.NewWords()
+	client := neighbour.NewClient(transport.Dialer())
 	a.controllers = []controller.Controller{
-		routes,
-		discovery.New(a.board, a.registry, p.Endpoints, logger),
+		routesync.New(routesync.Config{
+			Board: a.board, Gateways: a.gateways, Words: words, Source: p.Operators, Client: client, Logger: logger,
+		}),
+		discovery.New(discovery.Config{
+			Board: a.board, Registry: a.registry, Gateways: a.gateways, Words: words,
+			Source: p.Endpoints, Client: client, Logger: logger,
+		}),
 		enlist.New(a.board, p.Store, a.gateways, logger),
 		reload.New(a.board, p.Settings, p.Hangup, logger),
-		beats.New(a.board, a.gateways, accounts, conn, routes.Refresh, logger),
+		beats.New(beats.Config{
+			Board: a.board, Gateways: a.gateways, Ledger: accounts, Words: words, Word: a.word,
+			Conn: conn, Seeds: seedBeats(site), Logger: logger,
+		}),
 	}
 	return a, a.listen(site)
 }
 
+// seedBeats returns the beat addresses of the seeds, which are given by their
+// addresses for other gateways. Ports are the same on all machines.
+func seedBeats(s *settings.Site) []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(s.FirstPort)))
+		}
+	}
+	return out
+}
+
+// word is what this gateway has read from the store.
+func (a *App) word(now time.Time) fleet.Word {
+	w := fleet.Word{
+		Endpoints:    a.registry.Fingerprint(),
+		Evacuated:    routesync.Names(a.board.Evacuated.Get()),
+		EndpointsAge: age(a.board.EndpointsRead.Get(), now),
+		OperatorsAge: age(a.board.OperatorsRead.Get(), now),
+	}
+	if routes := a.board.Routes.Get(); routes != nil {
+		w.Routes = routes.Version
+	}
+	return w
+}
+
+// age returns the milliseconds since at; a great many if that is never.
+func age(at, now time.Time) int64 {
+	if at.IsZero() {
+		return int64(time.Hour / time.Millisecond)
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+func (a *App) rawRoutes() []byte {
+	if routes := a.board.Routes.Get(); routes != nil {
+		return routes.Raw
+	}
+	return nil
+}
+
 func retrySettings(s *settings.Site) budget.RetrySettings {
 	return budget.RetrySettings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
@@ -163,7 +214,10 @@
 	if _, err = a.open(site.ReadyAddress, a.platform.Readiness(a.edge.Ready)); err != nil {
 		return err
 	}
-	if _, err = a.open(site.PeerAddress, a.edge.PeerHandler()); err != nil {
+	if _, err = a.open(site.PeerAddress, a.edge.PeerHandler(neighbour.Handler(neighbour.Sources{
+		Endpoints: func() []fleet.Endpoint { return a.registry.Entries(time.Now()) },
+		Routes:    a.rawRoutes,
+	}))); err != nil {
 		return err
 	}
 	if site.DirectoryAddress == "" {
@@ -256,6 +310,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(a.board.Site.Get().Bounds.Grace-stopMargin))
 	defer cancel()
+	a.gateways.SetLeaving()
 	a.board.Lifecycle.Set(blackboard.Draining)
 	a.callers.SetKeepAlivesEnabled(false)
 	_, n := a.edge.Idle()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,20 +16,20 @@
 
 // Endpoint is one incarnation of an endpoint as its entry in the store tells.
 type Endpoint struct {
-	ID string
+	ID string `json:"id"`
 	// Incarnation changes with each start under the same id. It orders the
 	// incarnations of one id and compares with nothing else.
-	Incarnation int64
+	Incarnation int64 `json:"inc"`
 	// Sequence grows with each entry of one incarnation.
-	Sequence int64
-	Service  string
+	Sequence int64  `json:"seq"`
+	Service  string `json:"service"`
 	// Address is host:port.
-	Address    string
-	DataCentre string
-	Slots      int
-	State      EndpointState
+	Address    string        `json:"addr"`
+	DataCentre string        `json:"dc"`
+	Slots      int           `json:"slots"`
+	State      EndpointState `json:"state"`
 	// ColdFor is how much longer the endpoint is slow after its start.
-	ColdFor time.Duration
+	ColdFor time.Duration `json:"cold_ns,omitempty"`
 	// GoneIn is the time until a draining endpoint is removed; 0 if unknown.
-	GoneIn time.Duration
+	GoneIn time.Duration `json:"gone_ns,omitempty"`
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is what the store holds under one endpoint's key.
@@ -32,11 +35,31 @@
 	// Missing is when its entry was found missing after an outage of the
 	// store; zero if it wasn't.
 	Missing time.Time
-	// Misplaced says that another endpoint answered at its address.
-	Misplaced bool
-	// Unproven says that it broke connections since its last entry, so that
-	// it may have started again and be cold.
-	Unproven bool
+	// Misplaced is when another endpoint last answered at its address.
+	Misplaced time.Time
+	// Unreached is when a connection to it last could not be made: it may have
+	// started again since and be cold.
+	Unreached time.Time
+	// Freed is when the evacuation of its data centre ended; it may be cold
+	// without having said so yet.
+	Freed time.Time
+}
+
+// heartbeats is the number of heartbeats after which an endpoint's entry tells
+// of a restart, or is gone.
+const heartbeats = 3
+
+// IsCold says whether the endpoint takes few requests only, as far as is known.
+// beat is the time between two of its heartbeats.
+func (b *Belief) IsCold(beat time.Duration, now time.Time) bool {
+	return now.Before(b.ColdUntil) ||
+		now.Before(b.Unreached.Add(heartbeats*beat)) ||
+		b.Updated.Before(b.Freed) && now.Before(b.Freed.Add(heartbeats*beat))
+}
+
+// IsMisplaced says whether another endpoint has its address.
+func (b *Belief) IsMisplaced(beat time.Duration, now time.Time) bool {
+	return now.Before(b.Misplaced.Add(heartbeats * beat))
 }
 
 // ReturnTime is how long after an outage of the store entries that lapsed
@@ -290,13 +313,13 @@
 }
 
 // MarkMisplaced notes that another endpoint answers at the address of one.
-func (r *Registry) MarkMisplaced(id string, born int64) {
-	r.mark(id, born, func(b *Belief) { b.Misplaced = true })
+func (r *Registry) MarkMisplaced(id string, born int64, now time.Time) {
+	r.mark(id, born, func(b *Belief) { b.Misplaced = now })
 }
 
-// MarkUnproven notes that an endpoint broke a connection.
-func (r *Registry) MarkUnproven(id string, born int64) {
-	r.mark(id, born, func(b *Belief) { b.Unproven = true })
+// MarkUnreached notes that no connection to an endpoint could be made.
+func (r *Registry) MarkUnreached(id string, born int64, now time.Time) {
+	r.mark(id, born, func(b *Belief) { b.Unreached = now })
 }
 
 func (r *Registry) mark(id string, born int64, set func(*Belief)) {
@@ -307,42 +330,62 @@
 	}
 }
 
-// Usable returns the endpoints of a service that may get new requests.
-func (r *Registry) Usable(service string, now time.Time) []Belief {
+// Usable returns the endpoints of a service that may get new requests, ordered
+// by id. beat is the time between two heartbeats.
+func (r *Registry) Usable(service string, beat time.Duration, now time.Time) []Belief {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var out []Belief
 	for _, b := range r.beliefs {
-		if b.Service != service || !b.Leaving.IsZero() || b.Misplaced || r.evacuated[b.DataCentre] {
+		if b.Service != service || !b.Leaving.IsZero() || b.IsMisplaced(beat, now) || r.evacuated[b.DataCentre] {
 			continue
 		}
 		c := *b
-		if freed, ok := r.freed[b.DataCentre]; ok && b.Updated.Before(freed) {
-			c.Unproven = true
-		}
+		c.Freed = r.freed[b.DataCentre]
 		out = append(out, c)
 	}
 	slices.SortFunc(out, func(a, b Belief) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
-// Get returns one endpoint.
-func (r *Registry) Get(id string) (Belief, bool) {
+// Entries returns all endpoints as entries that another registry can take in.
+func (r *Registry) Entries(now time.Time) []Endpoint {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if b, ok := r.beliefs[id]; ok {
-		return *b, true
+	out := make([]Endpoint, 0, len(r.beliefs))
+	for _, b := range r.beliefs {
+		e := b.Endpoint
+		if e.ColdFor > 0 {
+			e.ColdFor = max(b.ColdUntil.Sub(now), time.Millisecond)
+		}
+		if !b.Leaving.IsZero() {
+			e.State = Draining
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Fingerprint identifies all that the entries say, but for what changes with
+// each heartbeat.
+func (r *Registry) Fingerprint() uint64 {
+	h := xxhash.New()
+	for _, e := range r.Entries(time.Time{}) {
+		_, _ = fmt.Fprintf(h, "%s %d %s %s %s %d %d %t\n", e.ID, e.Incarnation, e.Service, e.Address, e.DataCentre, e.Slots, e.State, e.ColdFor > 0)
 	}
-	return Belief{}, false
+	return h.Sum64()
 }
 
-// All returns every endpoint that is known.
-func (r *Registry) All() []Belief {
+// Get returns one endpoint.
+func (r *Registry) Get(id string) (Belief, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := make([]Belief, 0, len(r.beliefs))
-	for _, b := range r.beliefs {
-		out = append(out, *b)
+	b, ok := r.beliefs[id]
+	if !ok {
+		return Belief{}, false
 	}
-	return out
+	c := *b
+	c.Freed = r.freed[b.DataCentre]
+	return c, true
 }
--- /dev/null
+++ b/internal/fleet/roles.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+)
+
+// MeshLimit is the number of gateways up to which all gateways of a region beat
+// to each other. Larger regions beat to their hubs, which tell the others.
+const MeshLimit = 8
+
+// hubCount is the number of hubs of a region; the second one takes over at once
+// when the first is gone.
+const hubCount = 2
+
+// Hubs returns the ids of the gateways that speak for a region, the first one
+// first. Every gateway works them out by itself; that two differ for a moment
+// does no harm.
+func (g *Gateways) Hubs(region string, now time.Time) []string {
+	ids := make([]string, 0, 1)
+	for _, s := range g.Alive(region, now) {
+		ids = append(ids, s.ID)
+	}
+	if region == g.self.Region && !g.Leaving() {
+		ids = append(ids, g.self.ID)
+	}
+	return rendezvous.Top("hub "+region, ids, hubCount)
+}
+
+// IsHub says whether this gateway speaks for its region.
+func (g *Gateways) IsHub(now time.Time) bool {
+	return slices.Contains(g.Hubs(g.self.Region, now), g.self.ID)
+}
+
+// Reader returns the id of the gateway that reads the store for its region.
+func (g *Gateways) Reader(now time.Time) string {
+	hubs := g.Hubs(g.self.Region, now)
+	if len(hubs) == 0 {
+		return g.self.ID
+	}
+	return hubs[0]
+}
+
+// IsReader says whether this gateway reads the store for its region.
+func (g *Gateways) IsReader(now time.Time) bool { return g.Reader(now) == g.self.ID }
+
+// IsMesh says whether all gateways of the own region beat to each other.
+func (g *Gateways) IsMesh() bool { return len(g.Addressable(g.self.Region)) < MeshLimit }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,8 +18,10 @@
 	shards [shardCount]shard
 	speeds *speeds
 	peers  *peers
-	// readings are told to the other gateways.
+	// readings are what this gateway had endpoints read, relayed what the other
+	// gateways of the region had.
 	readings *readings
+	relayed  *readings
 }
 
 type shard struct {
@@ -29,7 +31,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{speeds: newSpeeds(), peers: newPeers(), readings: newReadings()}
+	l := &Ledger{speeds: newSpeeds(), peers: newPeers(), readings: newReadings(), relayed: newReadings()}
 	for i := range l.shards {
 		l.shards[i].accounts = make(map[string]*account)
 	}
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -136,9 +136,19 @@
 	return l.readings.since(now.Add(-within))
 }
 
-// HearReadings takes in what other gateways had endpoints read.
-func (l *Ledger) HearReadings(list []Reading, now time.Time) {
+// AllReadings returns the same together with what the other gateways of the
+// region told.
+func (l *Ledger) AllReadings(within time.Duration, now time.Time) []Reading {
+	return append(l.readings.since(now.Add(-within)), l.relayed.since(now.Add(-within))...)
+}
+
+// HearReadings takes in what other gateways had endpoints read. Those of the
+// own region are told on by its hubs.
+func (l *Ledger) HearReadings(list []Reading, tellOn bool, now time.Time) {
 	for _, x := range list {
+		if tellOn {
+			l.relayed.note(x, now)
+		}
 		sh := l.shard(x.ID)
 		sh.mu.Lock()
 		if a, ok := sh.accounts[x.ID]; ok {
--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -24,6 +25,36 @@
 	Busy int `json:"b,omitempty"`
 }
 
+// Plus returns the sum of two rows of one endpoint.
+func (r Row) Plus(o Row) Row {
+	r.Running += o.Running
+	r.Waiting += o.Waiting
+	r.Memory += o.Memory
+	r.Busy += o.Busy
+	r.Queued = addQueued(r.Queued, o.Queued, 1)
+	return r
+}
+
+// Minus returns the row without a part of it, which may have changed since.
+func (r Row) Minus(o Row) Row {
+	r.Running = max(r.Running-o.Running, 0)
+	r.Waiting = max(r.Waiting-o.Waiting, 0)
+	r.Memory = max(r.Memory-o.Memory, 0)
+	r.Busy = max(r.Busy-o.Busy, 0)
+	r.Queued = addQueued(r.Queued, o.Queued, -1)
+	return r
+}
+
+// addQueued returns a + sign * b, nowhere below 0.
+func addQueued(a, b []int, sign int) []int {
+	out := make([]int, max(len(a), len(b)))
+	copy(out, a)
+	for i, ms := range b {
+		out[i] = max(out[i]+sign*ms, 0)
+	}
+	return out
+}
+
 // peers holds what the other gateways told.
 type peers struct {
 	mu   sync.RWMutex
@@ -67,24 +98,63 @@
 	defer p.mu.RUnlock()
 	total := Row{ID: id}
 	for gateway, r := range p.rows[id] {
-		age := now.Sub(p.told[gateway].at)
-		if age > peerTime {
-			continue
+		if age := now.Sub(p.told[gateway].at); age <= peerTime {
+			total = total.Plus(r.aged(age))
 		}
-		total.Running += r.Running
-		total.Waiting += r.Waiting
-		total.Memory += r.Memory
-		total.Busy += int(fade(time.Duration(r.Busy)*time.Millisecond, age).Milliseconds())
-		for u, ms := range r.Queued {
-			for len(total.Queued) <= u {
-				total.Queued = append(total.Queued, 0)
+	}
+	return total
+}
+
+// aged returns what a row has become after some time.
+func (r Row) aged(age time.Duration) Row {
+	r.Busy = int(fade(time.Duration(r.Busy)*time.Millisecond, age).Milliseconds())
+	queued := make([]int, len(r.Queued))
+	for u, ms := range r.Queued {
+		queued[u] = max(ms-int(age.Milliseconds()), 0)
+	}
+	r.Queued = queued
+	return r
+}
+
+// Total returns the sums of the given rows of this gateway and those that the
+// other gateways of the region told.
+func (l *Ledger) Total(own []Row, now time.Time) []Row {
+	sums := make(map[string]Row, len(own))
+	for _, r := range own {
+		sums[r.ID] = r
+	}
+	l.peers.each(now, func(r Row) { sums[r.ID] = sums[r.ID].Plus(r) })
+	out := make([]Row, 0, len(sums))
+	for id, r := range sums {
+		r.ID = id
+		out = append(out, r)
+	}
+	return out
+}
+
+// each calls fn for the rows that single gateways told lately.
+func (p *peers) each(now time.Time, fn func(Row)) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, byGateway := range p.rows {
+		for gateway, r := range byGateway {
+			age := now.Sub(p.told[gateway].at)
+			if age <= peerTime && !strings.HasPrefix(gateway, sumPrefix) {
+				fn(r.aged(age))
 			}
-			total.Queued[u] += max(ms-int(age.Milliseconds()), 0)
 		}
 	}
-	return total
 }
 
+// HearSum takes in the sums that a hub tells of a region; within the own region
+// they replace the rows of its gateways.
+func (l *Ledger) HearSum(region string, rows []Row, now time.Time) {
+	l.peers.hear(sumPrefix+region, rows, now)
+}
+
+// sumPrefix marks the source of sums.
+const sumPrefix = "sum "
+
 // Hear takes in what another gateway has under way.
 func (l *Ledger) Hear(gateway string, rows []Row, now time.Time) { l.peers.hear(gateway, rows, now) }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -139,6 +139,8 @@
 	Version  uint64
 	Services map[string]*Service
 	Limits   Limits
+	// Raw is the version as operators wrote it.
+	Raw []byte
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost map[string][]*Route
 }
