Let gateways of large fleets find each other by seeds and digests

Cause: on the grown site gateways took each other for gone and back (2,700 times in 18 s): members were listed in digests too seldom, several thought themselves hubs, and a new gateway learned of the others only from the store. Ruled out: the size of datagrams (all that were sent arrived).

--- a/internal/budget/cold.go
+++ b/internal/budget/cold.go
@@ -9,17 +9,16 @@
 // coldSpan is the time over which requests to cold endpoints are counted.
 const coldSpan = time.Second
 
-// coldSenders is the number of gateways that may send to one cold endpoint at
-// the same time: the one that is chosen, and one that has not yet seen that
-// another was.
-const coldSenders = 2
-
 // ColdSettings bound the requests that a cold endpoint gets.
 type ColdSettings struct {
 	// Overage multiplies the rate that the endpoint's service allows, Slack is
 	// added to it.
 	Overage float64
 	Slack   float64
+	// Senders is the number of gateways that may send to one cold endpoint at
+	// the same time: the one that is chosen, and those that have not yet seen
+	// that another was.
+	Senders int
 }
 
 // Cold limits the requests to endpoints that have just started. It is safe for
@@ -61,7 +60,7 @@
 }
 
 func (c *Cold) limit(rate float64) int {
-	return int(math.Floor((rate*c.settings.Overage + c.settings.Slack) / coldSenders))
+	return int(math.Floor((rate*c.settings.Overage + c.settings.Slack) / float64(max(c.settings.Senders, 1))))
 }
 
 // recent drops what was sent before the span and returns the rest.
--- a/internal/controller/beats/beat.go
+++ b/internal/controller/beats/beat.go
@@ -15,6 +15,10 @@
 	// Digests sum up regions: a hub tells other regions and the gateways of a
 	// large region of its own, and its own region of the others.
 	Digests []Digest `json:"digests,omitempty"`
+	// Ask says that the sender wants to know which gateways there are, Known
+	// tells it.
+	Ask   bool         `json:"ask,omitempty"`
+	Known []fleet.Sign `json:"known,omitempty"`
 	// Word is set by the gateway that reads the store for its region.
 	Word *fleet.Word `json:"word,omitempty"`
 }
@@ -27,8 +31,9 @@
 	Hub       string `json:"hub"`
 	Seq       uint64 `json:"seq"`
 	AgeMillis int64  `json:"age_ms,omitempty"`
-	// Members are the region's gateways that are alive; nil stands for those
-	// of an earlier digest.
+	// Alive marks the region's gateways that are alive. Members describes them
+	// in full, in some digests.
+	Alive   []fleet.Mark `json:"alive"`
 	Members []fleet.Sign `json:"members,omitempty"`
 	// Rows are the sums over all of them.
 	Rows     []ledger.Row     `json:"rows,omitempty"`
--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -29,7 +29,7 @@
 	interval = 150 * time.Millisecond
 	// largeEvery is the number of beats of which one is sent in a large region,
 	// farEvery that of which one brings other regions.
-	largeEvery = 2
+	largeEvery = 3
 	farEvery   = 3
 	// membersEvery is the number of digests of which one lists the gateways.
 	membersEvery = 4
@@ -70,17 +70,18 @@
 	turn int
 	// foreign holds the newest digest of each other region.
 	foreign map[string]*heardDigest
+	// listed holds the members as of listedAt, when they last changed.
+	listed   []fleet.Mark
+	listedAt time.Time
+	// welcomed counts the gateways that were welcomed since the last round.
+	welcomed int
 	// own is what the hubs were last told of this gateway.
 	own map[string]ledger.Row
-	// listed are the members that digests told of last.
-	listed string
 }
 
 type heardDigest struct {
 	Digest
 	at time.Time
-	// members are those of the last digest that listed them.
-	members []fleet.Sign
 	// passed says that it has been passed on.
 	passed bool
 }
@@ -110,7 +111,6 @@
 		case <-t.Dying():
 			return nil
 		case <-changed:
-			// Other regions are told of this at once, too.
 			c.hurry()
 		case <-ticker.C:
 		}
@@ -145,8 +145,11 @@
 	if b.From.ID == c.Gateways.Self().ID {
 		return
 	}
-	if c.Gateways.Hear(b.From, now) {
+	fresh := c.Gateways.Hear(b.From, now)
+	if fresh {
 		c.Logger.Info("gateway heard", "id", b.From.ID, "region", b.From.Region, "ready", b.From.Ready)
+	}
+	if (fresh || b.Ask) && c.mayWelcome() {
 		c.welcome(b.From, now)
 	}
 	if b.From.Region == own {
@@ -156,17 +159,32 @@
 		}
 	}
 	c.Ledger.HearReadings(b.Readings, b.From.Region == own, now)
+	c.Gateways.Learn(b.Known)
 	for _, d := range b.Digests {
 		c.hearDigest(b.From, d, now)
 	}
 }
 
+// maxWelcomes bounds the gateways that are welcomed between two rounds.
+const maxWelcomes = 32
+
+func (c *Controller) mayWelcome() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.welcomed++
+	return c.welcomed <= maxWelcomes
+}
+
 // hearDigest takes in what a hub tells of a region.
 func (c *Controller) hearDigest(from fleet.Sign, d Digest, now time.Time) {
 	own := c.Gateways.Self().Region
 	if d.Region == own {
-		if from.Region == own && !c.Gateways.IsMesh() && !c.Gateways.IsHub(now) {
-			c.Gateways.HearRegion(own, d.Members, now)
+		if from.Region != own {
+			return
+		}
+		c.Gateways.Learn(d.Members)
+		if !c.Gateways.IsMesh() && !c.Gateways.IsHub(now) {
+			c.Gateways.HearRegion(own, d.Alive, d.Members, now)
 			c.Ledger.HearSum(own, c.withoutOwn(d.Rows), now)
 			c.Ledger.HearReadings(d.Readings, false, now)
 		}
@@ -176,7 +194,7 @@
 	if !c.keep(d, made, from.Region != own) {
 		return
 	}
-	c.Gateways.HearRegion(d.Region, d.Members, made)
+	c.Gateways.HearRegion(d.Region, d.Alive, d.Members, made)
 	c.Ledger.HearSum(d.Region, d.Rows, made)
 	c.Ledger.HearReadings(d.Readings, false, now)
 }
@@ -189,11 +207,7 @@
 	if ok && (old.Hub == d.Hub && old.Seq >= d.Seq || !made.After(old.at)) {
 		return false
 	}
-	next := &heardDigest{Digest: d, at: made, members: d.Members, passed: !direct}
-	if d.Members == nil && ok {
-		next.members = old.members
-	}
-	c.foreign[d.Region] = next
+	c.foreign[d.Region] = &heardDigest{Digest: d, at: made, passed: !direct}
 	return true
 }
 
--- a/internal/controller/beats/send.go
+++ b/internal/controller/beats/send.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
@@ -12,11 +11,11 @@
 	"github.com/hickorystage/hickorystage/internal/ledger"
 )
 
-// hurry makes the next beat bring all that beats can bring.
+// hurry makes the next round bring other regions, too.
 func (c *Controller) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turn = -1
+	c.turn += farEvery - 1 - c.turn%farEvery
 }
 
 // sign returns what this gateway says of itself.
@@ -38,6 +37,7 @@
 	// large says that it is sent in a large region, far that it brings other
 	// regions, list that digests list their members.
 	large, far, list bool
+	turn             int
 }
 
 // nextRound counts the rounds.
@@ -45,7 +45,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.turn++
+	c.welcomed = 0
 	return round{
+		turn:  c.turn,
 		large: c.turn%largeEvery == 0,
 		far:   c.turn%farEvery == 0,
 		list:  c.turn%(farEvery*membersEvery) == 0,
@@ -66,10 +68,13 @@
 	rank := slices.Index(hubs, self.ID)
 	switch {
 	case c.Gateways.IsMesh():
-		if rank >= 0 && r.far {
+		if rank >= 0 {
 			b.Digests = c.passOn(now)
 		}
 		b.Readings = c.Ledger.Readings(told*interval, now)
+		if d := c.members(self, r.list, now); d.Members != nil {
+			b.Digests = append(b.Digests, d)
+		}
 		c.send(c.Gateways.Addressable(self.Region), b)
 	case r.large || self.Leaving:
 		c.beatLarge(b, hubs, rank, r, now)
@@ -77,7 +82,7 @@
 	if r.far && (rank >= 0 || self.Leaving) {
 		c.beatFar(self, rows, max(rank, 0), r.list, now)
 	}
-	c.beatSeeds(b)
+	c.askSeeds(b, r.turn)
 }
 
 // beatLarge beats in a region that is too large for all to beat to all: to the
@@ -113,9 +118,17 @@
 	}
 }
 
-// beatSeeds beats to the seeds while no other gateway is known.
-func (c *Controller) beatSeeds(b Beat) {
-	if len(c.Gateways.Regions()) > 0 {
+// askRounds is the number of rounds in which a gateway asks the seeds for
+// others, askEvery that between two times.
+const (
+	askRounds = 16
+	askEvery  = 4
+)
+
+// askSeeds asks the seeds which gateways there are: at the start, when they may
+// not have heard of the others yet, and while none is known.
+func (c *Controller) askSeeds(b Beat, turn int) {
+	if turn%askEvery != 1 || turn > askRounds && len(c.Gateways.Regions()) > 0 {
 		return
 	}
 	var seeds []fleet.Sign
@@ -124,74 +137,71 @@
 			seeds = append(seeds, fleet.Sign{Gateway: fleet.Gateway{Beat: address}})
 		}
 	}
+	b.Ask = true
 	c.send(seeds, b)
 }
 
-// welcome answers a gateway that has just been heard.
+// welcome answers a gateway that has just been heard, or asks, with the gateways of its
+// region and those that speak for this one.
 func (c *Controller) welcome(to fleet.Sign, now time.Time) {
 	self := c.sign()
-	b := Beat{From: self}
-	b.Digests = append(c.passOnAll(now), c.digest(self, c.Ledger.Rows(now), 0, true, now))
+	members := append(c.Gateways.Alive(to.Region, now), c.named(c.Gateways.Hubs(self.Region, now))...)
+	b := Beat{From: self, Known: members}
+	if c.Gateways.IsReader(now) {
+		word := c.Word(now)
+		b.Word = &word
+	}
 	c.send([]fleet.Sign{to}, b)
 }
 
 // digest sums up the own region.
 func (c *Controller) digest(self fleet.Sign, rows []ledger.Row, readings time.Duration, list bool, now time.Time) Digest {
-	d := Digest{
-		Region:   self.Region,
-		Hub:      self.ID + "/" + self.Incarnation,
-		Seq:      self.Seq,
-		Rows:     c.Ledger.Total(rows, now),
-		Readings: c.Ledger.AllReadings(readings, now),
-	}
-	members := append(c.Gateways.Alive(self.Region, now), self)
-	if list || c.changedMembers(members) {
-		d.Members = members
-	}
+	d := c.members(self, list, now)
+	d.Rows = c.Ledger.Total(rows, now)
+	d.Readings = c.Ledger.AllReadings(readings, now)
 	return d
 }
 
-// changedMembers says whether the members differ from those listed last.
-func (c *Controller) changedMembers(members []fleet.Sign) bool {
-	parts := make([]string, 0, len(members))
-	for _, m := range members {
-		mark := ""
-		if m.Ready {
-			mark = "+"
-		}
-		if m.Leaving {
-			mark = "-"
+// members tells who is alive in the own region, in full if list says so or the
+// members are new.
+func (c *Controller) members(self fleet.Sign, list bool, now time.Time) Digest {
+	d := Digest{Region: self.Region, Hub: self.ID + "/" + self.Incarnation, Seq: self.Seq}
+	all := append(c.Gateways.Alive(self.Region, now), self)
+	for _, m := range all {
+		if !m.Leaving {
+			d.Alive = append(d.Alive, m.Mark())
 		}
-		parts = append(parts, m.ID+"/"+m.Incarnation+mark)
 	}
-	set := strings.Join(parts, " ")
+	if list || c.areNew(d.Alive, now) {
+		d.Members = all
+	}
+	return d
+}
+
+// tellNew is how long new members are told of in full.
+const tellNew = 2 * largeEvery * interval
+
+// areNew says whether the members have changed lately.
+func (c *Controller) areNew(alive []fleet.Mark, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := set != c.listed
-	c.listed = set
-	return changed
+	if !slices.Equal(c.listed, alive) {
+		c.listed, c.listedAt = alive, now
+	}
+	return now.Sub(c.listedAt) < tellNew
 }
 
 // passOn returns the digests of other regions that came since the last time.
 func (c *Controller) passOn(now time.Time) []Digest {
-	return c.digests(now, func(h *heardDigest) bool { return !h.passed })
-}
-
-func (c *Controller) passOnAll(now time.Time) []Digest {
-	return c.digests(now, func(*heardDigest) bool { return true })
-}
-
-func (c *Controller) digests(now time.Time, keep func(*heardDigest) bool) []Digest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []Digest
 	for _, h := range c.foreign {
-		if now.Sub(h.at) > fleet.SilentAfter || !keep(h) {
+		if now.Sub(h.at) > fleet.SilentAfter || h.passed {
 			continue
 		}
 		h.passed = true
 		d := h.Digest
-		d.Members = h.members
 		d.AgeMillis = now.Sub(h.at).Milliseconds()
 		out = append(out, d)
 	}
@@ -243,6 +253,6 @@
 	sent.Inc()
 	sentBytes.Add(int64(len(body)))
 	if _, err := c.Conn.WriteTo(body, to); err != nil {
-		c.Logger.Debug("beat not sent", "to", address, "err", err)
+		c.Logger.Warn("beat not sent", "bytes", len(body), "to", address, "err", err)
 	}
 }
--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -57,6 +57,9 @@
 	Words    *fleet.Words
 	Source   Source
 	Client   *neighbour.Client
+	// Patience is how long to wait at the start for another gateway's word
+	// before the store is read.
+	Patience time.Duration
 	Logger   *log.Logger
 }
 
@@ -80,6 +83,7 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	c.Words.Await(ctx, c.Patience)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
--- a/internal/controller/enlist/enlist.go
+++ b/internal/controller/enlist/enlist.go
@@ -1,5 +1,6 @@
-// Package enlist is the controller that keeps this gateway listed in the store
-// under a lease, and reads there which other gateways there are.
+// Package enlist is the controller by which gateways find each other in the
+// store. Those that speak for their region are listed there under a lease, and
+// so is everyone who knows nobody else; all the others only read the list.
 package enlist
 
 import (
@@ -22,11 +23,16 @@
 // Times of the controller.
 const (
 	// leaseTime is how long the store lists a gateway that is not heard of.
-	leaseTime = 8 * time.Second
-	// interval is the time between two renewals and looks at the list.
-	interval = 2 * time.Second
-	// retryInterval is the pause after a failure.
-	retryInterval = 500 * time.Millisecond
+	leaseTime = 12 * time.Second
+	// renewInterval is the time between two renewals.
+	renewInterval = 4 * time.Second
+	// lookInterval is the time between two looks at the list while other
+	// gateways are known, searchInterval while none is.
+	lookInterval   = 10 * time.Second
+	searchInterval = 500 * time.Millisecond
+	// settleTime is how long after its start a gateway waits to be found by the
+	// beats of others before it lists itself.
+	settleTime = 1500 * time.Millisecond
 	// leaveTimeout bounds the removal from the list at the end.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -38,8 +44,12 @@
 	gateways *fleet.Gateways
 	logger   *log.Logger
 
-	// lease is 0 while the gateway is not listed.
-	lease store.Lease
+	started time.Time
+	// lease is 0 while the gateway is not listed; renewed is when it was
+	// renewed, looked when the list was read.
+	lease   store.Lease
+	renewed time.Time
+	looked  time.Time
 }
 
 // New returns the controller.
@@ -53,37 +63,40 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	c.started = time.Now()
+	ticker := time.NewTicker(searchInterval)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		state, changed := c.board.Lifecycle.Watch()
-		pause := c.step(ctx, state)
-		timer := time.NewTimer(pause)
+		c.step(ctx, state, time.Now())
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-timer.C:
+		case <-ticker.C:
 		}
-		timer.Stop()
 	}
 	c.leave()
 	return nil
 }
 
-// step makes the calls that the state asks for and returns the time until the
-// next.
-func (c *Controller) step(ctx context.Context, state blackboard.Lifecycle) time.Duration {
+// step makes the calls that are due.
+func (c *Controller) step(ctx context.Context, state blackboard.Lifecycle, now time.Time) {
 	if state == blackboard.Draining || state == blackboard.Stopped {
 		c.leave()
-		return interval
+		return
 	}
-	err := c.renew(ctx)
-	if err == nil {
-		err = c.look(ctx)
+	alone := len(c.gateways.Regions()) == 0
+	wanted := now.Sub(c.started) >= settleTime && (alone || c.gateways.IsHub(now))
+	var err error
+	if wanted && now.Sub(c.renewed) >= renewInterval {
+		err = c.renew(ctx)
+	}
+	if err == nil && (alone || now.Sub(c.looked) >= lookInterval) {
+		err = c.look(ctx, wanted)
 	}
 	if err != nil {
 		c.logger.Debug("list of gateways not reachable", "err", err)
-		return retryInterval
 	}
-	return interval
 }
 
 // renew keeps the lease, or lists the gateway under a new one.
@@ -92,6 +105,7 @@
 		err := c.store.KeepAlive(ctx, c.lease)
 		var ended *store.LeaseEndedError
 		if !errors.As(err, &ended) {
+			c.noteRenewed(err)
 			return err
 		}
 		c.logger.Warn("listing lapsed")
@@ -110,12 +124,20 @@
 		return err
 	}
 	c.lease = lease
+	c.noteRenewed(nil)
 	c.logger.Info("listed", "lease", lease)
 	return nil
 }
 
-// look reads the list. A gateway that misses itself there is listed anew.
-func (c *Controller) look(ctx context.Context) error {
+func (c *Controller) noteRenewed(err error) {
+	if err == nil {
+		c.renewed = time.Now()
+	}
+}
+
+// look reads the list. A gateway that misses itself there although it is
+// wanted is listed anew.
+func (c *Controller) look(ctx context.Context, wanted bool) error {
 	var list []fleet.Gateway
 	after, present := "", false
 	for {
@@ -138,9 +160,11 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 	c.gateways.Listed(list, time.Now())
-	if !present {
+	c.looked = time.Now()
+	if wanted && !present {
 		// A stale read may miss a new entry; one more write does no harm.
 		c.lease = 0
+		c.renewed = time.Time{}
 	}
 	return nil
 }
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -69,6 +69,9 @@
 	Words    *fleet.Words
 	Source   Source
 	Client   *neighbour.Client
+	// Patience is how long to wait at the start for another gateway's word
+	// before the store is read.
+	Patience time.Duration
 	Logger   *log.Logger
 }
 
@@ -88,6 +91,7 @@
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
+	c.Words.Await(ctx, c.Patience)
 	for ctx.Err() == nil {
 		if err := c.step(ctx, time.Now()); err != nil && ctx.Err() == nil {
 			c.lost(err)
--- /dev/null
+++ b/internal/controller/stats/stats.go
@@ -0,0 +1,56 @@
+// Package stats is the controller that logs the counters at a slow pace, so that
+// logs alone show what a gateway did before it ended.
+package stats
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+// interval is the time between two lines.
+const interval = 10 * time.Second
+
+// Controller logs the counters.
+type Controller struct {
+	logger *log.Logger
+	last   map[string]int64
+}
+
+// New returns the controller.
+func New(logger *log.Logger) *Controller {
+	return &Controller{logger: logger, last: make(map[string]int64)}
+}
+
+// Name implements controller.Controller.
+func (c *Controller) Name() string { return "stats" }
+
+// Run implements controller.Controller.
+func (c *Controller) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			c.write()
+			return nil
+		case <-ticker.C:
+			c.write()
+		}
+	}
+}
+
+// write logs the counters that changed since the last line, as totals.
+func (c *Controller) write() {
+	var fields []any
+	for _, counter := range telemetry.Counters() {
+		if v := counter.Value(); v != c.last[counter.Name] {
+			c.last[counter.Name] = v
+			fields = append(fields, counter.Name, v)
+		}
+	}
+	c.logger.Info("counters", fields...)
+}
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/enlist"
 	"github.com/hickorystage/hickorystage/internal/controller/reload"
 	"github.com/hickorystage/hickorystage/internal/controller/routesync"
+	"github.com/hickorystage/hickorystage/internal/controller/stats"
 	"github.com/hickorystage/hickorystage/internal/edge"
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/fleet"
@@ -82,6 +84,7 @@
 		Caller:      site.CallerAddress,
 		Peer:        site.PeerAddress,
 		Beat:        beatAddress,
+		Strength:    strength(site),
 	})
 	a.registry = fleet.NewRegistry(site.Regions)
 	accounts := ledger.New()
@@ -105,13 +108,14 @@
 	client := neighbour.NewClient(transport.Dialer())
 	a.controllers = []controller.Controller{
 		routesync.New(routesync.Config{
-			Board: a.board, Gateways: a.gateways, Words: words, Source: p.Operators, Client: client, Logger: logger,
+			Board: a.board, Gateways: a.gateways, Words: words, Source: p.Operators, Client: client, Patience: patience(site), Logger: logger,
 		}),
 		discovery.New(discovery.Config{
 			Board: a.board, Registry: a.registry, Gateways: a.gateways, Words: words,
-			Source: p.Endpoints, Client: client, Logger: logger,
+			Source: p.Endpoints, Client: client, Patience: patience(site), Logger: logger,
 		}),
 		enlist.New(a.board, p.Store, a.gateways, logger),
+		stats.New(logger),
 		reload.New(a.board, p.Settings, p.Hangup, logger),
 		beats.New(beats.Config{
 			Board: a.board, Gateways: a.gateways, Ledger: accounts, Words: words, Word: a.word,
@@ -121,6 +125,27 @@
 	return a, a.listen(site)
 }
 
+// strength is the number of Mbit/s and thousandths of a core that a machine has,
+// whichever is less.
+func strength(s *settings.Site) int {
+	return int(min(s.LinkMbps, thousandths*s.Processor))
+}
+
+const thousandths = 1000
+
+// startPatience is how long a gateway waits at its start for the word of one
+// that has read the store: a few beats, and the start of the others.
+const startPatience = 800 * time.Millisecond
+
+// patience returns the wait of a gateway at its start. Seeds don't wait: the
+// others hear from them.
+func patience(s *settings.Site) time.Duration {
+	if len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.PeerAddress) {
+		return 0
+	}
+	return startPatience
+}
+
 // seedBeats returns the beat addresses of the seeds, which are given by their
 // addresses for other gateways. Ports are the same on all machines.
 func seedBeats(s *settings.Site) []string {
@@ -166,8 +191,12 @@
 	return budget.RetrySettings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
 
+// coldSenders is the number of gateways that may take themselves for the one
+// that sends to a cold endpoint, while a change of the fleet gets around.
+const coldSenders = 3
+
 func coldSettings(s *settings.Site) budget.ColdSettings {
-	return budget.ColdSettings{Overage: s.Bounds.ColdOverage, Slack: s.Bounds.ColdSlack}
+	return budget.ColdSettings{Overage: s.Bounds.ColdOverage, Slack: s.Bounds.ColdSlack, Senders: coldSenders}
 }
 
 // followSite passes changed settings of the site on to the parts.
@@ -245,7 +274,7 @@
 // Run serves until the context ends, then stops gracefully.
 func (a *App) Run(ctx context.Context) error {
 	self := a.gateways.Self()
-	a.logger.Info("starting", "region", self.Region, "data_centre", self.DataCentre, "incarnation", self.Incarnation)
+	a.logger.Info("starting", "region", self.Region, "data_centre", self.DataCentre, "incarnation", self.Incarnation, "seeds", a.board.Site.Get().Seeds, "strength", self.Strength)
 	for _, s := range a.servers {
 		a.tomb.Go(func() error {
 			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -20,6 +20,8 @@
 	Caller string `json:"caller"`
 	Peer   string `json:"peer"`
 	Beat   string `json:"beat"`
+	// Strength orders gateways by what their machines can do.
+	Strength int `json:"strength"`
 }
 
 // Sign is what a gateway says of itself in a beat.
@@ -51,8 +53,6 @@
 
 	mu    sync.RWMutex
 	known map[string]*member
-	// told holds the ids of each region's gateways as its digest listed them.
-	told map[string][]string
 }
 
 type member struct {
@@ -65,7 +65,7 @@
 
 // NewGateways returns the knowledge of the gateway self.
 func NewGateways(self Gateway) *Gateways {
-	return &Gateways{self: self, known: make(map[string]*member), told: make(map[string][]string)}
+	return &Gateways{self: self, known: make(map[string]*member)}
 }
 
 // Self returns this gateway.
@@ -102,36 +102,68 @@
 	return fresh
 }
 
-// HearRegion takes in the signs of all gateways that are alive in a region, as
-// one of its hubs tells them. nil stands for those that it told last.
-func (g *Gateways) HearRegion(region string, signs []Sign, now time.Time) {
+// Learn takes in gateways that others know, alive or not. Those that were not
+// known are beaten to from now on.
+func (g *Gateways) Learn(signs []Sign) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if signs == nil {
-		for _, id := range g.told[region] {
-			if m, ok := g.known[id]; ok {
-				m.heard = now
-			}
+	for _, s := range signs {
+		if _, ok := g.known[s.ID]; !ok && s.ID != g.self.ID && s.ID != "" {
+			g.known[s.ID] = &member{sign: s}
 		}
-		return
 	}
-	ids := make([]string, 0, len(signs))
+}
+
+// Mark is the short form of a sign in digests: the id, the beginning of the
+// incarnation, and whether the gateway is ready.
+type Mark string
+
+// markedIncarnation is the length of the incarnation in a mark.
+const markedIncarnation = 6
+
+// Mark returns the short form of the sign.
+func (s Sign) Mark() Mark {
+	m := s.ID + "/" + s.Incarnation[:min(markedIncarnation, len(s.Incarnation))]
+	if s.Ready {
+		m += "+"
+	}
+	return Mark(m)
+}
+
+// HearRegion takes in which gateways of a region are alive, as one of its hubs
+// tells. signs describe some of them in full, direct signs go before these.
+func (g *Gateways) HearRegion(region string, alive []Mark, signs []Sign, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, s := range signs {
-		if s.Region != region {
-			continue
-		}
-		ids = append(ids, s.ID)
 		m, ok := g.known[s.ID]
 		if ok && m.sign.Incarnation != s.Incarnation && now.Sub(m.heard) <= SilentAfter {
 			// A digest may be older than what the gateway itself said.
 			continue
 		}
-		g.hear(s, now)
-		if ok && m.sign.Incarnation == s.Incarnation {
-			m.heard = now
+		if s.Region == region {
+			g.hear(s, now)
+		}
+	}
+	for _, mark := range alive {
+		g.refresh(region, mark, now)
+	}
+}
+
+// refresh takes in one mark of a gateway that is known.
+func (g *Gateways) refresh(region string, mark Mark, now time.Time) {
+	id, _, _ := strings.Cut(string(mark), "/")
+	m, ok := g.known[id]
+	if !ok || m.sign.Region != region || m.sign.Leaving || now.Before(m.heard) {
+		return
+	}
+	for _, ready := range []bool{true, false} {
+		as := m.sign
+		as.Ready = ready
+		if as.Mark() == mark {
+			m.sign.Ready, m.heard = ready, now
 		}
 	}
-	g.told[region] = ids
 }
 
 // Listed takes in the gateways that the store names.
@@ -153,6 +185,9 @@
 		}
 	}
 	for id, m := range g.known {
+		if m.heard.IsZero() && m.listed.IsZero() {
+			m.listed = now
+		}
 		if now.Sub(m.heard) > forgetAfter && now.Sub(m.listed) > forgetAfter {
 			delete(g.known, id)
 		}
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -16,17 +16,28 @@
 const hubCount = 2
 
 // Hubs returns the ids of the gateways that speak for a region, the first one
-// first. Every gateway works them out by itself; that two differ for a moment
-// does no harm.
+// first: those on the strongest machines. Every gateway works them out by
+// itself; that two differ for a moment does no harm.
 func (g *Gateways) Hubs(region string, now time.Time) []string {
-	ids := make([]string, 0, 1)
-	for _, s := range g.Alive(region, now) {
-		ids = append(ids, s.ID)
-	}
+	all := g.Alive(region, now)
 	if region == g.self.Region && !g.Leaving() {
-		ids = append(ids, g.self.ID)
+		all = append(all, Sign{Gateway: g.self})
+	}
+	strongest := 0
+	for _, s := range all {
+		strongest = max(strongest, s.Strength)
+	}
+	var strong, others []string
+	for _, s := range all {
+		if s.Strength == strongest {
+			strong = append(strong, s.ID)
+		} else {
+			others = append(others, s.ID)
+		}
 	}
-	return rendezvous.Top("hub "+region, ids, hubCount)
+	key := "hub " + region
+	hubs := rendezvous.Top(key, strong, hubCount)
+	return append(hubs, rendezvous.Top(key, others, hubCount-len(hubs))...)
 }
 
 // IsHub says whether this gateway speaks for its region.
--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -49,6 +50,19 @@
 	return w.word, w.from, w.at, w.news
 }
 
+// Await waits for a first word, for at most limit.
+func (w *Words) Await(ctx context.Context, limit time.Duration) {
+	_, _, at, news := w.Last()
+	if !at.IsZero() {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-news:
+	case <-time.After(limit):
+	}
+}
+
 // EndpointsAt returns when the store was last known to answer with the entries
 // of endpoints, OperatorsAt the same for what operators wrote. Zero is never.
 func (w *Words) EndpointsAt() time.Time {
--- a/internal/ledger/candidate.go
+++ b/internal/ledger/candidate.go
@@ -38,9 +38,7 @@
 	}
 	theirs := l.peers.sum(q.ID, now)
 	c.Running, c.Waiting, c.Memory = theirs.Running, theirs.Waiting, theirs.Memory
-	if len(theirs.Queued) > 0 {
-		c.Queued = time.Duration(theirs.Queued[min(q.Urgency, len(theirs.Queued)-1)]) * time.Millisecond
-	}
+	c.Queued = time.Duration(queuedAt(theirs.Queued, q.Urgency)) * time.Millisecond
 	busy := time.Duration(theirs.Busy) * time.Millisecond
 	ok = true
 	l.with(q.ID, q.Born, func(a *account) {
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -78,8 +78,9 @@
 
 // Reading tells that an endpoint has read a prompt up to a part.
 type Reading struct {
-	ID   string `json:"i"`
-	Hash uint64 `json:"h"`
+	ID string
+	// Hash is that of the last part read with all parts before it.
+	Hash uint64
 }
 
 // readings is the log of what this gateway had endpoints read.
--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -11,18 +11,19 @@
 
 // Row is what one gateway has under way at one endpoint.
 type Row struct {
-	ID string `json:"i"`
+	ID string
 	// Running and Waiting count the requests that have and have not begun to
 	// be answered.
-	Running int `json:"r,omitempty"`
-	Waiting int `json:"w,omitempty"`
+	Running int
+	Waiting int
 	// Memory is what they take, in tokens.
-	Memory int `json:"m,omitempty"`
+	Memory int
 	// Queued is the reading time of the waiting ones in milliseconds, by
-	// urgency from 0 on, each with what comes before it.
-	Queued []int `json:"q,omitempty"`
+	// urgency from 0 on, each with what comes before it. Urgencies beyond the
+	// last wait as long as that.
+	Queued []int
 	// Busy is the reading time of late requests in milliseconds, faded.
-	Busy int `json:"b,omitempty"`
+	Busy int
 }
 
 // Plus returns the sum of two rows of one endpoint.
@@ -48,13 +49,20 @@
 // addQueued returns a + sign * b, nowhere below 0.
 func addQueued(a, b []int, sign int) []int {
 	out := make([]int, max(len(a), len(b)))
-	copy(out, a)
-	for i, ms := range b {
-		out[i] = max(out[i]+sign*ms, 0)
+	for u := range out {
+		out[u] = max(queuedAt(a, u)+sign*queuedAt(b, u), 0)
 	}
 	return out
 }
 
+// queuedAt returns the queue of an urgency, in milliseconds.
+func queuedAt(q []int, urgency int) int {
+	if len(q) == 0 {
+		return 0
+	}
+	return q[min(urgency, len(q)-1)]
+}
+
 // peers holds what the other gateways told.
 type peers struct {
 	mu   sync.RWMutex
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -36,6 +36,10 @@
 	// MemoryBytes bounds this process; Descriptors the files it may open.
 	MemoryBytes int64
 	Descriptors int
+	// Processor is the share of a core that it has, LinkMbps the speed of the
+	// machine's link in Mbit/s.
+	Processor float64
+	LinkMbps  float64
 
 	Bounds Bounds
 }
