--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -16,24 +16,34 @@
 	"github.com/hickorystage/hickorystage/platform"
 )
 
-// runEdge runs the daemon on the platform whose settings file is given, until
+// runEdge runs the daemon on the platform whose settings file is at path, until
 // it is stopped, and returns the exit code.
-func runEdge(path string) int {
+func runEdge(path string, args []string) int {
+	own, err := settings.LoadEdge(args, os.LookupEnv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hickorystage gateway: wrong settings:")
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
 	site, err := platform.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hickorystage gateway:", err)
 		return exitSettings
 	}
-	logger := telemetry.NewLogger(os.Stdout, log.InfoLevel).With("instance", site.Instance)
+	out := telemetry.NewLogWriter(os.Stdout)
+	defer out.Close()
+	level, _ := log.ParseLevel(own.LogLevel)
+	logger := telemetry.NewLogger(out, level).With("instance", site.Instance)
 	tuneCollector()
 	s := platform.NewStore(site.StoreAddress, platform.StoreOptions{})
 	app, err := edgeapp.New(site, edgeapp.Platform{
-		Settings:  func() (*settings.Site, error) { return platform.ReadSettings(path) },
-		Hangup:    hangup(),
-		Store:     s,
-		Operators: platform.Operators{Store: s},
-		Endpoints: platform.Endpoints{Store: s},
-		Codec:     platform.Codec{},
+		Settings:    func() (*settings.Site, error) { return platform.ReadSettings(path) },
+		Hangup:      hangup(),
+		Store:       s,
+		Operators:   platform.Operators{Store: s},
+		Endpoints:   platform.Endpoints{Store: s},
+		Codec:       platform.Codec{},
+		MetricsPort: own.MetricsPort,
 		Directory: func(addresses func(string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directory(addresses))
 		},
--- a/cmd/hickorystage/main.go
+++ b/cmd/hickorystage/main.go
@@ -14,7 +14,7 @@
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == command.GatewayName {
 		if path, ok := os.LookupEnv(platformadapter.SettingsVariable); ok {
-			os.Exit(runEdge(path))
+			os.Exit(runEdge(path, os.Args[2:]))
 		}
 		os.Exit(runGateway(os.Args[2:]))
 	}
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -33,6 +33,7 @@
 	"github.com/hickorystage/hickorystage/internal/neighbour"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
@@ -46,6 +47,8 @@
 	Operators routesync.Source
 	Endpoints discovery.Source
 	Codec     exchange.Codec
+	// MetricsPort is the port of the counters; 0 serves none.
+	MetricsPort int
 	// Directory and Readiness make the handlers of their listeners.
 	Directory func(addresses func(region string) ([]string, time.Duration)) http.Handler
 	Readiness func(ready func() bool) http.Handler
@@ -249,6 +252,12 @@
 	}))); err != nil {
 		return err
 	}
+	if a.platform.MetricsPort > 0 {
+		address := net.JoinHostPort(site.IP, strconv.Itoa(a.platform.MetricsPort))
+		if _, err = a.open(address, telemetry.TextHandler()); err != nil {
+			return err
+		}
+	}
 	if site.DirectoryAddress == "" {
 		return nil
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -37,6 +37,14 @@
 	return strings.Join(lines, "\n")
 }
 
+func checkLogLevel(f *Faults, level string) {
+	switch level {
+	case "debug", "info", "warn", "error":
+	default:
+		f.add("--log-level", level, "debug, info, warn or error")
+	}
+}
+
 func (g *Gateway) check(f *Faults) {
 	checkName(f, "--id", g.ID)
 	checkName(f, "--region", g.Region)
@@ -53,11 +61,7 @@
 		checkAddress(f, "--peers", p)
 	}
 	g.checkSecrets(f)
-	switch g.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		f.add("--log-level", g.LogLevel, "debug, info, warn or error")
-	}
+	checkLogLevel(f, g.LogLevel)
 }
 
 func (g *Gateway) checkSecrets(f *Faults) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,19 +72,32 @@
 // names every fault.
 func Load(args []string, env func(string) (string, bool)) (*Gateway, error) {
 	g := &Gateway{}
-	opts := gatewayOptions(g)
 	faults := &Faults{}
+	if !readOptions("hickorystage gateway", gatewayOptions(g), args, env, faults) {
+		return nil, faults
+	}
+	g.fillDefaults()
+	g.check(faults)
+	if faults.any() {
+		return nil, faults
+	}
+	return g, nil
+}
+
+// readOptions sets options from args and env, and returns false when args can't
+// be read at all.
+func readOptions(command string, opts []option, args []string, env func(string) (string, bool), faults *Faults) bool {
 	// The flags' own defaults stay empty: the parser's help prints them, and a
 	// variable may hold a secret.
 	raw := make([]string, len(opts))
-	parser := flaggy.NewParser("hickorystage gateway")
+	parser := flaggy.NewParser(command)
 	parser.ShowHelpOnUnexpected = false
 	for i, o := range opts {
 		parser.String(&raw[i], "", o.flag, o.usage())
 	}
 	if err := parser.ParseArgs(args); err != nil {
 		faults.add("arguments", "", err.Error())
-		return nil, faults
+		return false
 	}
 	for i, o := range opts {
 		if raw[i] == "" {
@@ -92,12 +105,7 @@
 		}
 		o.apply(raw[i], faults)
 	}
-	g.fillDefaults()
-	g.check(faults)
-	if faults.any() {
-		return nil, faults
-	}
-	return g, nil
+	return true
 }
 
 func (g *Gateway) fillDefaults() {
--- /dev/null
+++ b/internal/telemetry/text.go
@@ -0,0 +1,40 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// WriteText writes all counters and histograms as lines of a name and a number.
+// A histogram has a line for each quantile, in milliseconds.
+func WriteText(w io.Writer) error {
+	for _, c := range Counters() {
+		if _, err := fmt.Fprintf(w, "hickorystage_%s %d\n", c.Name, c.Value()); err != nil {
+			return err
+		}
+	}
+	var lines []string
+	histograms.Range(func(name, value any) bool {
+		q := value.(*Histogram).Quantiles()
+		lines = append(lines, fmt.Sprintf(
+			"hickorystage_%[1]s_count %[2]d\nhickorystage_%[1]s_ms{quantile=\"0.5\"} %[3]g\n"+
+				"hickorystage_%[1]s_ms{quantile=\"0.95\"} %[4]g\nhickorystage_%[1]s_ms{quantile=\"0.99\"} %[5]g\n"+
+				"hickorystage_%[1]s_ms{quantile=\"1\"} %[6]g\n", name, q.Count, q.P50, q.P95, q.P99, q.Max))
+		return true
+	})
+	slices.Sort(lines)
+	_, err := io.WriteString(w, strings.Join(lines, ""))
+	return err
+}
+
+// TextHandler serves what WriteText writes.
+func TextHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		// An error of the write means that the reader is gone.
+		_ = WriteText(w)
+	})
+}
