Keep provisional entries to oneself, let blind hubs step back, name home regions

Change: entries that are missing are not told on; only a time without any word of the store counts as its outage; a hub that does not reach the store says so and comes last; the directory falls back to the region that may process the most routes; hubs tell those of other regions in turn. Silence of a gateway is logged. Ruled out: lost beats (the silent ones were stopping).

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -44,7 +44,7 @@
 		Endpoints:   platform.Endpoints{Store: s},
 		Codec:       platform.Codec{},
 		MetricsPort: own.MetricsPort,
-		Directory: func(addresses func(string) ([]string, time.Duration)) http.Handler {
+		Directory: func(addresses func(host, region string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directory(addresses))
 		},
 		Readiness: platform.ReadyHandler,
@@ -77,10 +77,10 @@
 	return out
 }
 
-// directory answers by region alone.
-type directory func(region string) ([]string, time.Duration)
+// directory answers by host and region.
+type directory func(host, region string) ([]string, time.Duration)
 
 // Addresses implements platform.Directory.
-func (d directory) Addresses(_ string, from platform.Place) ([]string, time.Duration) {
-	return d(from.Region)
+func (d directory) Addresses(host string, from platform.Place) ([]string, time.Duration) {
+	return d(host, from.Region)
 }
--- a/internal/blackboard/edge.go
+++ b/internal/blackboard/edge.go
@@ -18,8 +18,8 @@
 	Evacuated *Value[map[string]bool]
 	// Discovered turns true when the region's endpoints are known.
 	Discovered *Value[bool]
-	// EndpointsRead and OperatorsRead are when the store is last known to have
-	// answered with the entries of endpoints, and with what operators wrote.
+	// EndpointsRead and OperatorsRead are when this gateway itself last read the
+	// entries of endpoints in the store, and what operators wrote.
 	EndpointsRead *Value[time.Time]
 	OperatorsRead *Value[time.Time]
 	// StoreLost is since when the store has not answered; zero while it does.
--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -107,6 +107,9 @@
 	for {
 		_, changed := c.Board.Lifecycle.Watch()
 		c.beat(time.Now())
+		for _, s := range c.Gateways.Silent(time.Now()) {
+			c.Logger.Warn("gateway silent", "id", s.ID, "region", s.Region, "leaving", s.Leaving)
+		}
 		select {
 		case <-t.Dying():
 			return nil
--- a/internal/controller/beats/send.go
+++ b/internal/controller/beats/send.go
@@ -29,6 +29,7 @@
 		Seq:     c.seq,
 		Ready:   state == blackboard.Serving,
 		Leaving: state == blackboard.Draining || state == blackboard.Stopped,
+		Blind:   c.Gateways.Blind(time.Now()),
 	}
 }
 
@@ -80,7 +81,7 @@
 		c.beatLarge(b, hubs, rank, r, now)
 	}
 	if r.far && (rank >= 0 || self.Leaving) {
-		c.beatFar(self, rows, max(rank, 0), r.list, now)
+		c.beatFar(self, rows, max(rank, 0), r.turn, r.list, now)
 	}
 	c.askSeeds(b, r.turn)
 }
@@ -99,9 +100,9 @@
 	c.send(c.Gateways.Addressable(b.From.Region), b)
 }
 
-// beatFar tells the hubs of the other regions of this one. The first hub tells
-// the first, the second the second, so that one of each may fail.
-func (c *Controller) beatFar(self fleet.Sign, rows []ledger.Row, rank int, list bool, now time.Time) {
+// beatFar tells the hubs of the other regions of this one. Each hub tells those
+// of a region in turn, and never both hubs the same one, so that any may fail.
+func (c *Controller) beatFar(self fleet.Sign, rows []ledger.Row, rank, turn int, list bool, now time.Time) {
 	d := c.digest(self, rows, told*farEvery*interval, list, now)
 	b := Beat{From: self, Digests: []Digest{d}}
 	for _, region := range c.Gateways.Regions() {
@@ -114,7 +115,7 @@
 			c.send(c.Gateways.Addressable(region), b)
 			continue
 		}
-		c.send(hubs[rank%len(hubs):][:1], b)
+		c.send(hubs[(rank+turn/farEvery)%len(hubs):][:1], b)
 	}
 }
 
--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -69,9 +69,12 @@
 
 	// at is the revision to watch from; 0 asks for a whole read.
 	at uint64
-	// tried is when the store was asked last.
+	// tried is when the store was asked last, known when the entries were last
+	// known to be those in the store.
 	tried time.Time
-	lost  bool
+	known time.Time
+	// failed counts the reads in a row that failed.
+	failed int
 }
 
 // New returns the controller.
@@ -115,10 +118,10 @@
 
 // follow takes in the word of the gateway that reads the store.
 func (c *Controller) follow(ctx context.Context, word fleet.Word, from string, readAt time.Time) {
+	c.noteKnown(readAt)
 	if word.Endpoints != c.Registry.Fingerprint() && !c.fetch(ctx, from) {
 		return
 	}
-	c.storeAnswered(readAt)
 	// What is read from here on may miss changes that the fetch brought.
 	c.at = 0
 }
@@ -164,10 +167,16 @@
 	now := time.Now()
 	if err != nil {
 		failures.Inc()
-		c.failed(err)
+		c.noteFailure(err, now)
 		return
 	}
-	c.storeAnswered(asked)
+	if c.failed > 0 {
+		c.Logger.Info("endpoint entries readable again", "failed", c.failed)
+	}
+	c.failed = 0
+	c.Gateways.SetBlind(false, now)
+	c.Board.EndpointsRead.Set(asked)
+	c.noteKnown(asked)
 	if c.at == 0 {
 		c.report(c.Registry.Replace(entries, now))
 	} else {
@@ -177,14 +186,20 @@
 	c.discovered()
 }
 
-// storeAnswered notes that the store answered a read made at a time.
-func (c *Controller) storeAnswered(at time.Time) {
-	if c.lost {
-		c.lost = false
+// outageAfter is the time without word of the store after which entries may
+// have lapsed for want of a store and not of the endpoint. It is above the time
+// in which another gateway takes over the reading.
+const outageAfter = 2500 * time.Millisecond
+
+// noteKnown notes when the entries were known to be those in the store.
+func (c *Controller) noteKnown(at time.Time) {
+	if !c.known.IsZero() && at.Sub(c.known) > outageAfter {
 		c.Registry.StoreReturned(time.Now())
-		c.Logger.Info("endpoint entries readable again")
+		c.Logger.Info("store back after an outage", "lasted", at.Sub(c.known))
+	}
+	if at.After(c.known) {
+		c.known = at
 	}
-	c.Board.EndpointsRead.Set(at)
 }
 
 func (c *Controller) call(ctx context.Context) ([]fleet.Entry, uint64, error) {
@@ -194,7 +209,11 @@
 	return c.Source.Watch(ctx, c.at, quiet)
 }
 
-func (c *Controller) failed(err error) {
+// blindAfter is the number of reads in a row that fail until another gateway
+// shall read for the region.
+const blindAfter = 2
+
+func (c *Controller) noteFailure(err error, now time.Time) {
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
 		c.Logger.Info("endpoint changes forgotten, reading all")
@@ -202,10 +221,13 @@
 		c.tried = time.Time{}
 		return
 	}
-	if !c.lost {
-		c.lost = true
+	c.failed++
+	if c.failed == 1 {
 		c.Logger.Warn("endpoint entries not readable", "err", err)
 	}
+	if c.failed >= blindAfter {
+		c.Gateways.SetBlind(true, now)
+	}
 }
 
 func (c *Controller) report(changes []fleet.Change) {
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -137,7 +137,7 @@
 		evacuated[dc] = true
 	}
 	c.setEvacuated(evacuated)
-	c.found(c.Words.OperatorsAt())
+	c.found()
 	// What is watched from here on may miss changes that the word brought.
 	c.at = 0
 }
@@ -184,7 +184,8 @@
 		}
 		return err
 	}
-	c.found(time.Now())
+	c.Board.OperatorsRead.Set(time.Now())
+	c.found()
 	c.at = at
 	for _, change := range changes {
 		c.apply(change)
@@ -197,7 +198,8 @@
 	if err != nil {
 		return err
 	}
-	c.found(time.Now())
+	c.Board.OperatorsRead.Set(time.Now())
+	c.found()
 	c.at = at
 	evacuated := make(map[string]bool)
 	for _, change := range changes {
@@ -263,9 +265,8 @@
 	}
 }
 
-// found notes that the store answered at a time.
-func (c *Controller) found(at time.Time) {
-	c.Board.OperatorsRead.Set(at)
+// found notes that the store answers, here or to the gateway that reads it.
+func (c *Controller) found() {
 	var since time.Time
 	changed := c.Board.StoreLost.Update(func(old time.Time) (time.Time, bool) {
 		since = old
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -50,7 +50,7 @@
 	// MetricsPort is the port of the counters; 0 serves none.
 	MetricsPort int
 	// Directory and Readiness make the handlers of their listeners.
-	Directory func(addresses func(region string) ([]string, time.Duration)) http.Handler
+	Directory func(addresses func(host, region string) ([]string, time.Duration)) http.Handler
 	Readiness func(ready func() bool) http.Handler
 }
 
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -31,6 +31,8 @@
 	Seq     uint64 `json:"seq"`
 	Ready   bool   `json:"ready,omitempty"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Blind says that the gateway does not reach the store.
+	Blind bool `json:"blind,omitempty"`
 }
 
 // SilentAfter is the time without a sign after which a gateway counts as gone:
@@ -50,6 +52,9 @@
 type Gateways struct {
 	self    Gateway
 	leaving atomic.Bool
+	// blind is when the store was last found out of reach, in Unix nanoseconds;
+	// 0 if it is in reach.
+	blind atomic.Int64
 
 	mu    sync.RWMutex
 	known map[string]*member
@@ -61,6 +66,8 @@
 	// store last named it.
 	heard  time.Time
 	listed time.Time
+	// silent says that it was reported as silent.
+	silent bool
 }
 
 // NewGateways returns the knowledge of the gateway self.
@@ -77,6 +84,25 @@
 // Leaving says whether this gateway stops.
 func (g *Gateways) Leaving() bool { return g.leaving.Load() }
 
+// blindTime is how long a gateway that did not reach the store leaves it to
+// others to speak for the region.
+const blindTime = 8 * time.Second
+
+// SetBlind notes whether this gateway reaches the store.
+func (g *Gateways) SetBlind(blind bool, now time.Time) {
+	if !blind {
+		g.blind.Store(0)
+		return
+	}
+	g.blind.Store(now.UnixNano())
+}
+
+// Blind says whether this gateway lately did not reach the store.
+func (g *Gateways) Blind(now time.Time) bool {
+	at := g.blind.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) < blindTime
+}
+
 // Hear takes in a sign from a gateway itself, and says whether that was not
 // alive before.
 func (g *Gateways) Hear(s Sign, now time.Time) bool {
@@ -194,12 +220,33 @@
 	}
 }
 
+// Silent returns the gateways that have fallen silent since the last call.
+func (g *Gateways) Silent(now time.Time) []Sign {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Sign
+	for _, m := range g.known {
+		silent := !m.heard.IsZero() && now.Sub(m.heard) > SilentAfter
+		if silent && !m.silent {
+			out = append(out, m.sign)
+		}
+		m.silent = silent
+	}
+	return out
+}
+
+// Lately returns the gateways of the region that were heard within a time and
+// stay, without this one, ordered by id.
+func (g *Gateways) Lately(region string, within time.Duration, now time.Time) []Sign {
+	return g.filter(func(m *member) bool {
+		return m.sign.Region == region && !m.sign.Leaving && now.Sub(m.heard) <= within
+	})
+}
+
 // Alive returns the gateways of the region that were heard lately and stay,
 // without this one, ordered by id.
 func (g *Gateways) Alive(region string, now time.Time) []Sign {
-	return g.filter(func(m *member) bool {
-		return m.sign.Region == region && !m.sign.Leaving && now.Sub(m.heard) <= SilentAfter
-	})
+	return g.Lately(region, SilentAfter, now)
 }
 
 // Addressable returns the gateways of the region that a beat may reach, alive
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -348,12 +348,17 @@
 	return out
 }
 
-// Entries returns all endpoints as entries that another registry can take in.
+// Entries returns the endpoints as entries that another registry can take in.
+// Those whose entry is missing are left out: other gateways may know that they
+// are gone.
 func (r *Registry) Entries(now time.Time) []Endpoint {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	out := make([]Endpoint, 0, len(r.beliefs))
 	for _, b := range r.beliefs {
+		if !b.Missing.IsZero() {
+			continue
+		}
 		e := b.Endpoint
 		if e.ColdFor > 0 {
 			e.ColdFor = max(b.ColdUntil.Sub(now), time.Millisecond)
--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	sites = map[string]string{"north-a": "north", "south-a": "south"}
+)
+
+const beat = 1200 * time.Millisecond
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func ready(id string, born, seq int64) *Endpoint {
+	return &Endpoint{ID: id, Incarnation: born, Sequence: seq, Service: "s", Address: "10.0.0.1:80", DataCentre: "north-a", Slots: 4}
+}
+
+func leaving(id string, born, seq int64) *Endpoint {
+	e := ready(id, born, seq)
+	e.State = Draining
+	return e
+}
+
+func usable(r *Registry, now time.Time) []string {
+	var ids []string
+	for _, b := range r.Usable("s", beat, now) {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
+
+func TestRegistryTakesInEntries(t *testing.T) {
+	r := NewRegistry(sites)
+	changes := r.Apply([]Entry{{ID: "b", Endpoint: ready("b", 1, 1)}, {ID: "a", Endpoint: ready("a", 1, 1)}}, start)
+	require.Equal(t, []Change{{"b", ChangeNew}, {"a", ChangeNew}}, changes)
+	require.Equal(t, []string{"a", "b"}, usable(r, start))
+	b, ok := r.Get("a")
+	require.True(t, ok)
+	require.Equal(t, "north", b.Region)
+	unknown := ready("c", 1, 1)
+	unknown.DataCentre = "elsewhere"
+	require.Empty(t, r.Apply([]Entry{{ID: "c", Endpoint: unknown}}, start))
+	require.Equal(t, []Change{{"a", ChangeGone}}, r.Replace([]Entry{{ID: "b", Endpoint: ready("b", 1, 2)}}, start))
+}
+
+// TestLeavingIsFinal checks that no later word of the same incarnation lifts
+// the mark, and that a new incarnation is free of it.
+func TestLeavingIsFinal(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 5, 1)}}, start)
+	require.Equal(t, []Change{{"a", ChangeLeaving}}, r.Apply([]Entry{{ID: "a", Endpoint: leaving("a", 5, 2)}}, start))
+	for _, late := range []*Endpoint{ready("a", 5, 1), ready("a", 5, 3), ready("a", 4, 9)} {
+		r.Apply([]Entry{{ID: "a", Endpoint: late}}, start)
+		require.Empty(t, usable(r, start))
+	}
+	r.Apply([]Entry{{ID: "a", Gone: true}}, start)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 5, 4)}}, start)
+	require.Empty(t, usable(r, start), "not even after its entry was gone")
+	changes := r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 6, 1)}}, start)
+	require.Contains(t, changes, Change{"a", ChangeRestarted})
+	require.Equal(t, []string{"a"}, usable(r, start))
+}
+
+func TestBrokenEntryNamesNoEndpoint(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}, {ID: "b", Endpoint: ready("b", 1, 1)}}, start)
+	require.Equal(t, []Change{{"a", ChangeBroken}}, r.Apply([]Entry{{ID: "a"}}, start))
+	require.Equal(t, []string{"b"}, usable(r, start))
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 2)}}, start)
+	require.Equal(t, []string{"a", "b"}, usable(r, start))
+}
+
+// TestEntriesMayLapseWithTheStore plays an outage in which entries lapse: one
+// endpoint writes its entry again, the other is gone.
+func TestEntriesMayLapseWithTheStore(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}, {ID: "b", Endpoint: ready("b", 1, 1)}}, start)
+	back := at(20 * time.Second)
+	r.StoreReturned(back)
+	require.Len(t, r.Replace(nil, back), 2)
+	require.Equal(t, []string{"a", "b"}, usable(r, back), "both are used meanwhile")
+	require.Empty(t, r.Entries(back), "but nobody else is told of them")
+	require.Equal(t, []Change{{"a", ChangeBack}}, r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 9)}}, back.Add(time.Second)))
+	require.Equal(t, []Change{{"b", ChangeGone}}, r.Sweep(back.Add(ReturnTime)))
+	require.Equal(t, []string{"a"}, usable(r, back.Add(ReturnTime)))
+	r.Apply([]Entry{{ID: "a", Gone: true}}, back.Add(ReturnTime+time.Millisecond))
+	require.Empty(t, usable(r, back.Add(ReturnTime)), "later removals count at once")
+}
+
+func TestLeavingEndpointsAreNotWaitedFor(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: leaving("a", 1, 1)}}, start)
+	r.StoreReturned(start)
+	require.Equal(t, []Change{{"a", ChangeGone}}, r.Apply([]Entry{{ID: "a", Gone: true}}, start))
+}
+
+func TestEvacuation(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}}, start)
+	r.SetEvacuated(map[string]bool{"north-a": true}, start)
+	require.Empty(t, usable(r, start))
+	freed := at(10 * time.Second)
+	r.SetEvacuated(nil, freed)
+	list := r.Usable("s", beat, freed)
+	require.Len(t, list, 1)
+	require.True(t, list[0].IsCold(beat, freed), "it may be cold and not have said so yet")
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 2)}}, freed.Add(time.Second))
+	list = r.Usable("s", beat, freed.Add(time.Second))
+	require.False(t, list[0].IsCold(beat, freed.Add(time.Second)))
+}
+
+func TestColdAndMisplaced(t *testing.T) {
+	r := NewRegistry(sites)
+	cold := ready("a", 1, 1)
+	cold.ColdFor = 2 * time.Second
+	r.Apply([]Entry{{ID: "a", Endpoint: cold}}, start)
+	isCold := func(now time.Time) bool {
+		b, ok := r.Get("a")
+		require.True(t, ok)
+		return b.IsCold(beat, now)
+	}
+	require.True(t, isCold(at(2*time.Second)))
+	require.False(t, isCold(at(3*time.Second)))
+	r.MarkUnreached("a", 1, at(3*time.Second))
+	require.True(t, isCold(at(4*time.Second)), "it may have started again")
+	require.False(t, isCold(at(8*time.Second)))
+	r.MarkMisplaced("a", 1, at(8*time.Second))
+	require.Empty(t, usable(r, at(9*time.Second)))
+	require.NotEmpty(t, usable(r, at(13*time.Second)))
+	r.MarkMisplaced("a", 0, at(13*time.Second))
+	require.NotEmpty(t, usable(r, at(13*time.Second)), "a mark of an earlier incarnation")
+}
+
+// TestFingerprint checks that it follows what matters and no heartbeats, and
+// that a registry filled from another's entries agrees with it.
+func TestFingerprint(t *testing.T) {
+	a, b := NewRegistry(sites), NewRegistry(sites)
+	cold := ready("y", 1, 1)
+	cold.ColdFor = time.Second
+	a.Apply([]Entry{{ID: "x", Endpoint: ready("x", 1, 1)}, {ID: "y", Endpoint: cold}, {ID: "z", Endpoint: leaving("z", 1, 1)}}, start)
+	before := a.Fingerprint()
+	a.Apply([]Entry{{ID: "x", Endpoint: ready("x", 1, 7)}}, start)
+	require.Equal(t, before, a.Fingerprint())
+	var entries []Entry
+	for _, e := range a.Entries(at(5 * time.Second)) {
+		entries = append(entries, Entry{ID: e.ID, Endpoint: &e})
+	}
+	b.Replace(entries, at(5*time.Second))
+	require.Equal(t, before, b.Fingerprint())
+	require.Equal(t, []string{"x", "y"}, usable(b, at(5*time.Second)))
+	a.Apply([]Entry{{ID: "x", Endpoint: ready("x", 2, 1)}}, start)
+	require.NotEqual(t, before, a.Fingerprint())
+}
+
+func TestSetRegions(t *testing.T) {
+	r := NewRegistry(sites)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}}, start)
+	r.SetRegions(map[string]string{"north-a": "west"})
+	b, _ := r.Get("a")
+	require.Equal(t, "west", b.Region)
+	r.SetRegions(map[string]string{})
+	require.Empty(t, usable(r, start))
+}
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,28 +17,31 @@
 const hubCount = 2
 
 // Hubs returns the ids of the gateways that speak for a region, the first one
-// first: those on the strongest machines. Every gateway works them out by
-// itself; that two differ for a moment does no harm.
+// first: those that reach the store, on the strongest machines. Every gateway
+// works them out by itself; that two differ for a moment does no harm.
 func (g *Gateways) Hubs(region string, now time.Time) []string {
 	all := g.Alive(region, now)
 	if region == g.self.Region && !g.Leaving() {
-		all = append(all, Sign{Gateway: g.self})
+		all = append(all, Sign{Gateway: g.self, Blind: g.Blind(now)})
 	}
-	strongest := 0
-	for _, s := range all {
-		strongest = max(strongest, s.Strength)
-	}
-	var strong, others []string
-	for _, s := range all {
-		if s.Strength == strongest {
-			strong = append(strong, s.ID)
-		} else {
-			others = append(others, s.ID)
+	key := "hub " + region
+	slices.SortFunc(all, func(a, b Sign) int {
+		switch {
+		case a.Blind != b.Blind && b.Blind:
+			return -1
+		case a.Blind != b.Blind:
+			return 1
+		case a.Strength != b.Strength:
+			return b.Strength - a.Strength
+		default:
+			return cmp.Compare(rendezvous.Weight(key, b.ID), rendezvous.Weight(key, a.ID))
 		}
+	})
+	ids := make([]string, 0, hubCount)
+	for _, s := range all[:min(hubCount, len(all))] {
+		ids = append(ids, s.ID)
 	}
-	key := "hub " + region
-	hubs := rendezvous.Top(key, strong, hubCount)
-	return append(hubs, rendezvous.Top(key, others, hubCount-len(hubs))...)
+	return ids
 }
 
 // IsHub says whether this gateway speaks for its region.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -175,6 +175,17 @@
 	return n
 }
 
+// Permitted returns the number of a host's routes that a region may process.
+func (t *Table) Permitted(host, region string) int {
+	n := 0
+	for _, r := range t.byHost[normalHost(host)] {
+		if r.Permits(region) {
+			n++
+		}
+	}
+	return n
+}
+
 // Match returns the route of a request, nil if there is none.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.byHost[normalHost(host)] {
