--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -60,7 +60,9 @@
 	// Patience is how long to wait at the start for another gateway's word
 	// before the store is read.
 	Patience time.Duration
-	Logger   *log.Logger
+	// Gone is called for each endpoint that is gone.
+	Gone   func(id, address string)
+	Logger *log.Logger
 }
 
 // Controller keeps the registry of endpoints.
@@ -233,5 +235,8 @@
 func (c *Controller) report(changes []fleet.Change) {
 	for _, change := range changes {
 		c.Logger.Info("endpoint", "id", change.ID, "change", change.What)
+		if change.What == fleet.ChangeGone {
+			c.Gone(change.ID, change.Address)
+		}
 	}
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -82,23 +82,28 @@
 	if a.gateway != nil && resp.Header.Get(headerOutcome) != "" {
 		return a.refusedThere(resp)
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return a.misplaced()
+	}
+	a.attempts++
+	return a.pass(ctx, resp)
+}
+
+// pass passes on the answer of an endpoint.
+func (a *attempt) pass(ctx context.Context, resp *http.Response) (outcome, ledger.Result) {
 	answer := a.edge.Codec.Answer(resp.Header)
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return a.misplaced()
 	case answer.NotRun:
 		return a.shed(resp)
 	case answer.ID != a.req.ID || resp.Header.Get("Content-Encoding") != "":
 		return a.failed(ctx, &CrossedError{Want: a.req.ID, Got: answer.ID})
 	case resp.StatusCode >= http.StatusInternalServerError && a.mayRepeat():
-		a.attempts++
 		a.mayHaveRun = true
 		a.log("attempt_failed", "endpoint", a.endpoint.ID, "status", resp.StatusCode)
 		return a.again(failure.New(failure.CodeEndpointFailed, failure.Unknown, "the endpoint failed")), ledger.Failed
 	case a.isStream(resp):
 		return a.passStream(ctx, resp)
 	case a.stream.started:
-		a.attempts++
 		return a.failed(ctx, &EventError{Reason: "status " + resp.Status + " in place of the rest"})
 	default:
 		return a.passWhole(ctx, resp)
@@ -115,7 +120,7 @@
 
 // mayRepeat says whether the request may run once more.
 func (a *attempt) mayRepeat() bool {
-	return a.route.Repeatable() && a.attempts+1 < a.route.MaxAttempts && a.fwd == nil
+	return a.route.Repeatable() && a.attempts < a.route.MaxAttempts && a.fwd == nil
 }
 
 // send sends the request to the endpoint, or to a gateway of its region.
@@ -195,12 +200,11 @@
 func (a *attempt) misplaced() (outcome, ledger.Result) {
 	a.log("misplaced", "endpoint", a.endpoint.ID, "address", a.endpoint.Address)
 	a.edge.Registry.MarkMisplaced(a.endpoint.ID, a.endpoint.Incarnation, time.Now())
-	return a.again(notSent("another endpoint has the address")), ledger.Unreachable
+	return a.again(notSent("another endpoint has the address")), ledger.Shed
 }
 
 // shed handles an endpoint's word that it did not run the request.
 func (a *attempt) shed(resp *http.Response) (outcome, ledger.Result) {
-	a.attempts++
 	a.log("shed", "endpoint", a.endpoint.ID, "status", resp.StatusCode)
 	refusal := failure.Refuse(failure.CodeOverloaded, "the endpoint is full").WithRetryAfter(soonRetry)
 	if resp.StatusCode == http.StatusBadRequest {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -178,6 +178,12 @@
 // defaultBodyBytes bounds bodies where the configuration doesn't.
 const defaultBodyBytes = 1 << 20
 
+// Forget drops what is kept of an endpoint that is gone.
+func (e *Edge) Forget(id, address string) {
+	e.Near.Forget(address)
+	e.Ledger.Forget(id)
+}
+
 // Ready says whether this gateway takes callers.
 func (e *Edge) Ready() bool { return e.Board.Lifecycle.Get() == blackboard.Serving }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -60,7 +60,6 @@
 
 // passStream passes on the events of a stream as they come, each whole.
 func (a *attempt) passStream(ctx context.Context, resp *http.Response) (outcome, ledger.Result) {
-	a.attempts++
 	a.mayHaveRun = true
 	reader := bufio.NewReaderSize(resp.Body, streamBuffer)
 	var event []byte
@@ -179,7 +178,6 @@
 
 // passWhole passes on an answer once it is whole; a large one as it comes.
 func (a *attempt) passWhole(ctx context.Context, resp *http.Response) (outcome, ledger.Result) {
-	a.attempts++
 	a.mayHaveRun = true
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit))
 	if err != nil {
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -115,7 +115,7 @@
 		}),
 		discovery.New(discovery.Config{
 			Board: a.board, Registry: a.registry, Gateways: a.gateways, Words: words,
-			Source: p.Endpoints, Client: client, Patience: patience(site), Logger: logger,
+			Source: p.Endpoints, Client: client, Patience: patience(site), Gone: a.edge.Forget, Logger: logger,
 		}),
 		enlist.New(a.board, p.Store, a.gateways, logger),
 		stats.New(logger),
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -123,6 +123,8 @@
 type Change struct {
 	ID   string
 	What string
+	// Address is that of an endpoint that is gone.
+	Address string
 }
 
 // The changes of belief.
@@ -195,12 +197,14 @@
 			return nil
 		}
 		b.Missing = now
-		return []Change{{id, ChangeMissing}}
+		return []Change{{ID: id, What: ChangeMissing}}
 	}
 	delete(r.beliefs, id)
-	return []Change{{id, ChangeGone}}
+	return []Change{gone(b)}
 }
 
+func gone(b *Belief) Change { return Change{ID: b.ID, What: ChangeGone, Address: b.Address} }
+
 // broken takes in an entry that names no endpoint: until a sound one comes the
 // endpoint is not used.
 func (r *Registry) broken(id string) []Change {
@@ -208,7 +212,7 @@
 		return nil
 	}
 	delete(r.beliefs, id)
-	return []Change{{id, ChangeBroken}}
+	return []Change{{ID: id, What: ChangeBroken}}
 }
 
 func (r *Registry) update(e Endpoint, now time.Time) []Change {
@@ -247,14 +251,14 @@
 	var out []Change
 	switch {
 	case old == nil:
-		out = append(out, Change{next.ID, ChangeNew})
+		out = append(out, Change{ID: next.ID, What: ChangeNew})
 	case old.Incarnation != next.Incarnation:
-		out = append(out, Change{next.ID, ChangeRestarted})
+		out = append(out, Change{ID: next.ID, What: ChangeRestarted})
 	case !old.Missing.IsZero():
-		out = append(out, Change{next.ID, ChangeBack})
+		out = append(out, Change{ID: next.ID, What: ChangeBack})
 	}
 	if !next.Leaving.IsZero() && (old == nil || old.Leaving.IsZero() || old.Incarnation != next.Incarnation) {
-		out = append(out, Change{next.ID, ChangeLeaving})
+		out = append(out, Change{ID: next.ID, What: ChangeLeaving})
 	}
 	return out
 }
@@ -281,7 +285,7 @@
 	for id, b := range r.beliefs {
 		if !b.Missing.IsZero() && now.Sub(b.Missing) >= ReturnTime {
 			delete(r.beliefs, id)
-			out = append(out, Change{id, ChangeGone})
+			out = append(out, gone(b))
 		}
 	}
 	for key, since := range r.left {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -37,7 +37,7 @@
 func TestRegistryTakesInEntries(t *testing.T) {
 	r := NewRegistry(sites)
 	changes := r.Apply([]Entry{{ID: "b", Endpoint: ready("b", 1, 1)}, {ID: "a", Endpoint: ready("a", 1, 1)}}, start)
-	require.Equal(t, []Change{{"b", ChangeNew}, {"a", ChangeNew}}, changes)
+	require.Equal(t, []Change{{ID: "b", What: ChangeNew}, {ID: "a", What: ChangeNew}}, changes)
 	require.Equal(t, []string{"a", "b"}, usable(r, start))
 	b, ok := r.Get("a")
 	require.True(t, ok)
@@ -45,7 +45,7 @@
 	unknown := ready("c", 1, 1)
 	unknown.DataCentre = "elsewhere"
 	require.Empty(t, r.Apply([]Entry{{ID: "c", Endpoint: unknown}}, start))
-	require.Equal(t, []Change{{"a", ChangeGone}}, r.Replace([]Entry{{ID: "b", Endpoint: ready("b", 1, 2)}}, start))
+	require.Equal(t, []Change{{ID: "a", What: ChangeGone, Address: "10.0.0.1:80"}}, r.Replace([]Entry{{ID: "b", Endpoint: ready("b", 1, 2)}}, start))
 }
 
 // TestLeavingIsFinal checks that no later word of the same incarnation lifts
@@ -53,7 +53,7 @@
 func TestLeavingIsFinal(t *testing.T) {
 	r := NewRegistry(sites)
 	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 5, 1)}}, start)
-	require.Equal(t, []Change{{"a", ChangeLeaving}}, r.Apply([]Entry{{ID: "a", Endpoint: leaving("a", 5, 2)}}, start))
+	require.Equal(t, []Change{{ID: "a", What: ChangeLeaving}}, r.Apply([]Entry{{ID: "a", Endpoint: leaving("a", 5, 2)}}, start))
 	for _, late := range []*Endpoint{ready("a", 5, 1), ready("a", 5, 3), ready("a", 4, 9)} {
 		r.Apply([]Entry{{ID: "a", Endpoint: late}}, start)
 		require.Empty(t, usable(r, start))
@@ -62,14 +62,14 @@
 	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 5, 4)}}, start)
 	require.Empty(t, usable(r, start), "not even after its entry was gone")
 	changes := r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 6, 1)}}, start)
-	require.Contains(t, changes, Change{"a", ChangeRestarted})
+	require.Contains(t, changes, Change{ID: "a", What: ChangeRestarted})
 	require.Equal(t, []string{"a"}, usable(r, start))
 }
 
 func TestBrokenEntryNamesNoEndpoint(t *testing.T) {
 	r := NewRegistry(sites)
 	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}, {ID: "b", Endpoint: ready("b", 1, 1)}}, start)
-	require.Equal(t, []Change{{"a", ChangeBroken}}, r.Apply([]Entry{{ID: "a"}}, start))
+	require.Equal(t, []Change{{ID: "a", What: ChangeBroken}}, r.Apply([]Entry{{ID: "a"}}, start))
 	require.Equal(t, []string{"b"}, usable(r, start))
 	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 2)}}, start)
 	require.Equal(t, []string{"a", "b"}, usable(r, start))
@@ -85,8 +85,8 @@
 	require.Len(t, r.Replace(nil, back), 2)
 	require.Equal(t, []string{"a", "b"}, usable(r, back), "both are used meanwhile")
 	require.Empty(t, r.Entries(back), "but nobody else is told of them")
-	require.Equal(t, []Change{{"a", ChangeBack}}, r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 9)}}, back.Add(time.Second)))
-	require.Equal(t, []Change{{"b", ChangeGone}}, r.Sweep(back.Add(ReturnTime)))
+	require.Equal(t, []Change{{ID: "a", What: ChangeBack}}, r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 9)}}, back.Add(time.Second)))
+	require.Equal(t, []Change{{ID: "b", What: ChangeGone, Address: "10.0.0.1:80"}}, r.Sweep(back.Add(ReturnTime)))
 	require.Equal(t, []string{"a"}, usable(r, back.Add(ReturnTime)))
 	r.Apply([]Entry{{ID: "a", Gone: true}}, back.Add(ReturnTime+time.Millisecond))
 	require.Empty(t, usable(r, back.Add(ReturnTime)), "later removals count at once")
@@ -96,7 +96,7 @@
 	r := NewRegistry(sites)
 	r.Apply([]Entry{{ID: "a", Endpoint: leaving("a", 1, 1)}}, start)
 	r.StoreReturned(start)
-	require.Equal(t, []Change{{"a", ChangeGone}}, r.Apply([]Entry{{ID: "a", Gone: true}}, start))
+	require.Equal(t, []Change{{ID: "a", What: ChangeGone, Address: "10.0.0.1:80"}}, r.Apply([]Entry{{ID: "a", Gone: true}}, start))
 }
 
 func TestEvacuation(t *testing.T) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -154,16 +154,13 @@
 	}
 }
 
-// Forget drops the accounts of endpoints for which keep is false.
-func (l *Ledger) Forget(keep func(id string) bool) {
-	for i := range l.shards {
-		sh := &l.shards[i]
-		sh.mu.Lock()
-		for id, a := range sh.accounts {
-			if !keep(id) && len(a.pending) == 0 && a.running == 0 {
-				delete(sh.accounts, id)
-			}
-		}
-		sh.mu.Unlock()
+// Forget drops the account of an endpoint that is gone, unless requests are
+// still under way there.
+func (l *Ledger) Forget(id string) {
+	sh := l.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if a, ok := sh.accounts[id]; ok && len(a.pending) == 0 && a.running == 0 {
+		delete(sh.accounts, id)
 	}
 }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,270 @@
+package ledger
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/placement"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// prompt returns the parts of a prompt: one that all share, one of a session,
+// and one of its own.
+func prompt(session, own uint64) []Part {
+	return []Part{{Hash: 1, Tokens: 500}, {Hash: session, Tokens: 4_500}, {Hash: own, Tokens: 5_000}}
+}
+
+func job(session, own uint64) Job {
+	return Job{Service: "llm", Tokens: 10_000, Output: 400, Urgency: 1, Parts: prompt(session, own), Shared: session}
+}
+
+func query(session, own uint64) Query {
+	return Query{ID: "e", Service: "llm", Parts: prompt(session, own), Urgency: 1, Slots: 64, Capacity: 400_000}
+}
+
+func candidate(t *testing.T, l *Ledger, q Query, now time.Time) placement.Candidate {
+	t.Helper()
+	c, ok := l.Candidate(q, now)
+	require.True(t, ok)
+	return c
+}
+
+// read is the time that reading n tokens is estimated to take at first.
+func read(n int) time.Duration { return time.Duration(n) * firstTokenTime }
+
+func TestWorkOfARequest(t *testing.T) {
+	l := New()
+	e := l.Begin("e", 0, job(10, 11), start)
+	c := candidate(t, l, query(20, 21), start)
+	require.Equal(t, 1, c.Waiting)
+	require.Equal(t, 10_400, c.Memory)
+	require.Equal(t, read(10_000), c.Queued)
+	require.Equal(t, 500, c.Cached, "the part that all share")
+	require.InDelta(t, read(10_000).Seconds()/2, c.Use, 1e-6)
+	c = candidate(t, l, query(20, 21), at(50*time.Millisecond))
+	require.Equal(t, read(10_000)-50*time.Millisecond, c.Queued, "it is being read")
+	e.First(at(200 * time.Millisecond))
+	c = candidate(t, l, query(10, 31), at(200*time.Millisecond))
+	require.Equal(t, 0, c.Waiting)
+	require.Equal(t, 1, c.Running)
+	require.Zero(t, c.Queued)
+	require.Equal(t, 5_000, c.Cached)
+	e.End(Succeeded, at(time.Second))
+	e.End(Failed, at(time.Second))
+	c = candidate(t, l, query(10, 31), at(time.Second))
+	require.Zero(t, c.Running)
+	require.Zero(t, c.Memory)
+	require.Zero(t, c.Failing, "only the first end counts")
+}
+
+func TestMoreUrgentRequestsWaitForLess(t *testing.T) {
+	l := New()
+	l.Begin("e", 0, job(10, 11), start)
+	q := query(20, 21)
+	q.Urgency = 0
+	require.Zero(t, candidate(t, l, q, start).Queued)
+}
+
+// TestOverdueRequestsSpeakAgainstAnEndpoint plays an endpoint that takes
+// requests and never begins to answer.
+func TestOverdueRequestsSpeakAgainstAnEndpoint(t *testing.T) {
+	l := New()
+	l.Begin("e", 0, job(10, 11), start)
+	require.Greater(t, candidate(t, l, query(20, 21), at(3*time.Second)).Queued, time.Second)
+}
+
+func TestUnreachableEndpointsPause(t *testing.T) {
+	l := New()
+	now := start
+	for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		l.Begin("e", 0, job(10, 11), now).End(Unreachable, now)
+		_, ok := l.Candidate(query(10, 11), now.Add(pause-time.Millisecond))
+		require.False(t, ok)
+		now = now.Add(pause)
+		require.Zero(t, candidate(t, l, query(10, 11), now).Cached, "it may have started again")
+	}
+	e := l.Begin("e", 0, job(10, 11), now)
+	e.First(now)
+	e.End(Succeeded, now)
+	l.Begin("e", 0, job(10, 11), now).End(Unreachable, now)
+	_, ok := l.Candidate(query(10, 11), now.Add(firstEjection))
+	require.True(t, ok, "an answer ends the row")
+}
+
+func TestFailuresAreForgotten(t *testing.T) {
+	l := New()
+	for range 20 {
+		l.Begin("e", 0, job(10, 11), start).End(Failed, start)
+	}
+	require.Greater(t, candidate(t, l, query(10, 11), start).Failing, 0.8)
+	require.Less(t, candidate(t, l, query(10, 11), at(4*failMemory)).Failing, 0.05)
+	l.Begin("e", 0, job(10, 11), start).End(Abandoned, start)
+	l.Begin("e", 0, job(10, 11), start).End(Shed, start)
+	require.Greater(t, candidate(t, l, query(10, 11), start).Failing, 0.8, "neither says anything of its health")
+}
+
+func TestANewIncarnationStartsAnew(t *testing.T) {
+	l := New()
+	l.Begin("e", 1, job(10, 11), start)
+	q := query(10, 11)
+	q.Born = 2
+	c := candidate(t, l, q, start)
+	require.Zero(t, c.Waiting)
+	require.Zero(t, c.Cached)
+}
+
+// TestPartsAreKeptAsLongAsMemoryLasts checks the estimate against an engine
+// that reads half of the time.
+func TestPartsAreKeptAsLongAsMemoryLasts(t *testing.T) {
+	require.Equal(t, maxPartTime, keepTime(400_000, 0, firstTokenTime))
+	require.Equal(t, 16*time.Second, keepTime(400_000, 0.5, firstTokenTime))
+	require.Equal(t, minPartTime, keepTime(0, 0.5, firstTokenTime))
+	l := New()
+	l.Begin("e", 0, job(10, 11), start)
+	require.Equal(t, 5_000, candidate(t, l, query(10, 12), at(5*time.Second)).Cached)
+	require.Zero(t, candidate(t, l, query(10, 12), at(2*time.Minute)).Cached)
+}
+
+func TestSpeedIsThatOfAnEngineAtRest(t *testing.T) {
+	l := New()
+	const tokenTime = 50 * time.Microsecond
+	now := start
+	for i := range uint64(200) {
+		e := l.Begin("e", 0, job(1000+i, 2000+i), now)
+		took := engineOverhead + 10_000*tokenTime
+		if i%2 == 0 {
+			took *= 2 // others that this gateway does not know of were read first
+		}
+		now = now.Add(took)
+		e.First(now)
+		e.End(Succeeded, now)
+		now = now.Add(time.Minute)
+	}
+	got := candidate(t, l, query(1, 2), now).TokenTime
+	require.InEpsilon(t, float64(tokenTime), float64(got), 0.25)
+	e := l.Begin("p", 0, Job{Service: "plain"}, now)
+	e.End(Succeeded, now.Add(70*time.Millisecond))
+	require.Equal(t, firstPlainTime+5*time.Millisecond, candidate(t, l, Query{ID: "p", Service: "plain"}, now).Service)
+}
+
+func TestOthersWorkCounts(t *testing.T) {
+	l := New()
+	l.Begin("e", 0, job(10, 11), start)
+	l.Hear("g2", []Row{{ID: "e", Running: 3, Waiting: 1, Memory: 20_000, Queued: []int{0, 150}, Busy: 400}}, start)
+	c := candidate(t, l, query(20, 21), start)
+	require.Equal(t, 3, c.Running)
+	require.Equal(t, 2, c.Waiting)
+	require.Equal(t, 30_400, c.Memory)
+	require.Equal(t, read(10_000)+150*time.Millisecond, c.Queued)
+	c = candidate(t, l, query(20, 21), at(100*time.Millisecond))
+	require.Equal(t, read(10_000)-100*time.Millisecond+50*time.Millisecond, c.Queued, "both go on")
+	require.Equal(t, 1, candidate(t, l, query(20, 21), at(2*time.Second)).Waiting, "silent gateways don't count")
+	l.Hear("g2", nil, at(2*time.Second))
+	require.Equal(t, 1, candidate(t, l, query(20, 21), at(2*time.Second)).Waiting)
+}
+
+func TestSums(t *testing.T) {
+	l := New()
+	l.Begin("e", 0, job(10, 11), start)
+	l.Hear("g2", []Row{{ID: "e", Running: 1, Queued: []int{10}}, {ID: "f", Waiting: 2}}, start)
+	l.HearSum("south", []Row{{ID: "far", Running: 9}}, start)
+	rows := map[string]Row{}
+	for _, r := range l.Total(l.Rows(start), start) {
+		rows[r.ID] = r
+	}
+	require.Len(t, rows, 2, "sums of other regions are not summed again")
+	require.Equal(t, 1, rows["e"].Running)
+	require.Equal(t, 1, rows["e"].Waiting)
+	require.Equal(t, []int{10, 210, 210}, rows["e"].Queued)
+	require.Equal(t, 9, candidate(t, l, Query{ID: "far", Service: "llm", Far: true}, start).Running)
+	rest := rows["e"].Minus(l.Rows(start)[0])
+	require.Equal(t, Row{ID: "e", Running: 1, Queued: []int{10, 10, 10}}, rest)
+}
+
+// TestSentAway checks that a request sent to another region counts there until
+// that region tells of it itself, and never in what this gateway tells.
+func TestSentAway(t *testing.T) {
+	l := New()
+	away := job(10, 11)
+	away.Away = true
+	l.Begin("far", 0, away, start)
+	require.Empty(t, l.Rows(start))
+	q := query(10, 12)
+	q.ID, q.Far, q.Lag = "far", true, 500*time.Millisecond
+	c := candidate(t, l, q, start)
+	require.Equal(t, 1, c.Waiting)
+	require.Equal(t, 5_000, c.Cached)
+	require.Positive(t, c.Queued)
+	require.Zero(t, candidate(t, l, q, at(600*time.Millisecond)).Waiting)
+}
+
+func TestReadingsAreTold(t *testing.T) {
+	a, b := New(), New()
+	a.Begin("e", 0, job(10, 11), start)
+	a.Begin("e", 0, job(10, 12), at(time.Second))
+	require.Equal(t, []Reading{{ID: "e", Hash: 10}}, a.Readings(2*time.Second, at(time.Second)), "once in a while")
+	require.Empty(t, a.Readings(time.Second, at(2*time.Second)))
+	candidate(t, b, query(10, 21), start)
+	b.HearReadings(a.Readings(2*time.Second, at(time.Second)), true, at(time.Second))
+	require.Equal(t, 5_000, candidate(t, b, query(10, 21), at(time.Second)).Cached)
+	require.Len(t, b.AllReadings(time.Second, at(time.Second)), 1)
+	require.Empty(t, b.Readings(time.Second, at(time.Second)))
+}
+
+func TestForget(t *testing.T) {
+	l := New()
+	l.Begin("e", 0, job(10, 11), start).End(Failed, start)
+	l.Begin("busy", 0, job(10, 11), start)
+	l.Forget("e")
+	l.Forget("busy")
+	require.Zero(t, candidate(t, l, query(10, 11), start).Failing)
+	q := query(10, 11)
+	q.ID = "busy"
+	require.Equal(t, 1, candidate(t, l, q, start).Waiting)
+}
+
+func TestRowsOnTheWire(t *testing.T) {
+	for _, r := range []Row{
+		{ID: "i-1", Running: 3, Waiting: 1, Memory: 3 * memoryUnit, Busy: 70, Queued: []int{5, 9}},
+		{ID: "i-2", Running: 1},
+		{ID: "i-3", Waiting: 2, Queued: []int{0, 4}},
+	} {
+		body, err := json.Marshal(r)
+		require.NoError(t, err)
+		var got Row
+		require.NoError(t, json.Unmarshal(body, &got))
+		got.Queued = append([]int(nil), got.Queued...)
+		require.Equal(t, r, got)
+	}
+	body, err := json.Marshal(Row{ID: "i-1", Memory: 1, Queued: []int{5, 5, 5}})
+	require.NoError(t, err)
+	require.JSONEq(t, `"i-1 0 0 1 0 5"`, string(body), "memory is rounded up, equal waits are left out")
+	var reading Reading
+	body, err = json.Marshal(Reading{ID: "i-1", Hash: 1 << 63})
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(body, &reading))
+	require.Equal(t, Reading{ID: "i-1", Hash: 1 << 63}, reading)
+}
+
+func FuzzRow(f *testing.F) {
+	f.Add([]byte(`"i-1 1 2 3 4 5 6"`))
+	f.Add([]byte(`"i-1 1 2 3 4 5 6 7 8 9"`))
+	f.Add([]byte(`{"i":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r Row
+		if err := json.Unmarshal(data, &r); err != nil {
+			return
+		}
+		require.NotEmpty(t, r.ID)
+		require.GreaterOrEqual(t, r.Running, 0)
+		require.LessOrEqual(t, len(r.Queued), urgencies)
+		var reading Reading
+		_ = json.Unmarshal(data, &reading)
+	})
+}
