--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -32,7 +32,7 @@
 	largeEvery = 3
 	farEvery   = 3
 	// membersEvery is the number of digests of which one lists the gateways.
-	membersEvery = 4
+	membersEvery = 12
 	// told is the number of beats that tell of a reading: one may be lost.
 	told = 2
 	// maxBeatBytes bounds a datagram.
@@ -156,7 +156,10 @@
 		c.welcome(b.From, now)
 	}
 	if b.From.Region == own {
-		c.Ledger.Hear(b.From.ID, b.Rows, now)
+		if c.Gateways.IsMesh() || c.Gateways.IsHub(now) {
+			// All others know the sums.
+			c.Ledger.Hear(b.From.ID, b.Rows, now)
+		}
 		if b.Word != nil {
 			c.Words.Hear(b.From.ID, *b.Word, now)
 		}
@@ -210,6 +213,10 @@
 	if ok && (old.Hub == d.Hub && old.Seq >= d.Seq || !made.After(old.at)) {
 		return false
 	}
+	if ok && !old.passed && d.Members == nil {
+		// What has not been passed on yet must not be lost.
+		d.Members = old.Members
+	}
 	c.foreign[d.Region] = &heardDigest{Digest: d, at: made, passed: !direct}
 	return true
 }
--- a/internal/controller/beats/send.go
+++ b/internal/controller/beats/send.go
@@ -81,41 +81,54 @@
 		c.beatLarge(b, hubs, rank, r, now)
 	}
 	if r.far && (rank >= 0 || self.Leaving) {
-		c.beatFar(self, rows, max(rank, 0), r.turn, r.list, now)
+		c.beatFar(self, rows, max(rank, 0), r, now)
 	}
 	c.askSeeds(b, r.turn)
 }
 
 // beatLarge beats in a region that is too large for all to beat to all: to the
-// hubs, and from the first hub to all.
+// hubs, and from one of the hubs in turn to all.
 func (c *Controller) beatLarge(b Beat, hubs []string, rank int, r round, now time.Time) {
+	own := b.From.Region
 	c.noteTold(b.Rows)
 	b.Readings = c.Ledger.Readings(told*largeEvery*interval, now)
 	c.send(c.named(hubs), b)
-	if rank != 0 {
+	c.send(c.someMissing(own, r, now), b)
+	if rank < 0 || r.turn/largeEvery%len(hubs) != rank {
 		return
 	}
 	b.Digests = append(c.passOn(now), c.digest(b.From, b.Rows, told*largeEvery*interval, r.list, now))
-	b.Rows, b.Readings = nil, nil
-	c.send(c.Gateways.Addressable(b.From.Region), b)
+	b.Readings = nil
+	c.send(c.Gateways.Addressable(own), b)
+}
+
+// missingPerRound is the number of missing gateways that a round also goes to.
+const missingPerRound = 2
+
+// someMissing returns some of the region's gateways that are known and not
+// alive, others in each round: whoever is left out finds back by this.
+func (c *Controller) someMissing(region string, r round, now time.Time) []fleet.Sign {
+	missing := c.Gateways.Missing(region, now)
+	if len(missing) <= missingPerRound {
+		return missing
+	}
+	from := r.turn * missingPerRound % len(missing)
+	return append(missing[from:], missing[:from]...)[:missingPerRound]
 }
 
 // beatFar tells the hubs of the other regions of this one. Each hub tells those
 // of a region in turn, and never both hubs the same one, so that any may fail.
-func (c *Controller) beatFar(self fleet.Sign, rows []ledger.Row, rank, turn int, list bool, now time.Time) {
-	d := c.digest(self, rows, told*farEvery*interval, list, now)
+func (c *Controller) beatFar(self fleet.Sign, rows []ledger.Row, rank int, r round, now time.Time) {
+	d := c.digest(self, rows, told*farEvery*interval, r.list, now)
 	b := Beat{From: self, Digests: []Digest{d}}
 	for _, region := range c.Gateways.Regions() {
 		if region == self.Region {
 			continue
 		}
-		hubs := c.named(c.Gateways.Hubs(region, now))
-		if len(hubs) == 0 {
-			// None is known to be alive: whoever hears this answers.
-			c.send(c.Gateways.Addressable(region), b)
-			continue
+		c.send(c.someMissing(region, r, now), b)
+		if hubs := c.named(c.Gateways.Hubs(region, now)); len(hubs) > 0 {
+			c.send(hubs[(rank+r.turn/farEvery)%len(hubs):][:1], b)
 		}
-		c.send(hubs[(rank+turn/farEvery)%len(hubs):][:1], b)
 	}
 }
 
@@ -142,11 +155,22 @@
 	c.send(seeds, b)
 }
 
-// welcome answers a gateway that has just been heard, or asks, with the gateways of its
-// region and those that speak for this one.
+// welcome answers a gateway that has just been heard, or asks, with the
+// gateways of its region and those that speak for the others. A hub of its own
+// region tells it of all.
 func (c *Controller) welcome(to fleet.Sign, now time.Time) {
 	self := c.sign()
-	members := append(c.Gateways.Alive(to.Region, now), c.named(c.Gateways.Hubs(self.Region, now))...)
+	members := c.Gateways.Alive(to.Region, now)
+	all := to.Region == self.Region && c.Gateways.IsHub(now)
+	for _, region := range c.Gateways.Regions() {
+		switch {
+		case region == to.Region:
+		case all:
+			members = append(members, c.Gateways.Alive(region, now)...)
+		default:
+			members = append(members, c.named(c.Gateways.Hubs(region, now))...)
+		}
+	}
 	b := Beat{From: self, Known: members}
 	if c.Gateways.IsReader(now) {
 		word := c.Word(now)
@@ -174,7 +198,7 @@
 		}
 	}
 	if list || c.areNew(d.Alive, now) {
-		d.Members = all
+		d.Members = append(all, c.Gateways.Departed(self.Region, now)...)
 	}
 	return d
 }
--- /dev/null
+++ b/internal/controller/routesync/routesync_test.go
@@ -0,0 +1,294 @@
+package routesync
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+	"pgregory.net/rapid"
+
+	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/neighbour"
+	"github.com/hickorystage/hickorystage/internal/route"
+	"github.com/hickorystage/hickorystage/internal/settings"
+	"github.com/hickorystage/hickorystage/internal/store"
+)
+
+// fakeSource is a store of what operators wrote. It can be away, silent on
+// watches that are held, and forget.
+type fakeSource struct {
+	mu        sync.Mutex
+	version   uint64
+	evacuated map[string]bool
+	revision  uint64
+	log       []Change
+	from      uint64
+	wake      chan struct{}
+	down      bool
+	mute      bool
+	// stale makes whole reads return this older version.
+	stale uint64
+	calls int
+}
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{evacuated: make(map[string]bool), revision: 1, wake: make(chan struct{})}
+}
+
+func table(version uint64) *route.Table {
+	t := route.NewTable(version, nil, nil, route.Limits{})
+	t.Raw = []byte(strconv.FormatUint(version, 10))
+	return t
+}
+
+func (s *fakeSource) change(c Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.log = append(s.log, c)
+	if c.Routes != nil {
+		s.version = c.Routes.Version
+	} else {
+		s.evacuated[c.DataCentre] = c.Evacuate
+	}
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func (s *fakeSource) set(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+func (s *fakeSource) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeSource) Read(context.Context) ([]Change, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, &store.UnavailableError{Op: "read", Cause: io.EOF}
+	}
+	var out []Change
+	version := s.version
+	if s.stale > 0 {
+		version = s.stale
+	}
+	if version > 0 {
+		out = append(out, Change{Routes: table(version)})
+	}
+	for dc, on := range s.evacuated {
+		if on {
+			out = append(out, Change{DataCentre: dc, Evacuate: true})
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	down, mute, wake := s.down, s.mute, s.wake
+	if !down && !mute && after < s.revision {
+		defer s.mu.Unlock()
+		if after < s.from {
+			return nil, 0, &store.CompactedError{After: after}
+		}
+		n := int(s.revision - after)
+		return s.log[len(s.log)-n:], s.revision, nil
+	}
+	s.mu.Unlock()
+	if down {
+		return nil, 0, &store.UnavailableError{Op: "watch", Cause: io.EOF}
+	}
+	if mute {
+		wake = nil
+	}
+	select {
+	case <-wake:
+		return s.Watch(ctx, after, 0)
+	case <-time.After(wait):
+		if mute {
+			return nil, 0, &store.UnavailableError{Op: "watch", Cause: context.DeadlineExceeded}
+		}
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+func (s *fakeSource) Decode(raw []byte) (*route.Table, error) {
+	n, err := strconv.ParseUint(string(raw), 10, 64)
+	return table(n), err
+}
+
+func newController(s Source) *Controller {
+	return New(Config{
+		Board:    blackboard.NewEdge(&settings.Site{}),
+		Gateways: fleet.NewGateways(fleet.Gateway{ID: "self", Region: "north"}),
+		Words:    fleet.NewWords(),
+		Source:   s,
+		Client:   neighbour.NewClient(nil),
+		Logger:   log.New(io.Discard),
+	})
+}
+
+func run(t *testing.T, test func(c *Controller, s *fakeSource)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSource()
+		c := newController(s)
+		var tb tomb.Tomb
+		tb.Go(func() error { return c.Run(&tb) })
+		test(c, s)
+		tb.Kill(nil)
+		require.NoError(t, tb.Wait())
+	})
+}
+
+func version(c *Controller) uint64 {
+	if r := c.Board.Routes.Get(); r != nil {
+		return r.Version
+	}
+	return 0
+}
+
+func TestChangesAreInForceAtOnce(t *testing.T) {
+	run(t, func(c *Controller, s *fakeSource) {
+		s.change(Change{Routes: table(7)})
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(7), version(c))
+		s.change(Change{Routes: table(9)})
+		s.change(Change{DataCentre: "north-a", Evacuate: true})
+		time.Sleep(time.Millisecond)
+		require.Equal(t, uint64(9), version(c))
+		require.Equal(t, map[string]bool{"north-a": true}, c.Board.Evacuated.Get())
+		s.change(Change{DataCentre: "north-a"})
+		time.Sleep(time.Millisecond)
+		require.Empty(t, c.Board.Evacuated.Get())
+		before := s.count()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, s.count()-before, int(time.Minute/watchWait)+1)
+	})
+}
+
+// TestBadVersionsAreLeftOut checks that what can't be read leaves the version
+// before in force.
+func TestBadVersionsAreLeftOut(t *testing.T) {
+	run(t, func(c *Controller, s *fakeSource) {
+		s.change(Change{Routes: table(7)})
+		time.Sleep(time.Second)
+		c.apply(Change{Err: io.ErrUnexpectedEOF})
+		c.apply(Change{Routes: table(6)})
+		require.Equal(t, uint64(7), version(c))
+	})
+}
+
+// TestFaultsOfTheStore checks that a change is in force within 3 s of the first
+// moment at which the store could tell of it.
+func TestFaultsOfTheStore(t *testing.T) {
+	faults := map[string]struct{ begin, end func(s *fakeSource) }{
+		"down":      {func(s *fakeSource) { s.down = true }, func(s *fakeSource) { s.down = false }},
+		"silent":    {func(s *fakeSource) { s.mute = true }, func(s *fakeSource) { s.mute = false }},
+		"compacted": {func(*fakeSource) {}, func(s *fakeSource) { s.from = s.revision }},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(c *Controller, s *fakeSource) {
+				s.change(Change{Routes: table(7)})
+				time.Sleep(time.Second)
+				s.set(func() { fault.begin(s) })
+				time.Sleep(5 * time.Second)
+				s.change(Change{Routes: table(8)})
+				s.set(func() { fault.end(s) })
+				time.Sleep(3 * time.Second)
+				require.Equal(t, uint64(8), version(c))
+				require.True(t, c.Board.StoreLost.Get().IsZero())
+			})
+		})
+	}
+}
+
+// TestVersionsNeverGoBack watches every adoption while reads are stale, watches
+// fail and other gateways tell of older and newer versions.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newFakeSource()
+		c := newController(s)
+		highest, seen := uint64(0), uint64(0)
+		for range 60 {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				highest++
+				s.change(Change{Routes: table(highest)})
+			case 1:
+				s.stale = uint64(rapid.IntRange(0, int(highest)).Draw(rt, "stale"))
+			case 2:
+				c.at = 0
+			case 3:
+				s.from = s.revision
+			case 4:
+				c.adopt(table(uint64(rapid.IntRange(1, int(highest)+1).Draw(rt, "told"))))
+			case 5:
+				s.down = !s.down
+			}
+			before := s.revision
+			if c.at == 0 || c.at < before {
+				_ = c.step(context.Background(), time.Now())
+			}
+			require.GreaterOrEqual(rt, version(c), seen)
+			seen = version(c)
+		}
+	})
+}
+
+// TestOthersWatchForThisOne checks that a gateway that is not the reader makes
+// no calls while it hears that the store is watched.
+func TestOthersWatchForThisOne(t *testing.T) {
+	var mu sync.Mutex
+	held := uint64(7)
+	server := httptest.NewServer(neighbour.Handler(neighbour.Sources{
+		Endpoints: func() []fleet.Endpoint { return nil },
+		Routes: func() []byte {
+			mu.Lock()
+			defer mu.Unlock()
+			return []byte(strconv.FormatUint(held, 10))
+		},
+	}))
+	defer server.Close()
+	s := newFakeSource()
+	s.down = true
+	c := newController(s)
+	g := fleet.Gateway{ID: "reader", Incarnation: "1", Region: "north", Strength: 9, Peer: strings.TrimPrefix(server.URL, "http://")}
+	hear := func(seq, routes uint64, evacuated ...string) {
+		c.Gateways.Hear(fleet.Sign{Gateway: g, Seq: seq}, time.Now())
+		c.Words.Hear("reader", fleet.Word{Routes: routes, Evacuated: evacuated}, time.Now())
+	}
+	var tb tomb.Tomb
+	hear(1, 7)
+	tb.Go(func() error { return c.Run(&tb) })
+	require.Eventually(t, func() bool { return version(c) == 7 }, 2*time.Second, time.Millisecond)
+	mu.Lock()
+	held = 8
+	mu.Unlock()
+	hear(2, 8, "north-a")
+	require.Eventually(t, func() bool { return version(c) == 8 && c.Board.Evacuated.Get()["north-a"] }, time.Second, time.Millisecond)
+	require.Zero(t, s.count())
+	require.Eventually(t, func() bool { return s.count() > 0 }, 2*staleAfter, 10*time.Millisecond, "the word has become stale")
+	tb.Kill(nil)
+	require.NoError(t, tb.Wait())
+}
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -35,9 +35,15 @@
 	Blind bool `json:"blind,omitempty"`
 }
 
-// SilentAfter is the time without a sign after which a gateway counts as gone:
-// ten beats of its own, or seven digests of its region.
-const SilentAfter = 1500 * time.Millisecond
+const (
+	// SilentAfter is the time without a sign after which a gateway counts as
+	// gone: ten beats of its own, or several digests of its region.
+	SilentAfter = 1500 * time.Millisecond
+	// holdTime is how long gateways that are known by digests are held for alive
+	// while there are no digests at all: others have to find out first that the
+	// hubs are gone, and to take over from them.
+	holdTime = 3 * time.Second
+)
 
 // forgetAfter is how long a silent gateway is still sent beats, so that the two
 // find each other again after a cut.
@@ -58,6 +64,8 @@
 
 	mu    sync.RWMutex
 	known map[string]*member
+	// digested is when the last digest of each region came.
+	digested map[string]time.Time
 }
 
 type member struct {
@@ -66,13 +74,15 @@
 	// store last named it.
 	heard  time.Time
 	listed time.Time
+	// told says that the last sign came in a digest.
+	told bool
 	// silent says that it was reported as silent.
 	silent bool
 }
 
 // NewGateways returns the knowledge of the gateway self.
 func NewGateways(self Gateway) *Gateways {
-	return &Gateways{self: self, known: make(map[string]*member)}
+	return &Gateways{self: self, known: make(map[string]*member), digested: make(map[string]time.Time)}
 }
 
 // Self returns this gateway.
@@ -124,10 +134,19 @@
 		return false
 	}
 	fresh := m.heard.IsZero() || now.Sub(m.heard) > SilentAfter || m.sign.Incarnation != s.Incarnation
-	m.sign, m.heard = s, now
+	m.sign, m.heard, m.told = s, now, false
 	return fresh
 }
 
+// isAlive says whether a gateway counts as alive.
+func (g *Gateways) isAlive(m *member, now time.Time) bool {
+	age := now.Sub(m.heard)
+	if age <= SilentAfter {
+		return true
+	}
+	return m.told && age <= holdTime && g.digested[m.sign.Region].Sub(m.heard) < SilentAfter
+}
+
 // Learn takes in gateways that others know, alive or not. Those that were not
 // known are beaten to from now on.
 func (g *Gateways) Learn(signs []Sign) {
@@ -163,14 +182,17 @@
 	defer g.mu.Unlock()
 	for _, s := range signs {
 		m, ok := g.known[s.ID]
-		if ok && m.sign.Incarnation != s.Incarnation && now.Sub(m.heard) <= SilentAfter {
+		if ok && m.sign.Incarnation != s.Incarnation && !m.told && now.Sub(m.heard) <= SilentAfter {
 			// A digest may be older than what the gateway itself said.
 			continue
 		}
-		if s.Region == region {
+		if s.Region == region && !(ok && s.Leaving && m.sign.Leaving) {
 			g.hear(s, now)
 		}
 	}
+	if now.After(g.digested[region]) {
+		g.digested[region] = now
+	}
 	for _, mark := range alive {
 		g.refresh(region, mark, now)
 	}
@@ -187,7 +209,7 @@
 		as := m.sign
 		as.Ready = ready
 		if as.Mark() == mark {
-			m.sign.Ready, m.heard = ready, now
+			m.sign.Ready, m.heard, m.told = ready, now, true
 		}
 	}
 }
@@ -226,7 +248,7 @@
 	defer g.mu.Unlock()
 	var out []Sign
 	for _, m := range g.known {
-		silent := !m.heard.IsZero() && now.Sub(m.heard) > SilentAfter
+		silent := !m.heard.IsZero() && !g.isAlive(m, now)
 		if silent && !m.silent {
 			out = append(out, m.sign)
 		}
@@ -246,7 +268,23 @@
 // Alive returns the gateways of the region that were heard lately and stay,
 // without this one, ordered by id.
 func (g *Gateways) Alive(region string, now time.Time) []Sign {
-	return g.Lately(region, SilentAfter, now)
+	return g.filter(func(m *member) bool {
+		return m.sign.Region == region && !m.sign.Leaving && g.isAlive(m, now)
+	})
+}
+
+// Departed returns the gateways of the region that said lately that they leave.
+func (g *Gateways) Departed(region string, now time.Time) []Sign {
+	return g.filter(func(m *member) bool {
+		return m.sign.Region == region && m.sign.Leaving && now.Sub(m.heard) <= SilentAfter
+	})
+}
+
+// Missing returns the gateways of the region that are known and not alive.
+func (g *Gateways) Missing(region string, now time.Time) []Sign {
+	return g.filter(func(m *member) bool {
+		return m.sign.Region == region && !m.sign.Leaving && !g.isAlive(m, now)
+	})
 }
 
 // Addressable returns the gateways of the region that a beat may reach, alive
