--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -60,7 +60,17 @@
 
 // New returns an edge.
 func New(c Config) *Edge {
-	return &Edge{Config: c, inFlight: newInFlight(), paths: newPaths()}
+	e := &Edge{Config: c, inFlight: newInFlight(), paths: newPaths()}
+	c.Far.Observe(e.connected)
+	return e
+}
+
+// connected learns from a connection made to another gateway how far away its
+// region is: the making takes one round trip.
+func (e *Edge) connected(address string, took time.Duration) {
+	if g, ok := e.Gateways.ByPeer(address); ok {
+		e.paths.observe(g.Region, took)
+	}
 }
 
 // bodyTimeout bounds the time that a caller may take to send its body.
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -304,6 +304,15 @@
 	return m.sign, true
 }
 
+// ByPeer returns the gateway with the given address for other gateways.
+func (g *Gateways) ByPeer(address string) (Sign, bool) {
+	list := g.filter(func(m *member) bool { return m.sign.Peer == address })
+	if len(list) == 0 {
+		return Sign{}, false
+	}
+	return list[0], true
+}
+
 // Count returns the number of gateways that were heard or listed lately, this
 // one included.
 func (g *Gateways) Count(now time.Time) int {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -91,8 +91,8 @@
 	dial    DialFunc
 	timeout time.Duration
 	shards  [shards]shard
-	// Dials counts the connections made.
-	Dials atomic.Int64
+	// connected, if set, hears of each connection made.
+	connected func(address string, took time.Duration)
 }
 
 type shard struct {
@@ -112,6 +112,10 @@
 	return t
 }
 
+// Observe makes fn hear of each connection made, and how long that took. Call
+// it before the first request.
+func (t *Transport) Observe(fn func(address string, took time.Duration)) { t.connected = fn }
+
 func (t *Transport) shard(address string) *shard {
 	return &t.shards[xxhash.Sum64String(address)%shards]
 }
@@ -136,8 +140,12 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, t.timeout)
 			defer cancel()
-			t.Dials.Add(1)
-			return t.dial(ctx, network, address)
+			began := time.Now()
+			conn, err := t.dial(ctx, network, address)
+			if err == nil && t.connected != nil {
+				t.connected(address, time.Since(began))
+			}
+			return conn, err
 		},
 		MaxIdleConnsPerHost: idlePerAddress,
 		IdleConnTimeout:     idleTimeout,
