--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -21,17 +21,33 @@
 func (s *session) place() (d placement.Decision, ok bool) {
 	now := time.Now()
 	candidates := s.candidates(now)
-	d = placement.Decide(s.request(now), candidates)
+	req := s.request(now)
+	d = placement.Decide(req, candidates)
 	if d.Kind != placement.Serve {
+		s.log("not_placed", "reason", d.Reason, "version", s.table.Version, "candidates", len(candidates),
+			"tokens", req.Tokens, "left_ms", req.Left.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds())
 		return d, false
 	}
 	c := d.Candidate
-	s.log("placed", "endpoint", c.ID, "region", c.Region, "candidates", len(candidates),
-		"estimate_ms", d.Estimate.Milliseconds(), "queued_ms", c.Queued.Milliseconds(),
-		"running", c.Running, "waiting", c.Waiting, "cached", c.Cached, "home", c.Home)
+	s.log("placed", "endpoint", c.ID, "region", c.Region, "version", s.table.Version, "candidates", len(candidates),
+		"estimate_ms", d.Estimate.Milliseconds(), "queued_ms", c.Queued.Milliseconds(), "use_pct", int(percent*c.Use),
+		"running", c.Running, "waiting", c.Waiting, "tokens", req.Tokens, "cached", c.Cached, "home", c.Home,
+		"heard_ms", s.heardAgo(c.ID, now).Milliseconds())
 	return d, true
 }
 
+// percent turns a share into a number for the log.
+const percent = 100
+
+// heardAgo is the age of an endpoint's entry.
+func (s *session) heardAgo(id string, now time.Time) time.Duration {
+	b, ok := s.edge.Registry.Get(id)
+	if !ok {
+		return 0
+	}
+	return now.Sub(b.Updated)
+}
+
 // request sums up the session for placement.
 func (s *session) request(now time.Time) placement.Request {
 	r := placement.Request{
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,7 +96,8 @@
 type Decision struct {
 	Kind      Kind
 	Candidate Candidate
-	// Estimate is the time until the first part of the answer.
+	// Estimate is the time until the first part of the answer; of a refusal as
+	// TooLate, the soonest.
 	Estimate time.Duration
 	// Reason and RetryAfter are set for refusals.
 	Reason     Reason
@@ -168,7 +169,7 @@
 	case full:
 		return Decision{Kind: Refuse, Reason: Full, RetryAfter: shortRetry}
 	default:
-		return Decision{Kind: Refuse, Reason: TooLate, RetryAfter: max(soonest-req.Left, shortRetry)}
+		return Decision{Kind: Refuse, Reason: TooLate, Estimate: soonest, RetryAfter: max(soonest-req.Left, shortRetry)}
 	}
 }
 
