--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -222,27 +222,47 @@
 	})
 }
 
-// TestFetch takes entries from another gateway over a real connection.
-func TestFetch(t *testing.T) {
+// besideReader returns a controller that hears of a reader which gives the
+// endpoints of the given function over a real connection.
+func besideReader(t *testing.T, source *fakeSource, endpoints func() []fleet.Endpoint) (*Controller, fleet.Gateway) {
 	server := httptest.NewServer(neighbour.Handler(neighbour.Sources{
-		Endpoints: func() []fleet.Endpoint { return []fleet.Endpoint{endpoint("x"), endpoint("y")} },
+		Endpoints: endpoints,
 		Routes:    func() []byte { return nil },
 	}))
-	defer server.Close()
+	t.Cleanup(server.Close)
 	c := New(Config{
 		Board:    blackboard.NewEdge(&settings.Site{}),
 		Registry: fleet.NewRegistry(map[string]string{"north-a": "north"}),
 		Gateways: fleet.NewGateways(fleet.Gateway{ID: "self", Region: "north"}),
 		Words:    fleet.NewWords(),
-		Source:   &fakeSource{down: true},
+		Source:   source,
 		Client:   neighbour.NewClient(nil),
 		Gone:     func(string, string) {},
 		Logger:   log.New(io.Discard),
 	})
-	now := time.Now()
 	g := fleet.Gateway{ID: "reader", Incarnation: "1", Region: "north", Strength: 9, Peer: strings.TrimPrefix(server.URL, "http://")}
-	c.Gateways.Hear(fleet.Sign{Gateway: g, Seq: 1}, now)
-	c.Words.Hear("reader", fleet.Word{EndpointsAge: 60_000}, now)
+	c.Gateways.Hear(fleet.Sign{Gateway: g, Seq: 1}, time.Now())
+	c.Words.Hear("reader", fleet.Word{EndpointsAge: 60_000}, time.Now())
+	return c, g
+}
+
+// TestStartAsksOnlyWhoKnows plays a start at the same time as the others': the
+// region's reader has not read anything yet.
+func TestStartAsksOnlyWhoKnows(t *testing.T) {
+	source := &fakeSource{entries: map[string]fleet.Endpoint{"a": endpoint("a")}}
+	c, _ := besideReader(t, source, func() []fleet.Endpoint { return nil })
+	now := time.Now()
+	c.step(context.Background(), now)
+	require.True(t, c.Board.Discovered.Get())
+	require.Len(t, c.Registry.Usable("s", time.Second, now), 1, "read in the store, as the reader knows nothing")
+}
+
+// TestFetch takes entries from another gateway over a real connection.
+func TestFetch(t *testing.T) {
+	c, g := besideReader(t, &fakeSource{down: true}, func() []fleet.Endpoint {
+		return []fleet.Endpoint{endpoint("x"), endpoint("y")}
+	})
+	now := time.Now()
 	c.step(context.Background(), now)
 	require.True(t, c.Board.Discovered.Get(), "a gateway that starts while the store is away asks the others")
 	require.Len(t, c.Registry.Usable("s", time.Second, now), 2)
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -183,6 +183,14 @@
 	return now.Sub(at).Milliseconds()
 }
 
+// endpoints returns what other gateways may take over from this one.
+func (a *App) endpoints() []fleet.Endpoint {
+	if !a.board.Discovered.Get() {
+		return nil
+	}
+	return a.registry.Entries(time.Now())
+}
+
 func (a *App) rawRoutes() []byte {
 	if routes := a.board.Routes.Get(); routes != nil {
 		return routes.Raw
@@ -247,7 +255,7 @@
 		return err
 	}
 	if _, err = a.open(site.PeerAddress, a.edge.PeerHandler(neighbour.Handler(neighbour.Sources{
-		Endpoints: func() []fleet.Endpoint { return a.registry.Entries(time.Now()) },
+		Endpoints: a.endpoints,
 		Routes:    a.rawRoutes,
 	}))); err != nil {
 		return err
--- a/internal/neighbour/neighbour.go
+++ b/internal/neighbour/neighbour.go
@@ -43,7 +43,8 @@
 
 // Sources is what a gateway gives to others.
 type Sources struct {
-	// Endpoints returns the entries of all endpoints.
+	// Endpoints returns the entries of all endpoints, nil while they are not
+	// known.
 	Endpoints func() []fleet.Endpoint
 	// Routes returns the configuration in force as operators wrote it, nil if
 	// there is none.
@@ -54,7 +55,12 @@
 func Handler(s Sources) http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get(pathEndpoints), func(w http.ResponseWriter, _ *http.Request) {
-		body, err := json.Marshal(s.Endpoints())
+		endpoints := s.Endpoints()
+		if endpoints == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		body, err := json.Marshal(endpoints)
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
