--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -54,6 +55,8 @@
 		Urgency:   s.route.Priority,
 		Objective: s.arrived.Add(s.route.Objective).Sub(now),
 		Left:      s.deadline.Sub(now),
+		LateView:  !s.edge.Gateways.IsMesh(),
+		Draw:      draw(s.req.ID),
 		Begun:     s.stream.started || s.fwd != nil && s.fwd.LastEventID != "",
 	}
 	if p := s.req.Prompt; p != nil {
@@ -62,6 +65,11 @@
 	return r
 }
 
+// draw turns a request's id into a number from 0 to 1.
+func draw(id string) float64 {
+	return float64(xxhash.Sum64String(id)) / math.MaxUint64
+}
+
 // likelyOutput is the number of tokens that an answer probably has.
 func likelyOutput(p *exchange.Prompt) int {
 	if p.LikelyOutput > 0 && (p.MaxOutput == 0 || p.LikelyOutput < p.MaxOutput) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,11 @@
 	Objective time.Duration
 	// Left is the time left until the answer is of no use.
 	Left time.Duration
+	// LateView says that what is believed of endpoints is older than most
+	// requests take to begin.
+	LateView bool
+	// Draw is from 0 to 1 and differs between requests.
+	Draw float64
 	// Begun says that the caller has a part of the answer already, which is lost
 	// if the rest can't be had.
 	Begun bool
@@ -142,6 +147,9 @@
 		return Decision{Kind: Refuse, Reason: NoEndpoint, RetryAfter: shortRetry}
 	}
 	usual := usualFailing(candidates)
+	if req.LateView {
+		return decideLate(req, candidates, usual)
+	}
 	best, bestScore, found := 0, time.Duration(0), false
 	soonest := time.Duration(-1)
 	full := true
