Speak the platform's headers in tests through its stand-ins alone

Cause: a test harness spelled headers of the platform outside the adapter, and the formatter was not run on the adapter. Change: the stand-in endpoint and caller of platformtest serve it; gofumpt runs on platform/, too.

--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	@exec bash scripts/run.sh
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal
+	$(GO) tool gofumpt -w cmd internal platform
 
 lint:
-	@out="$$($(GO) tool gofumpt -l cmd internal)"; if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	@out="$$($(GO) tool gofumpt -l cmd internal platform)"; if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
--- a/internal/edgeapp/edgeapp_test.go
+++ b/internal/edgeapp/edgeapp_test.go
@@ -48,15 +48,15 @@
 	}
 	s.store.Put("op/evacuate/north-a", []byte("{}"))
 	s.within(5*time.Second, "the north is left", func() bool {
-		before := s.endpoints["i-n"].requests()
+		before := len(s.endpoints["i-n"].Runs())
 		return s.gateways["n1"].call("/new/x") == http.StatusOK && s.gateways["n2"].call("/new/x") == http.StatusOK &&
-			s.endpoints["i-n"].requests() == before
+			len(s.endpoints["i-n"].Runs()) == before
 	})
 	s.store.Remove("op/evacuate/north-a")
 	s.within(5*time.Second, "and comes back", func() bool {
-		before := s.endpoints["i-n"].requests()
+		before := len(s.endpoints["i-n"].Runs())
 		s.gateways["n1"].call("/new/x")
-		return s.endpoints["i-n"].requests() > before
+		return len(s.endpoints["i-n"].Runs()) > before
 	})
 }
 
@@ -65,17 +65,16 @@
 func TestLeavingEndpointsGetNothing(t *testing.T) {
 	t.Parallel()
 	s := twoRegions(t)
-	s.endpoints["i-n"].entry["state"] = "draining"
-	s.endpoints["i-n"].entry["sequence"] = 2
-	s.write("i-n")
+	s.endpoints["i-n"].Set("state", "draining")
+	require.NoError(t, s.endpoints["i-n"].Beat())
 	time.Sleep(3 * time.Second)
-	before := s.endpoints["i-n"].requests()
+	before := len(s.endpoints["i-n"].Runs())
 	for range 20 {
 		for _, g := range s.gateways {
 			require.Equal(t, http.StatusOK, g.call("/q/x"))
 		}
 	}
-	require.Equal(t, before, s.endpoints["i-n"].requests())
+	require.Equal(t, before, len(s.endpoints["i-n"].Runs()))
 }
 
 // TestServesWithoutTheStore takes the store away in each way, and replaces a
@@ -115,7 +114,7 @@
 	t.Parallel()
 	s := twoRegions(t)
 	for _, w := range s.endpoints {
-		w.slow = 100 * time.Millisecond
+		w.SetWork(100*time.Millisecond, 0, 0)
 	}
 	stopping := s.gateways["n1"]
 	var wg sync.WaitGroup
@@ -156,10 +155,10 @@
 	s.endpoint("i-n2", "app", "north-a")
 	s.within(3*time.Second, "the new endpoint is used", func() bool {
 		s.gateways["n1"].call("/q/x")
-		return s.endpoints["i-n2"].requests() > 0
+		return len(s.endpoints["i-n2"].Runs()) > 0
 	})
-	s.endpoints["i-n"].server.CloseClientConnections()
-	s.endpoints["i-n"].server.Listener.Close()
+	s.servers["i-n"].CloseClientConnections()
+	s.servers["i-n"].Listener.Close()
 	for range 30 {
 		require.Equal(t, http.StatusOK, s.gateways["n1"].call("/q/x"))
 	}
--- a/internal/edgeapp/harness_test.go
+++ b/internal/edgeapp/harness_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,7 +29,8 @@
 	store     *platformtest.Store
 	address   string
 	gateways  map[string]*gateway
-	endpoints map[string]*worker
+	endpoints map[string]*platformtest.Endpoint
+	servers   map[string]*httptest.Server
 	version   int
 	// base is the first of the ports that this system uses.
 	base int
@@ -46,39 +46,8 @@
 	done chan error
 }
 
-// worker is an endpoint that keeps its entry in the store.
-type worker struct {
-	server *httptest.Server
-	entry  map[string]any
-	mu     sync.Mutex
-	got    int
-	slow   time.Duration
-}
-
-func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	_, _ = io.ReadAll(r.Body)
-	w.mu.Lock()
-	w.got++
-	slow := w.slow
-	w.mu.Unlock()
-	select {
-	case <-time.After(slow):
-	case <-r.Context().Done():
-		return
-	}
-	rw.Header().Set("Hickorystage-Attempt-Id", r.Header.Get("Hickorystage-Attempt-Id"))
-	rw.Header().Set("Hickorystage-Response-Stamp", "seal")
-	_, _ = io.WriteString(rw, "served")
-}
-
-func (w *worker) requests() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.got
-}
-
 func newSystem(t *testing.T) *system {
-	s := &system{t: t, store: platformtest.NewStore(), gateways: map[string]*gateway{}, endpoints: map[string]*worker{}, base: 20000}
+	s := &system{t: t, store: platformtest.NewStore(), gateways: map[string]*gateway{}, endpoints: map[string]*platformtest.Endpoint{}, servers: map[string]*httptest.Server{}, base: 20000}
 	server := httptest.NewServer(s.store)
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(func() {
@@ -96,26 +65,18 @@
 }
 
 // endpoint starts an endpoint of a service and writes its entry.
-func (s *system) endpoint(id, service, zone string) *worker {
-	w := &worker{}
-	w.server = httptest.NewServer(w)
+func (s *system) endpoint(id, service, zone string) *platformtest.Endpoint {
+	server := httptest.NewUnstartedServer(nil)
+	e := platformtest.NewEndpoint(s.store, id, service, server.Listener.Addr().String(), zone, 0)
+	server.Config.Handler = e
+	server.Start()
 	s.t.Cleanup(func() {
-		w.server.CloseClientConnections()
-		w.server.Close()
+		server.CloseClientConnections()
+		server.Close()
 	})
-	w.entry = map[string]any{
-		"service": service, "address": strings.TrimPrefix(w.server.URL, "http://"), "zone": zone, "version": "v1",
-		"slots": 8, "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": 1700000000000,
-	}
-	s.endpoints[id] = w
-	s.write(id)
-	return w
-}
-
-func (s *system) write(id string) {
-	value, err := json.Marshal(s.endpoints[id].entry)
-	require.NoError(s.t, err)
-	s.store.Put("servers/"+id, value)
+	s.endpoints[id], s.servers[id] = e, server
+	require.NoError(s.t, e.Beat())
+	return e
 }
 
 // route puts a new configuration in force in which a path leads to a service.
@@ -191,22 +152,15 @@
 
 // call sends a request and returns the status, 0 if there was no answer.
 func (g *gateway) call(path string) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+g.site.CallerAddress+path, nil)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	id := fmt.Sprintf("%x", callID.Add(1))
+	reply, err := platformtest.Call{
+		Request: id, Host: "a.example", Method: http.MethodGet, Target: path, Patience: 4 * time.Second,
+	}.Do(context.Background(), client, g.site.CallerAddress)
 	if err != nil {
-		panic(err)
-	}
-	req.Host = "a.example"
-	req.Header.Set("Hickorystage-Attempt-Id", fmt.Sprintf("%x", callID.Add(1)))
-	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	if _, err := io.ReadAll(resp.Body); err != nil {
 		return 0
 	}
-	return resp.StatusCode
+	return reply.Status
 }
 
 func (g *gateway) ready() bool {
