--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -23,12 +23,12 @@
 	// takenUse is the mean use of a region's engines from which not all of the
 	// most urgent requests are taken, lateBand how far it is from there to the use
 	// at which none are. Each lower urgency begins useStep before.
-	takenUse = 0.7
+	takenUse = 0.85
 	lateBand = 0.4
 	// lateFar is the share of the limit up to which requests of other regions are
 	// taken: what is known of a region there is older still, and the gateways of
 	// several regions see it alike.
-	lateFar = 0.75
+	lateFar = 0.8
 	// maxUneven is the use of an engine above the mean, as a factor, from which
 	// the next one by rank serves. evenUse is a use that needs no evening out.
 	maxUneven = 1.25
