--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -23,12 +23,12 @@
 	// takenUse is the mean use of a region's engines from which not all of the
 	// most urgent requests are taken, lateBand how far it is from there to the use
 	// at which none are. Each lower urgency begins useStep before.
-	takenUse = 0.85
+	takenUse = 0.7
 	lateBand = 0.4
 	// lateFar is the share of the limit up to which requests of other regions are
 	// taken: what is known of a region there is older still, and the gateways of
 	// several regions see it alike.
-	lateFar = 0.8
+	lateFar = 0.75
 	// maxUneven is the use of an engine above the mean, as a factor, from which
 	// the next one by rank serves. evenUse is a use that needs no evening out.
 	maxUneven = 1.25
@@ -41,7 +41,7 @@
 	if req.Begun || req.Tokens == 0 {
 		limit = always
 	}
-	d := Decision{Kind: Refuse, Reason: Full, RetryAfter: shortRetry}
+	d := Decision{Kind: Refuse, Reason: Full, RetryAfter: time.Duration(float64(lateRetry) * (1 + req.Draw))}
 	var bestScore time.Duration
 	regions := byRegion(candidates)
 	own := ownEngines(regions)
@@ -91,6 +91,11 @@
 	otherDraw = 1 << 10
 )
 
+// lateRetry is the least time after which a refused request may meet another view:
+// what a gateway believes is about a second old. The draw spreads the return over
+// as long again.
+const lateRetry = time.Second
+
 // always is a limit that no use reaches.
 const always = 1e9
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -14,7 +14,7 @@
 	faults := []func(){
 		w.killGateway, w.stopGateway, w.pauseGateway, w.reloadGateway,
 		w.cutStore, w.breakStore, w.breakStore, w.cutCallers,
-		w.crashEndpoint, w.drainEndpoint, w.drainEndpoint, w.cutEndpoint, w.failEndpoint,
+		w.crashEndpoint, w.crashEndpoint, w.drainEndpoint, w.drainEndpoint, w.cutEndpoint, w.cutEndpoint, w.failEndpoint,
 		w.configure, w.configure,
 	}
 	faults[w.roll(len(faults))]()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,7 +58,7 @@
 	// calmTime is the time in which it has to serve everything then.
 	calmTime = 2 * time.Second
 	// callersPerGateway is the number of callers that use a gateway at once.
-	callersPerGateway = 4
+	callersPerGateway = 6
 )
 
 func soak(t *testing.T, binary string, seed int64) {
@@ -130,7 +130,7 @@
 var callID atomic.Int64
 
 // paths are those of the calls that callers make in turn.
-var paths = []string{bookPath, readPath, homePath, movedPath, platformtest.StreamPrefix}
+var paths = []string{bookPath, readPath, bookPath, homePath, bookPath, movedPath, platformtest.StreamPrefix}
 
 // useGateway makes calls at one gateway, on connections that are kept open until
 // they break.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -36,7 +36,7 @@
 	// time hold.
 	contact = 5 * time.Second
 	// workTime is how long a request takes at an endpoint.
-	workTime = 30 * time.Millisecond
+	workTime = 60 * time.Millisecond
 )
 
 // world is one run: the deployment, the faults and what was seen.
