--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -41,7 +41,7 @@
 	if req.Begun || req.Tokens == 0 {
 		limit = always
 	}
-	d := Decision{Kind: Refuse, Reason: Full, RetryAfter: time.Duration(float64(lateRetry) * (1 + req.Draw))}
+	d := Decision{Kind: Refuse, Reason: Full, RetryAfter: shortRetry}
 	var bestScore time.Duration
 	regions := byRegion(candidates)
 	own := ownEngines(regions)
@@ -91,11 +91,6 @@
 	otherDraw = 1 << 10
 )
 
-// lateRetry is the least time after which a refused request may meet another view:
-// what a gateway believes is about a second old. The draw spreads the return over
-// as long again.
-const lateRetry = time.Second
-
 // always is a limit that no use reaches.
 const always = 1e9
 
