--- /dev/null
+++ b/internal/edgeapp/docs_test.go
@@ -0,0 +1,25 @@
+package edgeapp_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+const platformPage = "../../docs/operators/running-on-the-platform.md"
+
+// TestPlatformPageListsTheCounters compares the operators' page with the counters
+// that a gateway on the platform serves.
+func TestPlatformPageListsTheCounters(t *testing.T) {
+	raw, err := os.ReadFile(platformPage)
+	require.NoError(t, err)
+	for _, c := range telemetry.Counters() {
+		row := fmt.Sprintf("| `%s` | %s | %s |", c.Name, c.Unit, strings.TrimSuffix(c.Help, "."))
+		require.Contains(t, string(raw), row)
+	}
+}
