Let coordinators grant places at the endpoints of large regions

With the use of engines near 0.8 the queue at an engine chosen by rank alone is several hundred ms on the mean, so that the median care-consult began after 1.1 s, while other engines idled.

Ruled out: fewer engines to choose from by group of requests (trial: level).

Change: each endpoint has one gateway of its region, named by rendezvous hashing, that counts what it grants. Requests for engines ask the coordinators of the first engines by rank, by datagram, up to three; what none of them can begin within half of the objective goes to another region, and what finds no place there to where it still begins in time, or is refused. Whoever gets no answer within 60 ms goes on as before. What other regions tell of their use is no longer faded while it is on its way; that made full regions look half empty and 1,000 requests a second came back refused from one.

--- /dev/null
+++ b/internal/edge/coordinator.go
@@ -0,0 +1,235 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/controller/grants"
+	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/ledger"
+	"github.com/hickorystage/hickorystage/internal/placement"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
+)
+
+// Grants asks other gateways for places at the endpoints that they coordinate.
+type Grants interface {
+	// Ask asks the gateway with the given id and address.
+	Ask(ctx context.Context, gateway, address string, q grants.Question) (grants.Answer, error)
+}
+
+// coordinators are the gateways of the own region among which its endpoints are
+// shared out, this one included.
+type coordinators struct {
+	self string
+	ids  []string
+	byID map[string]fleet.Sign
+}
+
+func (e *Edge) coordinators(now time.Time) coordinators {
+	self := e.Gateways.Self()
+	alive := e.Gateways.Alive(self.Region, now)
+	c := coordinators{self: self.ID, ids: make([]string, 0, len(alive)+1), byID: make(map[string]fleet.Sign, len(alive))}
+	c.ids = append(c.ids, self.ID)
+	for _, g := range alive {
+		c.ids = append(c.ids, g.ID)
+		c.byID[g.ID] = g
+	}
+	return c
+}
+
+// of returns the coordinator of an endpoint. Gateways that know the same others
+// agree on it; while they don't, two may admit requests to one endpoint.
+func (c coordinators) of(endpoint string) string {
+	var best string
+	var most uint64
+	for _, id := range c.ids {
+		if w := rendezvous.Weight(coordinatorKey+endpoint, id); best == "" || w > most || w == most && id < best {
+			best, most = id, w
+		}
+	}
+	return best
+}
+
+// coordinatorKey begins the keys by which endpoints are shared out.
+const coordinatorKey = "coordinator "
+
+// Grant decides on a question of a gateway of this region, by the queues of the
+// endpoints that this one coordinates. It implements grants.Decider.
+func (e *Edge) Grant(q grants.Question, now time.Time) grants.Answer {
+	return e.grant(q, now, func(b fleet.Belief) bool { return !b.IsCold(e.heartbeat(), now) })
+}
+
+// grant decides among the coordinated endpoints that may be used.
+func (e *Edge) grant(q grants.Question, now time.Time, usable func(fleet.Belief) bool) grants.Answer {
+	born := make(map[string]int64)
+	candidates := e.coordinated(q, now, func(b fleet.Belief) bool {
+		born[b.ID] = b.Incarnation
+		return usable(b)
+	})
+	d := placement.Decide(placement.Request{
+		Tokens: q.Tokens, Shared: q.Shared, Output: q.Output, Urgency: q.Urgency, Begun: q.Begun,
+		Objective: time.Duration(q.ObjectiveMillis) * time.Millisecond,
+		Left:      time.Duration(q.WithinMillis) * time.Millisecond,
+	}, candidates)
+	if d.Kind != placement.Serve {
+		return grants.Answer{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds()}
+	}
+	c := d.Candidate
+	e.Ledger.Granted(c.ID, born[c.ID], ledger.Job{
+		Service: q.Service, Tokens: q.Tokens, Cached: c.Cached, Output: q.Output, Urgency: q.Urgency, Parts: q.Parts,
+	}, now)
+	return grants.Answer{
+		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Cached: c.Cached,
+		QueuedMillis: c.Queued.Milliseconds(), UsePercent: int(percent * c.Use),
+	}
+}
+
+// coordinated returns the endpoints of a service that this gateway coordinates.
+func (e *Edge) coordinated(q grants.Question, now time.Time, usable func(fleet.Belief) bool) []placement.Candidate {
+	own := e.Gateways.Self().Region
+	all := e.coordinators(now)
+	var out []placement.Candidate
+	top := -1
+	for _, b := range e.Registry.Usable(q.Service, e.heartbeat(), now) {
+		if b.Region != own || all.of(b.ID) != all.self || slices.Contains(q.Except, b.ID) || !usable(b) {
+			continue
+		}
+		lq := ledger.Query{ID: b.ID, Born: b.Incarnation, Service: b.Service, Parts: q.Parts, Urgency: q.Urgency, Slots: b.Slots, Coordinated: true}
+		lq.Capacity = e.cacheTokens(q.Service)
+		c, ok := e.Ledger.Candidate(lq, now)
+		if !ok {
+			continue
+		}
+		c.Region = b.Region
+		c.Rank = rendezvous.Weight(q.Key, b.ID)
+		out = append(out, c)
+		if top < 0 || c.Rank > out[top].Rank {
+			top = len(out) - 1
+		}
+	}
+	if top >= 0 && len(q.Parts) > 1 {
+		out[top].Home = true
+	}
+	return out
+}
+
+// cacheTokens is the memory of a service's engines in tokens, 0 if unknown.
+func (e *Edge) cacheTokens(service string) int {
+	table := e.Board.Routes.Get()
+	if table == nil {
+		return 0
+	}
+	if s, ok := table.Services[service]; ok && s.Engine != nil {
+		return s.Engine.CacheTokens
+	}
+	return 0
+}
+
+// asked is what the coordinators of the own region said.
+type asked struct {
+	// decision is set if one of them granted a place.
+	decision placement.Decision
+	granted  bool
+	// denied says that every one that answered had no place, and any did.
+	denied bool
+	// soonest is the coordinator with the shortest estimate of those that had
+	// none, empty if none told one.
+	soonest         string
+	soonestEstimate time.Duration
+	// asks is the number of questions.
+	asks int
+}
+
+// ask asks the coordinators of the endpoints that rank first among the given
+// candidates.
+func (s *session) ask(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) asked {
+	var out asked
+	near := nearByRank(candidates)
+	all := s.edge.coordinators(now)
+	if len(near) == 0 {
+		return out
+	}
+	within := placement.AskWithin(req, near[0].TokenTime)
+	seen := make(map[string]bool)
+	for _, c := range near {
+		id := all.of(c.ID)
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		s.askOne(ctx, &out, all, id, s.question(req, within), near)
+		if out.granted || len(seen) >= placement.MaxAsks || ctx.Err() != nil {
+			break
+		}
+	}
+	return out
+}
+
+// askLast asks the coordinator that told the shortest wait again, for a request
+// that finds no better place.
+func (s *session) askLast(ctx context.Context, out *asked, req placement.Request, candidates []placement.Candidate, now time.Time) {
+	within := placement.LastWithin(req)
+	if out.granted || out.soonest == "" || out.soonestEstimate > within {
+		return
+	}
+	s.askOne(ctx, out, s.edge.coordinators(now), out.soonest, s.question(req, within), nearByRank(candidates))
+}
+
+// nearByRank returns the candidates of the own region, the first by rank first.
+func nearByRank(candidates []placement.Candidate) []placement.Candidate {
+	near := make([]placement.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if !c.Far {
+			near = append(near, c)
+		}
+	}
+	slices.SortFunc(near, func(a, b placement.Candidate) int { return cmp.Compare(b.Rank, a.Rank) })
+	return near
+}
+
+// askOne asks one coordinator, which may be this gateway itself, and notes what
+// it says.
+func (s *session) askOne(ctx context.Context, out *asked, all coordinators, id string, q grants.Question, near []placement.Candidate) {
+	answer, err := s.answerOf(ctx, all, id, q)
+	if err != nil {
+		s.log("not_granted", "coordinator", id, "err", err)
+		return
+	}
+	out.asks++
+	for _, place := range near {
+		if place.ID != answer.Endpoint {
+			continue
+		}
+		place.Queued = time.Duration(answer.QueuedMillis) * time.Millisecond
+		place.Use, place.Cached = float64(answer.UsePercent)/percent, answer.Cached
+		out.decision = placement.Decision{Kind: placement.Serve, Candidate: place, Estimate: answer.Estimate()}
+		out.granted = true
+		return
+	}
+	out.denied = true
+	if estimate := answer.Estimate(); estimate > 0 && (out.soonest == "" || estimate < out.soonestEstimate) {
+		out.soonest, out.soonestEstimate = id, estimate
+	}
+}
+
+func (s *session) answerOf(ctx context.Context, all coordinators, id string, q grants.Question) (grants.Answer, error) {
+	if id == all.self {
+		now := time.Now()
+		return s.edge.grant(q, now, func(b fleet.Belief) bool { return s.mayUseCold(b, now) }), nil
+	}
+	return s.edge.Grants.Ask(ctx, id, all.byID[id].Grant, q)
+}
+
+func (s *session) question(req placement.Request, within time.Duration) grants.Question {
+	q := grants.Question{
+		Service: s.service.Name, Key: s.rankKey(), Tokens: req.Tokens, Shared: req.Shared, Output: req.Output,
+		Urgency: req.Urgency, ObjectiveMillis: req.Objective.Milliseconds(), WithinMillis: within.Milliseconds(),
+		Begun: req.Begun, Parts: s.parts,
+	}
+	for id := range s.tried {
+		q.Except = append(q.Except, id)
+	}
+	return q
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,8 +44,10 @@
 	Retries  *budget.Retries
 	Cold     *budget.Cold
 	// Near carries requests to endpoints, Far to gateways of other regions.
-	Near   *transport.Transport
-	Far    *transport.Transport
+	Near *transport.Transport
+	Far  *transport.Transport
+	// Grants asks the coordinators of endpoints in large regions.
+	Grants Grants
 	Logger *log.Logger
 }
 
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"math"
 	"strconv"
 	"time"
@@ -19,21 +20,35 @@
 const farLag = 600 * time.Millisecond
 
 // place finds the request a place. ok is false if there is none now.
-func (s *session) place() (d placement.Decision, ok bool) {
+func (s *session) place(ctx context.Context) (d placement.Decision, ok bool) {
 	now := time.Now()
 	candidates := s.candidates(now)
 	req := s.request(now)
-	d = placement.Decide(req, candidates)
+	var told asked
+	if req.LateView && req.Tokens > 0 {
+		told = s.ask(ctx, req, candidates, now)
+		req.NearDenied = told.denied
+	}
+	if !told.granted {
+		d = placement.Decide(req, candidates)
+	}
+	if told.denied && d.Kind != placement.Serve {
+		s.askLast(ctx, &told, req, candidates, now)
+	}
+	if told.granted {
+		d = told.decision
+	}
 	if d.Kind != placement.Serve {
 		s.log("not_placed", "reason", d.Reason, "version", s.table.Version, "candidates", len(candidates),
-			"tokens", req.Tokens, "left_ms", req.Left.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds())
+			"tokens", req.Tokens, "left_ms", req.Left.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds(),
+			"asks", told.asks)
 		return d, false
 	}
 	c := d.Candidate
 	s.log("placed", "endpoint", c.ID, "region", c.Region, "version", s.table.Version, "candidates", len(candidates),
 		"estimate_ms", d.Estimate.Milliseconds(), "queued_ms", c.Queued.Milliseconds(), "use_pct", int(percent*c.Use),
 		"running", c.Running, "waiting", c.Waiting, "tokens", req.Tokens, "cached", c.Cached, "home", c.Home,
-		"heard_ms", s.heardAgo(c.ID, now).Milliseconds())
+		"heard_ms", s.heardAgo(c.ID, now).Milliseconds(), "asks", told.asks, "granted", told.granted)
 	return d, true
 }
 
@@ -56,7 +71,7 @@
 		Objective: s.arrived.Add(s.route.Objective).Sub(now),
 		Left:      s.deadline.Sub(now),
 		LateView:  !s.edge.Gateways.IsMesh(),
-		Draw:      draw(s.req.ID),
+		Draw:      draw(s.rankKey()),
 		Begun:     s.stream.started || s.fwd != nil && s.fwd.LastEventID != "",
 	}
 	if p := s.req.Prompt; p != nil {
@@ -168,19 +183,14 @@
 // heartbeat is the time between two heartbeats of an endpoint.
 func (e *Edge) heartbeat() time.Duration { return e.Board.Site.Get().HeartbeatInterval }
 
-// mayUseCold says whether an endpoint that is cold may get this request: one
-// gateway of the region alone sends to it, within its limit.
+// mayUseCold says whether an endpoint that is cold may get this request: its
+// coordinator alone sends to it, within its limit.
 func (s *session) mayUseCold(b fleet.Belief, now time.Time) bool {
 	if s.service.ColdRate <= 0 || !b.IsCold(s.edge.heartbeat(), now) {
 		return true
 	}
-	e := s.edge
-	self := e.Gateways.Self()
-	ids := []string{self.ID}
-	for _, g := range e.Gateways.Alive(self.Region, now) {
-		ids = append(ids, g.ID)
-	}
-	return rendezvous.Owns("cold "+b.ID, self.ID, ids, 1) && e.Cold.Allows(b.ID, s.service.ColdRate, now)
+	all := s.edge.coordinators(now)
+	return all.of(b.ID) == all.self && s.edge.Cold.Allows(b.ID, s.service.ColdRate, now)
 }
 
 // farGateway returns a gateway of another region that takes requests.
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -71,7 +71,7 @@
 	s.tried = make(map[string]bool)
 	s.edge.Retries.Request(s.service.Name, time.Now())
 	for {
-		d, ok := s.place()
+		d, ok := s.place(ctx)
 		if !ok && s.stream.started {
 			// A region that refused may have room again.
 			clear(s.tried)
--- a/internal/edgeapp/edgeapp.go
+++ b/internal/edgeapp/edgeapp.go
@@ -23,6 +23,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/beats"
 	"github.com/hickorystage/hickorystage/internal/controller/discovery"
 	"github.com/hickorystage/hickorystage/internal/controller/enlist"
+	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/controller/reload"
 	"github.com/hickorystage/hickorystage/internal/controller/routesync"
 	"github.com/hickorystage/hickorystage/internal/controller/stats"
@@ -79,6 +80,7 @@
 func New(site *settings.Site, p Platform, logger *log.Logger) (*App, error) {
 	a := &App{platform: p, logger: logger, board: blackboard.NewEdge(site)}
 	beatAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort))
+	grantAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort+1))
 	a.gateways = fleet.NewGateways(fleet.Gateway{
 		ID:          site.Instance,
 		Incarnation: uuid.NewString(),
@@ -87,10 +89,20 @@
 		Caller:      site.CallerAddress,
 		Peer:        site.PeerAddress,
 		Beat:        beatAddress,
+		Grant:       grantAddress,
 		Strength:    strength(site),
 	})
 	a.registry = fleet.NewRegistry(site.Regions)
 	accounts := ledger.New()
+	conn, err := net.ListenPacket("udp", beatAddress)
+	if err != nil {
+		return nil, &ListenError{Address: beatAddress, Cause: err}
+	}
+	grantConn, err := net.ListenPacket("udp", grantAddress)
+	if err != nil {
+		return nil, &ListenError{Address: grantAddress, Cause: err}
+	}
+	asking := grants.New(grantConn, logger)
 	a.edge = edge.New(edge.Config{
 		Board:    a.board,
 		Registry: a.registry,
@@ -101,12 +113,10 @@
 		Cold:     budget.NewCold(coldSettings(site)),
 		Near:     transport.New(transport.Dialer(), transport.DialTimeout),
 		Far:      transport.New(transport.Dialer(), transport.FarDialTimeout),
+		Grants:   asking,
 		Logger:   logger,
 	})
-	conn, err := net.ListenPacket("udp", beatAddress)
-	if err != nil {
-		return nil, &ListenError{Address: beatAddress, Cause: err}
-	}
+	asking.SetDecider(a.edge)
 	words := fleet.NewWords()
 	client := neighbour.NewClient(transport.Dialer())
 	a.controllers = []controller.Controller{
@@ -119,6 +129,7 @@
 		}),
 		enlist.New(a.board, p.Store, a.gateways, logger),
 		stats.New(logger),
+		asking,
 		reload.New(a.board, p.Settings, p.Hangup, logger),
 		beats.New(beats.Config{
 			Board: a.board, Gateways: a.gateways, Ledger: accounts, Words: words, Word: a.word,
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -16,10 +16,12 @@
 	Region      string `json:"region"`
 	DataCentre  string `json:"dc"`
 	// Caller is where callers connect, Peer where gateways send requests on,
-	// Beat where gateways send their beats.
+	// Beat where they send their beats.
 	Caller string `json:"caller"`
 	Peer   string `json:"peer"`
 	Beat   string `json:"beat"`
+	// Grant is where gateways ask for places at endpoints.
+	Grant string `json:"grant,omitempty"`
 	// Strength orders gateways by what their machines can do.
 	Strength int `json:"strength"`
 }
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -47,6 +47,8 @@
 	ejected     time.Time
 
 	parts partCache
+	// granted is set by the endpoint's coordinator.
+	granted granted
 }
 
 func newAccount(born int64) *account { return &account{born: born, parts: newPartCache()} }
--- a/internal/ledger/candidate.go
+++ b/internal/ledger/candidate.go
@@ -20,6 +20,8 @@
 	// account for it; Lag is how old their word is at most.
 	Far bool
 	Lag time.Duration
+	// Coordinated says that this gateway is the endpoint's coordinator.
+	Coordinated bool
 }
 
 // Candidate returns what is believed of an endpoint now. ok is false while it
@@ -56,6 +58,9 @@
 		c.Queued += a.queued(q.Urgency, now)
 		busy += a.busyNow(now)
 		c.Use = busy.Seconds() / busyTime.Seconds()
+		if q.Coordinated {
+			a.granted.refine(&c, q.Urgency, now)
+		}
 		c.Cached = a.held(&c, q, now)
 	})
 	return c, ok
--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -106,9 +106,16 @@
 	defer p.mu.RUnlock()
 	total := Row{ID: id}
 	for gateway, r := range p.rows[id] {
-		if age := now.Sub(p.told[gateway].at); age <= peerTime {
-			total = total.Plus(r.aged(age))
+		age := now.Sub(p.told[gateway].at)
+		if age > peerTime {
+			continue
 		}
+		aged := r.aged(age)
+		if strings.HasPrefix(gateway, sumPrefix) {
+			// A region as a whole goes on as it did.
+			aged.Busy = r.Busy
+		}
+		total = total.Plus(aged)
 	}
 	return total
 }
--- a/internal/ledger/wire.go
+++ b/internal/ledger/wire.go
@@ -96,3 +96,24 @@
 	*r = Reading{ID: id, Hash: n}
 	return nil
 }
+
+// MarshalJSON implements json.Marshaler: "hash tokens".
+func (p Part) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + strconv.FormatUint(p.Hash, hashBase) + " " + strconv.Itoa(p.Tokens) + `"`), nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *Part) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.WithStack(err)
+	}
+	hash, tokens, _ := strings.Cut(text, " ")
+	h, err := strconv.ParseUint(hash, hashBase, 64)
+	n, tokensErr := strconv.Atoi(tokens)
+	if err != nil || tokensErr != nil || n < 0 {
+		return errors.WithStack(&FormatError{Text: text})
+	}
+	*p = Part{Hash: h, Tokens: n}
+	return nil
+}
--- /dev/null
+++ b/internal/placement/ask_test.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// coordinated plays the same load as ask, but for the own region: there the
+// coordinators of the engines that rank first are asked, each of which knows its
+// two engines as they are, and what was granted.
+func coordinated(random *rand.Rand, req Request, region string, engines, view []played, now time.Time) bool {
+	req.LateView, req.Draw = true, random.Float64()
+	all := rankedCandidates(random.Intn(subjects), region, view)
+	near := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Far })
+	slices.SortFunc(near, func(a, b Candidate) int { return compareRanks(b, a) })
+	seen := make(map[int]bool)
+	best, soonest := -1, time.Duration(0)
+	for _, c := range near {
+		group := number(c) / engineGroup
+		if seen[group] {
+			continue
+		}
+		seen[group] = true
+		d := grantOf(req, group, near, engines, now, AskWithin(req, tokenTime))
+		if d.Kind == Serve {
+			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
+		}
+		if d.Estimate > 0 && (best < 0 || d.Estimate < soonest) {
+			best, soonest = group, d.Estimate
+		}
+		if len(seen) == MaxAsks {
+			break
+		}
+	}
+	req.NearDenied = true
+	if d := Decide(req, all); d.Kind == Serve {
+		// The gateway there asks its own coordinators.
+		req.Objective -= d.Candidate.Path
+		if d = bestOf(req, d.Candidate.Region, all, engines, now); d.Kind == Serve {
+			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
+		}
+	}
+	if best >= 0 {
+		if d := grantOf(req, best, near, engines, now, LastWithin(req)); d.Kind == Serve {
+			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
+		}
+	}
+	return false
+}
+
+// engineGroup is the number of engines of one coordinator.
+const engineGroup = 2
+
+func number(c Candidate) int {
+	var n int
+	_, _ = fmt.Sscan(c.ID, &n)
+	return n
+}
+
+func compareRanks(a, b Candidate) int {
+	if a.Rank < b.Rank {
+		return -1
+	}
+	return 1
+}
+
+// rankedCandidates returns the engines as the view shows them.
+func rankedCandidates(subject int, region string, view []played) []Candidate {
+	out := make([]Candidate, 0, len(view))
+	for i := range view {
+		c := engine(fmt.Sprint(i))
+		c.Rank = xxhash.Sum64String(fmt.Sprint(subject, " ", i))
+		c.Queued, c.Use = view[i].queued, view[i].use.Seconds()/useTime.Seconds()
+		c.Running, c.Region = 1, view[i].region
+		if view[i].region != region {
+			c.Far, c.Path = true, 110*time.Millisecond
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// grantOf is the decision of the coordinator of a group of engines.
+func grantOf(req Request, group int, candidates []Candidate, engines []played, now time.Time, within time.Duration) Decision {
+	var own []Candidate
+	for _, c := range candidates {
+		if n := number(c); n/engineGroup == group {
+			engines[n].advance(now)
+			c.Far, c.Path = false, 0
+			c.Queued, c.Use = engines[n].queued, engines[n].use.Seconds()/useTime.Seconds()
+			own = append(own, c)
+		}
+	}
+	req.LateView, req.Left = false, min(req.Left, within)
+	return Decide(req, own)
+}
+
+// bestOf asks the first coordinators of another region.
+func bestOf(req Request, region string, all []Candidate, engines []played, now time.Time) Decision {
+	there := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Region != region })
+	slices.SortFunc(there, func(a, b Candidate) int { return compareRanks(b, a) })
+	var d Decision
+	for _, c := range there[:min(MaxAsks, len(there))] {
+		if d = grantOf(req, number(c)/engineGroup, there, engines, now, AskWithin(req, tokenTime)); d.Kind == Serve {
+			d.Candidate.Far, d.Candidate.Path = true, 110*time.Millisecond
+			return d
+		}
+	}
+	return d
+}
+
+// playOn gives an engine the request and says whether it is answered in time.
+func playOn(req Request, e *played, c Candidate, now time.Time) bool {
+	e.advance(now)
+	c.Queued = e.queued
+	e.queued += readTime(req, &c)
+	e.use += readTime(req, &c)
+	return estimate(req, &c) <= req.Objective
+}
+
+// TestCoordinatorsServeMoreOfAPeak plays two regions at and above what they can
+// read beside one with time to spare. What callers get is compared with gateways
+// that choose by the late view alone.
+func TestCoordinatorsServeMoreOfAPeak(t *testing.T) {
+	for _, demands := range [][]demand{
+		{{"north", 28, 0.85}},
+		{{"north", 28, 1.2}, {"south", 28, 0.3}},
+		{{"north", 28, 1.3}, {"south", 28, 1.3}, {"west", 8, 0.4}},
+	} {
+		view, granted := late(t, true, demands...), lateBy(t, coordinated, demands...)
+		t.Logf("%v: late or refused by late view %v, by coordinators %v", demands, view, granted)
+		var before, after float64
+		for _, d := range demands {
+			before += view[d.region] * d.share * float64(d.engines)
+			after += granted[d.region] * d.share * float64(d.engines)
+		}
+		require.Less(t, after, before)
+	}
+}
+
+// TestASmallRegionIsNotFloodedThroughCoordinators is the same bound as that of
+// TestASmallRegionIsNotFlooded.
+func TestASmallRegionIsNotFloodedThroughCoordinators(t *testing.T) {
+	small := lateBy(t, coordinated, demand{"north", 28, 1.3}, demand{"south", 28, 1.3}, demand{"west", 8, 0.4})
+	t.Logf("late or refused: %v", small)
+	require.Less(t, small["west"], 0.1)
+}
+
+func TestLongPromptsMayTakeTheirOwnReading(t *testing.T) {
+	long := Request{Tokens: 40_000, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
+	short := Request{Tokens: 100, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
+	read := time.Duration(long.Tokens) * tokenTime
+	require.Greater(t, AskWithin(long, tokenTime), read)
+	require.Less(t, AskWithin(short, tokenTime), 700*time.Millisecond)
+	require.Equal(t, long.Objective, LastWithin(long))
+	begun := long
+	begun.Begun = true
+	require.Equal(t, long.Left, LastWithin(begun), "what has begun is not given up")
+}
--- a/internal/placement/late.go
+++ b/internal/placement/late.go
@@ -27,8 +27,10 @@
 	lateBand = 0.4
 	// lateFar is the share of the limit up to which requests of other regions are
 	// taken: what is known of a region there is older still, and the gateways of
-	// several regions see it alike.
-	lateFar = 0.75
+	// several regions see it alike. askedFar is the same where coordinators there
+	// refuse what they have no room for.
+	lateFar  = 0.75
+	askedFar = 0.95
 	// maxUneven is the use of an engine above the mean, as a factor, from which
 	// the next one by rank serves. evenUse is a use that needs no evening out.
 	maxUneven = 1.25
@@ -46,7 +48,7 @@
 	regions := byRegion(candidates)
 	own := ownEngines(regions)
 	for _, r := range regions {
-		if r.far && !r.mayHelp(req, limit, own) || r.meanUse > limit {
+		if r.far && !r.mayHelp(req, limit, own) || !r.far && req.NearDenied || r.meanUse > limit {
 			continue
 		}
 		c := r.firstFit(req)
@@ -78,7 +80,11 @@
 // mayHelp says whether a request may go to another region: up to a share of the
 // limit there, and no more of the requests than it has time to spare for.
 func (r *region) mayHelp(req Request, limit float64, own int) bool {
-	spare := float64(len(r.candidates)) * (lateFar*limit - r.meanUse)
+	share := lateFar
+	if req.NearDenied {
+		share = askedFar
+	}
+	spare := float64(len(r.candidates)) * (share*limit - r.meanUse)
 	_, other := math.Modf(req.Draw * otherDraw)
 	return spare > 0 && other*excess*float64(own) < spare
 }
--- a/internal/placement/late_test.go
+++ b/internal/placement/late_test.go
@@ -1,13 +1,11 @@
 package placement
 
 import (
-	"fmt"
 	"math"
 	"math/rand"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -42,16 +40,25 @@
 	share   float64
 }
 
-// late plays the demands and returns the share of each region's questions that
-// were refused or answered late.
+// late plays the demands with gateways that choose by the view alone.
 func late(t *testing.T, lateView bool, demands ...demand) map[string]float64 {
+	t.Helper()
+	return lateBy(t, func(random *rand.Rand, req Request, region string, engines, view []played, now time.Time) bool {
+		return ask(random, req, region, lateView, engines, view, now)
+	}, demands...)
+}
+
+// lateBy plays the demands and returns the share of each region's questions that
+// were refused or answered late. place places one request and plays it; false if
+// it was not answered in time.
+func lateBy(t *testing.T, place func(*rand.Rand, Request, string, []played, []played, time.Time) bool, demands ...demand) map[string]float64 {
 	t.Helper()
 	random := rand.New(rand.NewSource(1))
 	now := time.Unix(1_700_000_000, 0)
-	var engines []*played
+	var engines []played
 	for _, d := range demands {
 		for range d.engines {
-			engines = append(engines, &played{region: d.region, at: now})
+			engines = append(engines, played{region: d.region, at: now})
 		}
 	}
 	asked, missed := make(map[string]int), make(map[string]int)
@@ -62,16 +69,16 @@
 	for n := 0; n < int(playTime/step); n++ {
 		now = now.Add(step)
 		if n%int(viewInterval/step) == 0 {
-			for i, e := range engines {
-				e.advance(now)
-				view[i] = *e
+			for i := range engines {
+				engines[i].advance(now)
+				view[i] = engines[i]
 			}
 		}
 		for _, d := range demands {
 			rate := d.share * float64(d.engines) / work.Seconds() * interleave * step.Seconds()
 			for range poisson(random, rate) {
 				asked[d.region]++
-				if !ask(random, req, d.region, lateView, engines, view, now) {
+				if !place(random, req, d.region, engines, view, now) {
 					missed[d.region]++
 				}
 			}
@@ -86,35 +93,10 @@
 
 // ask places one request by the view and plays it; false if it was not answered
 // in time.
-func ask(random *rand.Rand, req Request, region string, lateView bool, engines []*played, view []played, now time.Time) bool {
+func ask(random *rand.Rand, req Request, region string, lateView bool, engines, view []played, now time.Time) bool {
 	req.LateView, req.Draw = lateView, random.Float64()
-	subject := random.Intn(subjects)
-	candidates := make([]Candidate, 0, len(engines))
-	for i := range view {
-		c := engine(fmt.Sprint(i))
-		c.Rank = xxhash.Sum64String(fmt.Sprint(subject, " ", i))
-		c.Queued, c.Use = view[i].queued, view[i].use.Seconds()/useTime.Seconds()
-		c.Running, c.Region = 1, view[i].region
-		if view[i].region != region {
-			c.Far, c.Path = true, 110*time.Millisecond
-		}
-		candidates = append(candidates, c)
-	}
-	d := Decide(req, candidates)
-	if d.Kind != Serve {
-		return false
-	}
-	var chosen int
-	if _, err := fmt.Sscan(d.Candidate.ID, &chosen); err != nil {
-		return false
-	}
-	e := engines[chosen]
-	e.advance(now)
-	c := d.Candidate
-	c.Queued = e.queued
-	e.queued += readTime(req, &c)
-	e.use += readTime(req, &c)
-	return estimate(req, &c) <= req.Objective
+	d := Decide(req, rankedCandidates(random.Intn(subjects), region, view))
+	return d.Kind == Serve && playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
 }
 
 // poisson draws the number of arrivals of a rate.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,8 @@
 	LateView bool
 	// Draw is from 0 to 1 and differs between requests.
 	Draw float64
+	// NearDenied says that the own region was asked and has no place.
+	NearDenied bool
 	// Begun says that the caller has a part of the answer already, which is lost
 	// if the rest can't be had.
 	Begun bool
