Let prompts wait for their parts, and long ones be taken like others

And coordinators sent requests away from the engine that holds their parts as soon as the queue there was past half of the objective, though reading the parts again costs more.

Change: at most 250 ms of the own reading count. A coordinator takes a longer queue where it saves reading parts again; the second and third one asked have to do better than the first.

--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -21,9 +21,11 @@
 	// Urgency is 0 for the most urgent requests.
 	Urgency int `json:"u,omitempty"`
 	// ObjectiveMillis is the time left until the answer is late, which may be
-	// negative; WithinMillis bounds the estimated time until the answer begins.
+	// negative. WithinMillis bounds the estimated time until the answer begins at
+	// an endpoint that holds nothing of the prompt, LeftMillis that at any.
 	ObjectiveMillis int64 `json:"o"`
 	WithinMillis    int64 `json:"w"`
+	LeftMillis      int64 `json:"l"`
 	// Begun says that the caller has a part of the answer already.
 	Begun bool `json:"b,omitempty"`
 	// Parts are the prompt's parts, each with all before it.
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -68,11 +68,11 @@
 		born[b.ID] = b.Incarnation
 		return usable(b)
 	})
-	d := placement.Decide(placement.Request{
+	d := placement.Grant(placement.Request{
 		Tokens: q.Tokens, Shared: q.Shared, Output: q.Output, Urgency: q.Urgency, Begun: q.Begun,
 		Objective: time.Duration(q.ObjectiveMillis) * time.Millisecond,
-		Left:      time.Duration(q.WithinMillis) * time.Millisecond,
-	}, candidates)
+		Left:      time.Duration(q.LeftMillis) * time.Millisecond,
+	}, candidates, time.Duration(q.WithinMillis)*time.Millisecond)
 	if d.Kind != placement.Serve {
 		return grants.Answer{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds()}
 	}
@@ -148,10 +148,6 @@
 	var out asked
 	near := nearByRank(candidates)
 	all := s.edge.coordinators(now)
-	if len(near) == 0 {
-		return out
-	}
-	within := placement.AskWithin(req, near[0].TokenTime)
 	seen := make(map[string]bool)
 	for _, c := range near {
 		id := all.of(c.ID)
@@ -159,6 +155,7 @@
 			continue
 		}
 		seen[id] = true
+		within := placement.AskWithin(req, c.TokenTime, len(seen)-1)
 		s.askOne(ctx, &out, all, id, s.question(req, within), near)
 		if out.granted || len(seen) >= placement.MaxAsks || ctx.Err() != nil {
 			break
@@ -226,7 +223,8 @@
 	q := grants.Question{
 		Service: s.service.Name, Key: s.rankKey(), Tokens: req.Tokens, Shared: req.Shared, Output: req.Output,
 		Urgency: req.Urgency, ObjectiveMillis: req.Objective.Milliseconds(), WithinMillis: within.Milliseconds(),
-		Begun: req.Begun, Parts: s.parts,
+		LeftMillis: placement.LastWithin(req).Milliseconds(),
+		Begun:      req.Begun, Parts: s.parts,
 	}
 	for id := range s.tried {
 		q.Except = append(q.Except, id)
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -153,7 +153,7 @@
 			w.entry(fleet.Endpoint{ID: id, Service: "s", DataCentre: "north-a", Slots: 8, Address: "127.0.0.1:1"})
 		}
 	}
-	question := grants.Question{Service: "s", Key: "k", Tokens: 1000, ObjectiveMillis: 1000, WithinMillis: 1000}
+	question := grants.Question{Service: "s", Key: "k", Tokens: 1000, ObjectiveMillis: 1000, WithinMillis: 1000, LeftMillis: 1000}
 	var granted []string
 	for {
 		a := e.Grant(question, now)
@@ -184,7 +184,7 @@
 	}
 	w.endpoints = nil
 	w.entry(fleet.Endpoint{ID: id, Service: "s", DataCentre: "north-a", Slots: 8, Address: "127.0.0.1:1", ColdFor: time.Minute})
-	question := grants.Question{Service: "s", Key: "k", Tokens: 1000, ObjectiveMillis: 1000, WithinMillis: 1000}
+	question := grants.Question{Service: "s", Key: "k", Tokens: 1000, ObjectiveMillis: 1000, WithinMillis: 1000, LeftMillis: 1000}
 	require.Empty(t, e.Grant(question, time.Now()).Endpoint)
 	a := e.grant(question, time.Now(), func(fleet.Belief) bool { return true })
 	require.True(t, strings.HasPrefix(a.Endpoint, "cold"), "only the coordinator itself may use it")
--- a/internal/placement/ask.go
+++ b/internal/placement/ask.go
@@ -19,15 +19,26 @@
 const MaxAsks = 3
 
 // AskWithin returns the longest estimate with which a place is taken while
-// others are still to be asked, here and in other regions.
-func AskWithin(req Request, tokenTime time.Duration) time.Duration {
+// others are still to be asked, here and in other regions. n counts the
+// questions from 0 on: away from the home of its parts a prompt is read anew, so
+// that the second and third coordinator have to do better.
+func AskWithin(req Request, tokenTime time.Duration, n int) time.Duration {
 	if req.Begun || req.Objective <= 0 {
 		return req.Left
 	}
 	read := time.Duration(float64(req.Tokens) * float64(tokenTime) / interleave)
-	return min(read+time.Duration(easyShare*float64(max(req.Objective-read, 0))), req.Left)
+	within := read + time.Duration(easyShare*float64(max(req.Objective-read, 0)))
+	if n > 0 {
+		within = time.Duration(otherShare * float64(within))
+	}
+	return min(within, req.Left)
 }
 
+// otherShare is the share of the bound of the first question that the others
+// have: between a third, at which full regions look fuller than they are, and
+// all of it, at which prompts are read twice.
+const otherShare = 0.6
+
 // LastWithin returns the same for a request that has no other place left. One
 // that can't be answered in time is better refused: in a full region it would
 // make those behind it late as well.
@@ -37,3 +48,19 @@
 	}
 	return min(req.Objective, req.Left)
 }
+
+// Grant decides as the coordinator of the candidates. It takes a place whose
+// estimate is at most within, or longer by what reading the parts again elsewhere
+// would cost.
+func Grant(req Request, candidates []Candidate, within time.Duration) Decision {
+	req.LateView = false
+	d := Decide(req, candidates)
+	if d.Kind != Serve {
+		return d
+	}
+	saved := time.Duration(workWeight * float64(time.Duration(min(d.Candidate.Cached, req.Shared))*d.Candidate.TokenTime))
+	if d.Estimate > within+saved {
+		return Decision{Kind: Refuse, Reason: TooLate, Estimate: d.Estimate, RetryAfter: shortRetry}
+	}
+	return d
+}
--- a/internal/placement/ask_test.go
+++ b/internal/placement/ask_test.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		seen[group] = true
-		d := grantOf(req, group, near, engines, now, AskWithin(req, tokenTime))
+		d := grantOf(req, group, near, engines, now, AskWithin(req, tokenTime, len(seen)-1))
 		if d.Kind == Serve {
 			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
 		}
@@ -97,8 +97,8 @@
 			own = append(own, c)
 		}
 	}
-	req.LateView, req.Left = false, min(req.Left, within)
-	return Decide(req, own)
+	req.Left = LastWithin(req)
+	return Grant(req, own, within)
 }
 
 // bestOf asks the first coordinators of another region.
@@ -106,8 +106,8 @@
 	there := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Region != region })
 	slices.SortFunc(there, func(a, b Candidate) int { return compareRanks(b, a) })
 	var d Decision
-	for _, c := range there[:min(MaxAsks, len(there))] {
-		if d = grantOf(req, number(c)/engineGroup, there, engines, now, AskWithin(req, tokenTime)); d.Kind == Serve {
+	for n, c := range there[:min(MaxAsks, len(there))] {
+		if d = grantOf(req, number(c)/engineGroup, there, engines, now, AskWithin(req, tokenTime, n)); d.Kind == Serve {
 			d.Candidate.Far, d.Candidate.Path = true, 110*time.Millisecond
 			return d
 		}
@@ -156,10 +156,38 @@
 	long := Request{Tokens: 40_000, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
 	short := Request{Tokens: 100, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
 	read := time.Duration(long.Tokens) * tokenTime
-	require.Greater(t, AskWithin(long, tokenTime), read)
-	require.Less(t, AskWithin(short, tokenTime), 700*time.Millisecond)
+	require.Greater(t, AskWithin(long, tokenTime, 0), read)
+	require.Less(t, AskWithin(short, tokenTime, 0), 700*time.Millisecond)
+	require.Less(t, AskWithin(short, tokenTime, 1), AskWithin(short, tokenTime, 0))
 	require.Equal(t, long.Objective, LastWithin(long))
 	begun := long
 	begun.Begun = true
 	require.Equal(t, long.Left, LastWithin(begun), "what has begun is not given up")
 }
+
+// TestAPromptWaitsForItsParts checks that an engine that holds the parts takes a
+// request with a wait at which another one doesn't.
+func TestAPromptWaitsForItsParts(t *testing.T) {
+	req := Request{Tokens: 10_000, Shared: 5_000, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
+	c := engine("e")
+	c.Running, c.Queued = 1, 400*time.Millisecond
+	within := 500 * time.Millisecond
+	d := Grant(req, []Candidate{c}, within)
+	require.Equal(t, Refuse, d.Kind)
+	require.Greater(t, d.Estimate, within, "who asks learns how long it would take")
+	c.Cached = 5_000
+	require.Equal(t, Serve, Grant(req, []Candidate{c}, within).Kind)
+	c.Queued = 2 * time.Second
+	require.Equal(t, Refuse, Grant(req, []Candidate{c}, within).Kind)
+}
+
+// TestLongPromptsAreNotShutOut checks that a prompt several times as long as
+// others is taken by an engine that is as busy as those that take the others.
+func TestLongPromptsAreNotShutOut(t *testing.T) {
+	c := engine("e")
+	c.Running, c.Use = 1, 0.6
+	long := Request{Tokens: 50_000, Urgency: 1, Objective: 1200 * time.Millisecond, Left: 12 * time.Second}
+	require.Equal(t, Serve, Decide(long, []Candidate{c}).Kind)
+	c.Use = 0.75
+	require.Equal(t, Refuse, Decide(long, []Candidate{c}).Kind)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -205,7 +205,7 @@
 		return false
 	}
 	limit := fullUse - useStep*float64(min(req.Urgency, 2))
-	return c.Use+readTime(req, c).Seconds()/useTime.Seconds() > limit
+	return c.Use+min(readTime(req, c), ownRead).Seconds()/useTime.Seconds() > limit
 }
 
 const (
@@ -213,6 +213,9 @@
 	// lower urgency ends useStep before.
 	fullUse = 0.95
 	useStep = 0.15
+	// ownRead bounds what a request's own reading time counts in this: beyond it
+	// the longest prompts would be refused several times as often as others.
+	ownRead = 250 * time.Millisecond
 	// useTime is the time over which Candidate.Use is measured.
 	useTime = 2 * time.Second
 )
