Keep one counter of requests under way and one loop that reads datagrams

internal/edge and internal/gateway had the same in-flight counter, beats and grants the same receiving loop.

--- a/internal/controller/beats/beats.go
+++ b/internal/controller/beats/beats.go
@@ -8,17 +8,16 @@
 package beats
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/datagram"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/ledger"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -96,12 +95,11 @@
 
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
-	ctx := t.Context(context.Background())
 	t.Go(func() error {
 		<-t.Dying()
 		return c.Conn.Close()
 	})
-	t.Go(func() error { return c.receive(ctx) })
+	t.Go(c.receive)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -120,24 +118,16 @@
 	}
 }
 
-func (c *Controller) receive(ctx context.Context) error {
-	buffer := make([]byte, maxBeatBytes)
-	for {
-		n, _, err := c.Conn.ReadFrom(buffer)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			c.Logger.Warn("beat not received", "err", err)
-			continue
-		}
+func (c *Controller) receive() error {
+	datagram.Receive(c.Conn, maxBeatBytes, c.Logger, func(body []byte, _ net.Addr) {
 		var b Beat
-		if err := json.Unmarshal(buffer[:n], &b); err != nil {
+		if err := json.Unmarshal(body, &b); err != nil {
 			malformed.Inc()
-			continue
+			return
 		}
 		c.hear(b, time.Now())
-	}
+	})
+	return nil
 }
 
 // hear takes in a beat. A gateway that was not known to be alive is answered
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/hickorystage/hickorystage/internal/datagram"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -82,23 +83,15 @@
 		<-t.Dying()
 		return c.conn.Close()
 	})
-	buffer := make([]byte, maxBytes)
-	for {
-		n, from, err := c.conn.ReadFrom(buffer)
-		if !t.Alive() || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			c.logger.Warn("question not received", "err", err)
-			continue
-		}
+	datagram.Receive(c.conn, maxBytes, c.logger, func(body []byte, from net.Addr) {
 		var m message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		if err := json.Unmarshal(body, &m); err != nil {
 			malformed.Inc()
-			continue
+			return
 		}
 		c.hear(m, from)
-	}
+	})
+	return nil
 }
 
 func (c *Controller) hear(m message, from net.Addr) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/hickorystage/hickorystage/internal/exchange"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/ledger"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -54,7 +55,7 @@
 // Edge serves requests. It is safe for concurrent use.
 type Edge struct {
 	Config
-	inFlight *inFlight
+	inFlight *inflight.Counter
 	paths    *paths
 	// turn takes the gateways of other regions in turn.
 	turn atomic.Uint64
@@ -62,7 +63,7 @@
 
 // New returns an edge.
 func New(c Config) *Edge {
-	e := &Edge{Config: c, inFlight: newInFlight(), paths: newPaths()}
+	e := &Edge{Config: c, inFlight: inflight.New(), paths: newPaths()}
 	c.Far.Observe(e.connected)
 	return e
 }
@@ -83,8 +84,8 @@
 
 func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	e.inFlight.enter()
-	defer e.inFlight.leave()
+	e.inFlight.Enter()
+	defer e.inFlight.Leave()
 	requests.Inc()
 	s, err := e.open(w, r, arrived)
 	if err != nil {
@@ -201,7 +202,7 @@
 
 // Idle returns a channel that is closed while no request is under way, and the
 // number of requests under way.
-func (e *Edge) Idle() (<-chan struct{}, int) { return e.inFlight.wait() }
+func (e *Edge) Idle() (<-chan struct{}, int) { return e.inFlight.Wait() }
 
 // refuse gives the caller the gateway's own answer.
 func (e *Edge) refuse(s *session, r *failure.Refusal) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -92,8 +92,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.inFlight.enter()
-	defer e.inFlight.leave()
+	e.inFlight.Enter()
+	defer e.inFlight.Leave()
 	received.Inc()
 	s, err := e.openForwarded(w, r, &f, arrived)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/dispatch"
+	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/relay"
@@ -53,12 +54,12 @@
 // Gateway serves callers, peers and operators.
 type Gateway struct {
 	Config
-	inFlight *inFlight
+	inFlight *inflight.Counter
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{Config: cfg, inFlight: newInFlight()}
+	return &Gateway{Config: cfg, inFlight: inflight.New()}
 }
 
 // handler serves one request whose sender is known.
@@ -103,3 +104,7 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// InFlight returns a channel that is closed while no request is under way, and
+// the number of requests under way.
+func (g *Gateway) InFlight() (<-chan struct{}, int) { return g.inFlight.Wait() }
