Ask for one endpoint at a time, by rank

Cause: a coordinator that was asked for the home of a prompt's parts gave the next best of its own endpoints once the home was busy.

Change: a question names the endpoint; the second and third by rank are asked for next, at their own coordinators. The last question is for any.

--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -1,6 +1,7 @@
 package grants
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/ledger"
@@ -30,6 +31,8 @@
 	Begun bool `json:"b,omitempty"`
 	// Parts are the prompt's parts, each with all before it.
 	Parts []ledger.Part `json:"p,omitempty"`
+	// Only names the endpoint that is asked for; empty for any.
+	Only string `json:"i,omitempty"`
 	// Except are endpoints that won't do.
 	Except []string `json:"x,omitempty"`
 }
@@ -61,3 +64,8 @@
 	Question *Question `json:"q,omitempty"`
 	Answer   *Answer   `json:"a,omitempty"`
 }
+
+// Admits says whether an endpoint will do.
+func (q Question) Admits(endpoint string) bool {
+	return (q.Only == "" || q.Only == endpoint) && !slices.Contains(q.Except, endpoint)
+}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -93,7 +93,7 @@
 	var out []placement.Candidate
 	top := -1
 	for _, b := range e.Registry.Usable(q.Service, e.heartbeat(), now) {
-		if b.Region != own || all.of(b.ID) != all.self || slices.Contains(q.Except, b.ID) || !usable(b) {
+		if b.Region != own || all.of(b.ID) != all.self || !q.Admits(b.ID) || !usable(b) {
 			continue
 		}
 		lq := ledger.Query{ID: b.ID, Born: b.Incarnation, Service: b.Service, Parts: q.Parts, Urgency: q.Urgency, Slots: b.Slots, Coordinated: true}
@@ -142,30 +142,25 @@
 	asks int
 }
 
-// ask asks the coordinators of the endpoints that rank first among the given
-// candidates.
+// ask asks for the endpoints that rank first among the given candidates, each at
+// its coordinator.
 func (s *session) ask(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) asked {
 	var out asked
 	near := nearByRank(candidates)
 	all := s.edge.coordinators(now)
-	seen := make(map[string]bool)
-	for _, c := range near {
-		id := all.of(c.ID)
-		if seen[id] {
-			continue
-		}
-		seen[id] = true
-		within := placement.AskWithin(req, c.TokenTime, len(seen)-1)
-		s.askOne(ctx, &out, all, id, s.question(req, within), near)
-		if out.granted || len(seen) >= placement.MaxAsks || ctx.Err() != nil {
+	for n, c := range near[:min(placement.MaxAsks, len(near))] {
+		q := s.question(req, placement.AskWithin(req, c.TokenTime, n))
+		q.Only = c.ID
+		s.askOne(ctx, &out, all, all.of(c.ID), q, near)
+		if out.granted || ctx.Err() != nil {
 			break
 		}
 	}
 	return out
 }
 
-// askLast asks the coordinator that told the shortest wait again, for a request
-// that finds no better place.
+// askLast asks the coordinator that told the shortest wait for any of its
+// endpoints, for a request that finds no better place.
 func (s *session) askLast(ctx context.Context, out *asked, req placement.Request, candidates []placement.Candidate, now time.Time) {
 	within := placement.LastWithin(req)
 	if out.granted || out.soonest == "" || out.soonestEstimate > within {
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -172,6 +172,15 @@
 	require.Empty(t, e.Grant(question, time.Now()).Endpoint, "all of them leave")
 }
 
+// TestOneEndpointIsAskedFor checks that a coordinator grants no other one then.
+func TestOneEndpointIsAskedFor(t *testing.T) {
+	q := grants.Question{Only: "a", Except: []string{"c"}}
+	require.True(t, q.Admits("a"))
+	require.False(t, q.Admits("b"))
+	require.True(t, grants.Question{Except: []string{"c"}}.Admits("b"))
+	require.False(t, grants.Question{Except: []string{"c"}}.Admits("c"))
+}
+
 func TestColdEndpointsAreNotGrantedToOthers(t *testing.T) {
 	f := &fakeGrants{}
 	w, _ := newCrowd(t, f)
--- a/internal/placement/ask.go
+++ b/internal/placement/ask.go
@@ -4,9 +4,10 @@
 
 // In a large region a request's place is granted by an endpoint's coordinator,
 // which knows the queues of the endpoints that it coordinates without delay, and
-// of no others. A coordinator decides by Decide over these few. The one of the
-// endpoint at which requests with the same parts meet is asked first, then the
-// next ones by rank, then other regions. Each has to do well within the
+// of no others. The one of the
+// endpoint at which requests with the same parts meet is asked for it first, then
+// those of the next ones by rank, so that the overflow of a part meets as well, then
+// other regions. Each has to do well within the
 // objective, so that a hot prompt part spreads before its home is full, and a
 // busy region before its queues are long. What finds no such place goes to where
 // it still begins in time, if there is one.
@@ -14,8 +15,8 @@
 // This answers the peaks of large fleets: gateways that choose by the same late
 // sums fill single engines while others of their region idle.
 
-// MaxAsks is the number of coordinators that are asked for one request: with
-// three of a few engines each, a full region is hardly mistaken for a free one.
+// MaxAsks is the number of endpoints whose coordinators are asked for one request:
+// of three at random, one is hardly ever as full as the fullest of its region.
 const MaxAsks = 3
 
 // AskWithin returns the longest estimate with which a place is taken while
--- a/internal/placement/ask_test.go
+++ b/internal/placement/ask_test.go
@@ -12,30 +12,21 @@
 )
 
 // coordinated plays the same load as ask, but for the own region: there the
-// coordinators of the engines that rank first are asked, each of which knows its
-// two engines as they are, and what was granted.
+// coordinators of the engines that rank first are asked, which know these as they
+// are, with what was granted.
 func coordinated(random *rand.Rand, req Request, region string, engines, view []played, now time.Time) bool {
 	req.LateView, req.Draw = true, random.Float64()
 	all := rankedCandidates(random.Intn(subjects), region, view)
 	near := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Far })
 	slices.SortFunc(near, func(a, b Candidate) int { return compareRanks(b, a) })
-	seen := make(map[int]bool)
 	best, soonest := -1, time.Duration(0)
-	for _, c := range near {
-		group := number(c) / engineGroup
-		if seen[group] {
-			continue
-		}
-		seen[group] = true
-		d := grantOf(req, group, near, engines, now, AskWithin(req, tokenTime, len(seen)-1))
+	for n, c := range near[:min(MaxAsks, len(near))] {
+		d := grantOf(req, []Candidate{c}, engines, now, AskWithin(req, tokenTime, n))
 		if d.Kind == Serve {
 			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
 		}
 		if d.Estimate > 0 && (best < 0 || d.Estimate < soonest) {
-			best, soonest = group, d.Estimate
-		}
-		if len(seen) == MaxAsks {
-			break
+			best, soonest = number(c)/engineGroup, d.Estimate
 		}
 	}
 	req.NearDenied = true
@@ -47,7 +38,8 @@
 		}
 	}
 	if best >= 0 {
-		if d := grantOf(req, best, near, engines, now, LastWithin(req)); d.Kind == Serve {
+		group := slices.DeleteFunc(near, func(c Candidate) bool { return number(c)/engineGroup != best })
+		if d := grantOf(req, group, engines, now, LastWithin(req)); d.Kind == Serve {
 			return playOn(req, &engines[number(d.Candidate)], d.Candidate, now)
 		}
 	}
@@ -86,19 +78,17 @@
 	return out
 }
 
-// grantOf is the decision of the coordinator of a group of engines.
-func grantOf(req Request, group int, candidates []Candidate, engines []played, now time.Time, within time.Duration) Decision {
-	var own []Candidate
-	for _, c := range candidates {
-		if n := number(c); n/engineGroup == group {
-			engines[n].advance(now)
-			c.Far, c.Path = false, 0
-			c.Queued, c.Use = engines[n].queued, engines[n].use.Seconds()/useTime.Seconds()
-			own = append(own, c)
-		}
+// grantOf is the decision of the coordinator of the given engines.
+func grantOf(req Request, own []Candidate, engines []played, now time.Time, within time.Duration) Decision {
+	exact := slices.Clone(own)
+	for i := range exact {
+		c, e := &exact[i], &engines[number(exact[i])]
+		e.advance(now)
+		c.Far, c.Path = false, 0
+		c.Queued, c.Use = e.queued, e.use.Seconds()/useTime.Seconds()
 	}
 	req.Left = LastWithin(req)
-	return Grant(req, own, within)
+	return Grant(req, exact, within)
 }
 
 // bestOf asks the first coordinators of another region.
@@ -107,7 +97,7 @@
 	slices.SortFunc(there, func(a, b Candidate) int { return compareRanks(b, a) })
 	var d Decision
 	for n, c := range there[:min(MaxAsks, len(there))] {
-		if d = grantOf(req, number(c)/engineGroup, there, engines, now, AskWithin(req, tokenTime, n)); d.Kind == Serve {
+		if d = grantOf(req, []Candidate{c}, engines, now, AskWithin(req, tokenTime, n)); d.Kind == Serve {
 			d.Candidate.Far, d.Candidate.Path = true, 110*time.Millisecond
 			return d
 		}
