--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -20,13 +20,16 @@
 }
 
 // coordinators are the gateways of the own region among which its endpoints are
-// shared out, this one included.
+// shared out, this one included. Asking and answering gateways work them out by
+// themselves.
 type coordinators struct {
 	self string
 	ids  []string
+	// byID holds all but this gateway.
 	byID map[string]fleet.Sign
 }
 
+// coordinators returns those that are believed to be alive.
 func (e *Edge) coordinators(now time.Time) coordinators {
 	self := e.Gateways.Self()
 	alive := e.Gateways.Alive(self.Region, now)
@@ -89,16 +92,17 @@
 // coordinated returns the endpoints of a service that this gateway coordinates.
 func (e *Edge) coordinated(q grants.Question, now time.Time, usable func(fleet.Belief) bool) []placement.Candidate {
 	own := e.Gateways.Self().Region
-	all := e.coordinators(now)
+	all, capacity := e.coordinators(now), e.cacheTokens(q.Service)
 	var out []placement.Candidate
 	top := -1
 	for _, b := range e.Registry.Usable(q.Service, e.heartbeat(), now) {
 		if b.Region != own || all.of(b.ID) != all.self || !q.Admits(b.ID) || !usable(b) {
 			continue
 		}
-		lq := ledger.Query{ID: b.ID, Born: b.Incarnation, Service: b.Service, Parts: q.Parts, Urgency: q.Urgency, Slots: b.Slots, Coordinated: true}
-		lq.Capacity = e.cacheTokens(q.Service)
-		c, ok := e.Ledger.Candidate(lq, now)
+		c, ok := e.Ledger.Candidate(ledger.Query{
+			ID: b.ID, Born: b.Incarnation, Service: b.Service, Parts: q.Parts, Urgency: q.Urgency,
+			Slots: b.Slots, Capacity: capacity, Coordinated: true,
+		}, now)
 		if !ok {
 			continue
 		}
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -24,20 +24,7 @@
 	now := time.Now()
 	candidates := s.candidates(now)
 	req := s.request(now)
-	var told asked
-	if req.LateView && req.Tokens > 0 {
-		told = s.ask(ctx, req, candidates, now)
-		req.NearDenied = told.denied
-	}
-	if !told.granted {
-		d = placement.Decide(req, candidates)
-	}
-	if told.denied && d.Kind != placement.Serve {
-		s.askLast(ctx, &told, req, candidates, now)
-	}
-	if told.granted {
-		d = told.decision
-	}
+	d, told := s.decide(ctx, req, candidates, now)
 	if d.Kind != placement.Serve {
 		s.log("not_placed", "reason", d.Reason, "version", s.table.Version, "candidates", len(candidates),
 			"tokens", req.Tokens, "left_ms", req.Left.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds(),
@@ -52,6 +39,28 @@
 	return d, true
 }
 
+// decide chooses among the candidates. Engines of a large region are asked for at
+// their coordinators; other regions, and all of it where no coordinator answers,
+// are decided on by what is known here.
+func (s *session) decide(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) (placement.Decision, asked) {
+	if !req.LateView || req.Tokens == 0 {
+		return placement.Decide(req, candidates), asked{}
+	}
+	told := s.ask(ctx, req, candidates, now)
+	if told.granted {
+		return told.decision, told
+	}
+	req.NearDenied = told.denied
+	d := placement.Decide(req, candidates)
+	if d.Kind == placement.Serve || !told.denied {
+		return d, told
+	}
+	if s.askLast(ctx, &told, req, candidates, now); told.granted {
+		return told.decision, told
+	}
+	return d, told
+}
+
 // percent turns a share into a number for the log.
 const percent = 100
 
--- a/internal/placement/ask.go
+++ b/internal/placement/ask.go
@@ -4,13 +4,12 @@
 
 // In a large region a request's place is granted by an endpoint's coordinator,
 // which knows the queues of the endpoints that it coordinates without delay, and
-// of no others. The one of the
-// endpoint at which requests with the same parts meet is asked for it first, then
-// those of the next ones by rank, so that the overflow of a part meets as well, then
-// other regions. Each has to do well within the
-// objective, so that a hot prompt part spreads before its home is full, and a
-// busy region before its queues are long. What finds no such place goes to where
-// it still begins in time, if there is one.
+// of no others. The endpoint at which requests with the same parts meet is asked
+// for first, then the next ones by rank, so that the overflow of a part meets as
+// well, then other regions. Each has to begin well within the objective, so that a
+// hot prompt part spreads before its home is full, and a busy region before its
+// queues are long. What finds no such place goes to where it still begins in time,
+// if there is one.
 //
 // This answers the peaks of large fleets: gateways that choose by the same late
 // sums fill single engines while others of their region idle.
@@ -35,9 +34,9 @@
 	return min(within, req.Left)
 }
 
-// otherShare is the share of the bound of the first question that the others
-// have: between a third, at which full regions look fuller than they are, and
-// all of it, at which prompts are read twice.
+// otherShare is the share of the first question's bound that the others have: what
+// reading the shared parts again takes of the objective of a usual long prompt, and
+// a margin.
 const otherShare = 0.6
 
 // LastWithin returns the same for a request that has no other place left. One
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,7 +29,8 @@
 	// LateView says that what is believed of endpoints is older than most
 	// requests take to begin.
 	LateView bool
-	// Draw is from 0 to 1 and differs between requests.
+	// Draw is from 0 to 1 and differs between requests, but for those that share
+	// their first parts: what one region can't take of these goes the same way.
 	Draw float64
 	// NearDenied says that the own region was asked and has no place.
 	NearDenied bool
