End idle connections at a planned stop without cutting a request

Ruled out: a read deadline set from the ConnState hook alone, since the hook for an active connection runs after the header has been read, so that a deadline can still strike between the first byte and the hook. Change: internal/httpserver is the server of both halves. A stop never closes a connection from outside; an idle one has its pending read interrupted, is read once more, and ends only if no byte of a request has arrived. The gateway on the platform now stops its peer server the same way, after its caller server.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,6 +27,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
 	"github.com/hickorystage/hickorystage/internal/dispatch"
 	"github.com/hickorystage/hickorystage/internal/gateway"
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/platform"
@@ -52,9 +52,9 @@
 
 	gossip       *gossip.Controller
 	controllers  []controller.Controller
-	callerServer *http.Server
-	peerServer   *http.Server
-	adminServer  *http.Server
+	callerServer *httpserver.Server
+	peerServer   *httpserver.Server
+	adminServer  *httpserver.Server
 
 	// closers close idle connections at the end of the shutdown.
 	closers        []func()
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -2,11 +2,9 @@
 
 import (
 	"net"
-	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
@@ -35,19 +33,17 @@
 		Owner:   a.gateway.OwnerHandlers(),
 		Forward: a.gateway.ForwardHandler(),
 	})
-	a.callerServer = newServer(a.gateway.CallerHandler(), a.settings.HeaderTimeout)
-	a.peerServer = newServer(peers.Handler(), peerReadTimeout)
-	a.peerServer.ReadTimeout = peerReadTimeout
-	a.adminServer = newServer(a.gateway.AdminHandler(), adminReadTimeout)
-	a.adminServer.ReadTimeout = adminReadTimeout
+	a.callerServer = httpserver.New(a.gateway.CallerHandler(), limits(a.settings.HeaderTimeout, 0))
+	a.peerServer = httpserver.New(peers.Handler(), limits(peerReadTimeout, peerReadTimeout))
+	a.adminServer = httpserver.New(a.gateway.AdminHandler(), limits(adminReadTimeout, adminReadTimeout))
 }
 
-func newServer(h http.Handler, headerTimeout time.Duration) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       keepAliveIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+func limits(headerTimeout, readTimeout time.Duration) httpserver.Limits {
+	return httpserver.Limits{
+		HeaderTimeout:  headerTimeout,
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    keepAliveIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -95,15 +91,9 @@
 
 func (a *App) serve(l *listeners) {
 	for _, s := range []struct {
-		server *http.Server
+		server *httpserver.Server
 		ln     net.Listener
 	}{{a.callerServer, l.callers}, {a.peerServer, l.peers}, {a.adminServer, l.admin}} {
-		a.tomb.Go(func() error {
-			err := s.server.Serve(s.ln)
-			if errors.Is(err, http.ErrServerClosed) {
-				return nil
-			}
-			return err
-		})
+		a.tomb.Go(func() error { return s.server.Serve(s.ln) })
 	}
 }
--- a/internal/app/shutdown.go
+++ b/internal/app/shutdown.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 )
 
 // Timeouts at the end of a graceful shutdown: sealTimeout limits the wait for
@@ -95,7 +95,7 @@
 func (a *App) closeServers() {
 	ctx, cancel := context.WithTimeout(context.Background(), lameDuckPeriod)
 	defer cancel()
-	for _, s := range []*http.Server{a.callerServer, a.adminServer, a.peerServer} {
+	for _, s := range []*httpserver.Server{a.callerServer, a.adminServer, a.peerServer} {
 		if s.Shutdown(ctx) != nil {
 			_ = s.Close()
 		}
--- a/internal/edgeserver/harness_test.go
+++ b/internal/edgeserver/harness_test.go
@@ -156,17 +156,24 @@
 // callID is the id of the last call.
 var callID atomic.Int64
 
-// call sends a request and returns the status, 0 if there was no response.
+// call sends a request on a connection of its own and returns the status, 0 if there
+// was no response.
 func (g *gateway) call(path string) int {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	id := fmt.Sprintf("%x", callID.Add(1))
+	_, status := g.callKept(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, path)
+	return status
+}
+
+// callKept sends a request by the client's connections and returns its attempt id and
+// the status, 0 if there was no complete response.
+func (g *gateway) callKept(client *http.Client, path string) (id string, status int) {
+	id = fmt.Sprintf("%x", callID.Add(1))
 	reply, err := platformtest.ClientRequest{
 		AttemptID: id, Host: "a.example", Method: http.MethodGet, Target: path, Timeout: 4 * time.Second,
 	}.Send(context.Background(), client, g.site.CallerAddress)
 	if err != nil {
-		return 0
+		return id, 0
 	}
-	return reply.Status
+	return id, reply.Status
 }
 
 func (g *gateway) ready() bool {
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -31,6 +31,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
@@ -71,12 +72,13 @@
 	controllers  []controller.Controller
 	servers      []*listeningServer
 	callerServer *listeningServer
+	peerServer   *listeningServer
 	tomb         tomb.Tomb
 }
 
 // listeningServer is an HTTP server with its open listener.
 type listeningServer struct {
-	*http.Server
+	*httpserver.Server
 	listener net.Listener
 }
 
@@ -277,7 +279,7 @@
 	if _, err = s.openServer(site.ReadyAddress, s.platform.NewReadinessHandler(s.edge.IsReady)); err != nil {
 		return err
 	}
-	if _, err = s.openServer(site.PeerAddress, s.edge.PeerHandler(peerfetch.Handler(peerfetch.Sources{
+	if s.peerServer, err = s.openServer(site.PeerAddress, s.edge.PeerHandler(peerfetch.Handler(peerfetch.Sources{
 		Endpoints: s.endpointEntries,
 		Routes:    s.rawRoutes,
 	}))); err != nil {
@@ -302,12 +304,11 @@
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	srv := &listeningServer{listener: l, Server: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}}
+	srv := &listeningServer{listener: l, Server: httpserver.New(h, httpserver.Limits{
+		HeaderTimeout:  headerTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	})}
 	s.servers = append(s.servers, srv)
 	return srv, nil
 }
@@ -318,12 +319,7 @@
 	self := s.gateways.Self()
 	s.logger.Info("starting", "region", self.Region, "data_centre", self.DataCentre, "incarnation", self.Incarnation, "seeds", s.board.Settings.Get().Seeds, "strength", self.MachineCapacity)
 	for _, srv := range s.servers {
-		s.tomb.Go(func() error {
-			if err := srv.Serve(srv.listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
+		s.tomb.Go(func() error { return srv.Serve(srv.listener) })
 	}
 	for _, c := range s.controllers {
 		s.tomb.Go(func() error { return errors.Wrapf(c.Run(&s.tomb), "controller %s", c.Name()) })
@@ -384,7 +380,7 @@
 	defer cancel()
 	s.gateways.SetLeaving()
 	s.board.Lifecycle.Set(blackboard.Draining)
-	s.callerServer.SetKeepAlivesEnabled(false)
+	s.callerServer.DisableKeepAlives()
 	_, n := s.edge.Idle()
 	s.logger.Info("stopping", "in_flight", n)
 	sleep(ctx, callerDrainTime)
@@ -392,6 +388,9 @@
 		s.logger.Warn("caller requests unfinished at the end of the grace period", "err", err)
 	}
 	sleep(ctx, time.Until(began.Add(peerDrainTime)))
+	if err := s.peerServer.Shutdown(ctx); err != nil {
+		s.logger.Warn("forwarded requests unfinished at the end of the grace period", "err", err)
+	}
 	n = s.finishInFlight(ctx)
 	s.logger.Info("stopped", "cut_off", n, "took", time.Since(began))
 }
--- a/internal/edgeserver/server_test.go
+++ b/internal/edgeserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,3 +167,54 @@
 		require.Equal(t, http.StatusOK, s.gateways["n1"].call("/q/x"))
 	}
 }
+
+// TestStopAnswersKeptConnections stops a gateway while callers send the next request
+// on a kept connection as soon as they have an answer: callers of the stopping gateway
+// itself, and callers of a gateway in another region that forwards to it. A connection
+// may end between two requests, but each request that an endpoint executed has to be
+// answered.
+func TestStopAnswersKeptConnections(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.startEndpoint("i-n", "app", "north-a")
+	s.setRoute("/q/", "app")
+	s.startGateway("n1", "north-a")
+	s.startGateway("n2", "north-a")
+	s.startGateway("s1", "south-a")
+	for _, g := range s.gateways {
+		s.eventually(startupLimit, "ready", g.ready)
+		s.eventually(startupLimit, "serves", func() bool { return g.call("/q/x") == http.StatusOK })
+	}
+	var unanswered sync.Map
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	end := time.Now().Add(4 * time.Second)
+	for _, id := range []string{"n1", "s1"} {
+		for range 6 {
+			wg.Go(func() {
+				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+				defer client.CloseIdleConnections()
+				for time.Now().Before(end) {
+					request, status := s.gateways[id].callKept(client, "/q/x")
+					if status == 0 {
+						unanswered.Store(request, id)
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					answered.Add(1)
+				}
+			})
+		}
+	}
+	stopping := s.gateways["n1"]
+	time.Sleep(500 * time.Millisecond)
+	stopping.stop()
+	require.NoError(t, <-stopping.done)
+	stopping.done <- nil
+	wg.Wait()
+	for _, execution := range s.endpoints["i-n"].Executions() {
+		through, cut := unanswered.Load(execution.AttemptID)
+		require.False(t, cut, "request %s to %v was executed and cut off", execution.AttemptID, through)
+	}
+	require.Greater(t, answered.Load(), int64(1000))
+}
--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,141 @@
+package httpserver
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// lastReadTimeout is how long an idle connection is read for a last time before
+	// it ends: enough for bytes that have arrived but were not read yet.
+	lastReadTimeout = 2 * time.Millisecond
+	// firstRequestTimeout is how long after its start a connection that has not
+	// carried a request yet is kept during a shutdown, since its first request is
+	// likely to be on the way.
+	firstRequestTimeout = 500 * time.Millisecond
+)
+
+// interrupted is a read deadline in the past.
+var interrupted = time.Unix(1, 0)
+
+// conn is a connection of a caller that can be ended while it is idle. Reads are
+// made by one goroutine at a time, as net/http does.
+type conn struct {
+	net.Conn
+	acceptedAt time.Time
+
+	mu sync.Mutex
+	// idle is set while no byte of another request has been read.
+	idle bool
+	// served is set once a request has been answered.
+	served bool
+	// ending is set once the connection has to end when it is idle.
+	ending bool
+	// deadline is the read deadline that net/http has asked for.
+	deadline time.Time
+}
+
+func newConn(accepted net.Conn) *conn {
+	return &conn{Conn: accepted, acceptedAt: time.Now(), idle: true}
+}
+
+// SetReadDeadline implements net.Conn. The deadline applies while the connection
+// is not about to end.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.idle && c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.CombineErrors(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Read implements net.Conn. It returns io.EOF if the connection is idle and has to
+// end, and no byte has arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && n == 0 && c.beginLastRead() {
+		n, err = c.Conn.Read(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) && n == 0 {
+			return 0, io.EOF
+		}
+	}
+	if n > 0 {
+		if resumeErr := c.becomeActive(); resumeErr != nil && err == nil {
+			err = resumeErr
+		}
+	}
+	return n, err
+}
+
+// CloseWrite ends the sending direction, which net/http does after a response to a
+// request that was not read to its end, so that the caller can still read it.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// beginLastRead prepares the last read of an idle connection that has to end. It
+// returns false for all others.
+func (c *conn) beginLastRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || !c.ending {
+		return false
+	}
+	until := time.Now().Add(lastReadTimeout)
+	if first := c.acceptedAt.Add(firstRequestTimeout); !c.served && first.After(until) {
+		until = first
+	}
+	return c.Conn.SetReadDeadline(until) == nil
+}
+
+// becomeActive notes that bytes of a request have been read, and restores the
+// deadline of net/http if the connection was about to end.
+func (c *conn) becomeActive() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wasEnding := c.idle && c.ending
+	c.idle = false
+	if !wasEnding {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// becomeIdle notes that a request has been answered and the next one is awaited.
+func (c *conn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.served = true, true
+	c.interruptIfEnding()
+}
+
+// endWhenIdle ends the connection as soon as it is idle.
+func (c *conn) endWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.interruptIfEnding()
+}
+
+// interruptIfEnding interrupts the pending read. A connection on which no deadline
+// can be set is broken, so that its read fails by itself.
+func (c *conn) interruptIfEnding() {
+	if c.idle && c.ending {
+		_ = c.Conn.SetReadDeadline(interrupted)
+	}
+}
