Write a request only to a connection on which nothing unsolicited has arrived

Change: connections of the pool take bytes and clear their "waiting" flag in one step, and the first write of a request on a reused connection is denied unless a read is waiting and the socket is empty. Then nothing has been sent, and the request goes out on a new connection.

--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,183 @@
+package transport
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// A reused connection yields to the goroutine that reads it before it is given up.
+// That goroutine needs some microseconds after the end of a response until it waits
+// for the next one, and longer on a busy machine.
+const (
+	settleYields = 100
+	settleSleeps = 20
+	settleSleep  = 100 * time.Microsecond
+)
+
+// UnsolicitedBytesError reports that a connection could not be reused because bytes
+// that belong to no request had arrived, or because the other end had closed it.
+// Nothing was sent.
+type UnsolicitedBytesError struct{ Address string }
+
+// Error implements error.
+func (e *UnsolicitedBytesError) Error() string {
+	return fmt.Sprintf("connection to %s has unread bytes or was closed", e.Address)
+}
+
+// pooledConn is a connection of a pool. A request is written to it only while all
+// that has arrived has been taken as part of earlier responses. net/http notices
+// unsolicited bytes only if it reads them before the next request is written.
+type pooledConn struct {
+	net.Conn
+	// raw is nil if the connection is no socket.
+	raw syscall.RawConn
+
+	mu sync.Mutex
+	// waiting is set while a read waits for bytes that have not arrived.
+	waiting bool
+	// claimed is set from the choice of the connection for a request until the
+	// request's first byte is written, refused if that was denied.
+	claimed, refused bool
+	closed           bool
+}
+
+func newPooledConn(conn net.Conn) *pooledConn {
+	c := &pooledConn{Conn: conn}
+	if sc, ok := conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	return c
+}
+
+// claim prepares the connection, which has carried requests before, for another one.
+// It lets net/http read what is left of earlier responses: with no request waiting,
+// net/http closes the connection on any byte.
+func (c *pooledConn) claim() {
+	for attempt := range settleYields + settleSleeps {
+		if c.settled() {
+			return
+		}
+		if attempt < settleYields {
+			runtime.Gosched()
+		} else {
+			time.Sleep(settleSleep)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+}
+
+// settled claims the connection and returns true if a read is waiting or the
+// connection is closed.
+func (c *pooledConn) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claimed = true
+	return c.waiting || c.closed
+}
+
+// wasRefused reports whether nothing of the request was written that claimed the
+// connection.
+func (c *pooledConn) wasRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused || c.claimed
+}
+
+// Write implements net.Conn.
+func (c *pooledConn) Write(p []byte) (int, error) {
+	if !c.beginWrite() {
+		return 0, &UnsolicitedBytesError{Address: c.RemoteAddr().String()}
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite returns false if a claimed connection has bytes that belong to no
+// request, or none may be written any more.
+func (c *pooledConn) beginWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.claimed && (!c.waiting || c.hasUnread()) {
+		c.refused = true
+	}
+	c.claimed = false
+	return !c.refused
+}
+
+// Read implements net.Conn.
+func (c *pooledConn) Read(p []byte) (int, error) {
+	c.setWaiting(true)
+	if c.raw == nil {
+		defer c.setWaiting(false)
+		return c.Conn.Read(p)
+	}
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		// The lock makes taking bytes and clearing the flag one step.
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, readErr = readUninterrupted(int(fd), p)
+		c.waiting = readErr == unix.EAGAIN
+		return !c.waiting
+	})
+	switch {
+	case err != nil:
+		c.setWaiting(false)
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (c *pooledConn) setWaiting(waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = waiting
+}
+
+// Close implements net.Conn.
+func (c *pooledConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// hasUnread reports whether bytes or the end of the stream have arrived that were not
+// read yet. It is false where that can't be seen.
+func (c *pooledConn) hasUnread() bool {
+	if c.raw == nil {
+		return false
+	}
+	var peekErr error
+	err := c.raw.Control(func(fd uintptr) {
+		var next [1]byte
+		_, _, peekErr = unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && peekErr == nil
+}
+
+// readUninterrupted reads from fd once, again after a signal. n is 0 with an error.
+func readUninterrupted(fd int, p []byte) (n int, err error) {
+	for {
+		n, err = unix.Read(fd, p)
+		if err != unix.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -152,10 +152,13 @@
 			defer cancel()
 			start := time.Now()
 			conn, err := t.dial(ctx, network, address)
-			if err == nil && t.onConnect != nil {
+			if err != nil {
+				return nil, err
+			}
+			if t.onConnect != nil {
 				t.onConnect(address, time.Since(start))
 			}
-			return conn, err
+			return newPooledConn(conn), nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		IdleConnTimeout:     idleTimeout,
@@ -189,23 +192,46 @@
 // the response body. Cancelling ctx before that closes the connection.
 func (t *Transport) Do(ctx context.Context, r Request) (*http.Response, error) {
 	p := t.pool(r.Address)
-	ht := p.keepAlive
 	if r.DedicatedConnection {
-		ht = p.dedicated
+		resp, _, err := r.send(ctx, p.dedicated)
+		return resp, err
+	}
+	resp, unusable, err := r.send(ctx, p.keepAlive)
+	if unusable {
+		resp, _, err = r.send(ctx, p.dedicated)
 	}
+	return resp, err
+}
+
+// send sends the request by ht. unusable reports that nothing was sent because the
+// connection taken from the pool could not be reused.
+func (r *Request) send(ctx context.Context, ht *http.Transport) (resp *http.Response, unusable bool, err error) {
 	var gotConn, reused atomic.Bool
+	var claimed atomic.Pointer[pooledConn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		reused.Store(info.Reused)
+		claimed.Store(nil)
+		if conn, ok := info.Conn.(*pooledConn); ok && info.Reused {
+			conn.claim()
+			claimed.Store(conn)
+		}
 	}})
-	resp, err := ht.RoundTrip(r.httpRequest(ctx))
+	resp, err = ht.RoundTrip(r.httpRequest(ctx))
+	if conn := claimed.Load(); conn != nil && conn.wasRefused() {
+		if err == nil {
+			_ = resp.Body.Close()
+			err = &UnsolicitedBytesError{Address: r.Address}
+		}
+		return nil, ctx.Err() == nil, errors.WithStack(&NotSentError{Cause: err})
+	}
 	switch {
 	case err == nil:
-		return resp, nil
+		return resp, false, nil
 	case !gotConn.Load():
-		return nil, errors.WithStack(&NotSentError{Cause: err})
+		return nil, false, errors.WithStack(&NotSentError{Cause: err})
 	default:
-		return nil, errors.WithStack(&ResponseLostError{ConnectionReused: reused.Load(), Cause: err})
+		return nil, false, errors.WithStack(&ResponseLostError{ConnectionReused: reused.Load(), Cause: err})
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -154,11 +154,13 @@
 
 // TestUnsolicitedResponseIsDiscarded guards against taking leftover bytes on a
 // connection for the response to the next request. The server responds twice to
-// each request.
+// each request, and the client sends the next one after the second response has
+// arrived.
 func TestUnsolicitedResponseIsDiscarded(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
+	firstRead, secondSent := make(chan struct{}), make(chan struct{})
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -172,8 +174,9 @@
 						return
 					}
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
-					time.Sleep(10 * time.Millisecond)
+					<-firstRead
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
+					secondSent <- struct{}{}
 				}
 			}()
 		}
@@ -183,7 +186,8 @@
 		got, err := send(t, tr, newRequest(l.Addr().String(), http.MethodGet, ""))
 		require.NoError(t, err)
 		require.Equal(t, "first", got)
-		time.Sleep(30 * time.Millisecond)
+		firstRead <- struct{}{}
+		<-secondSent
 	}
 }
 
