Give back what a refused request holds of its customer's limits

Cause: admit.Admit counted a request towards its customer's concurrency and then let the queue refuse it; the contract left the count to the caller, and dispatch.Acquire returned without Release. Two such refusals at a concurrency of 2 locked a customer out for good. Actions use the same call, in a group without a queue, and were not affected. A request that was refused while it waited got its concurrency back, but not the tokens that it never used. Change: a refused request holds nothing; any other has one owner, who calls Release after it was dispatched or Withdraw if it was refused before. Withdraw gives back requests and tokens too. The relay of a chat releases in a defer, so that a handler that panics releases as well.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -109,16 +109,20 @@
 func (c *Controller) SetGatewayIDs(ids []string) { c.limiter.setGatewayIDs(ids) }
 
 // Admit decides on a new request by its customer's limits and then by the queue of
-// its group. A request that passes the limits counts towards the customer's
-// concurrent requests until Release is called, even if the queue then refuses it.
+// its group. A refused request holds nothing. Any other counts towards the customer's
+// limits until its owner, the caller of Admit, calls either Release or Withdraw once.
 func (c *Controller) Admit(item Request, now time.Time) Verdict {
 	if v := c.limiter.admit(item, now); v.Kind == Refuse {
 		return v
 	}
-	if c.MustWait(item) {
-		return c.Enqueue(item, 0, now)
+	if !c.MustWait(item) {
+		return Verdict{Kind: Dispatch}
 	}
-	return Verdict{Kind: Dispatch}
+	verdict := c.Enqueue(item, 0, now)
+	if verdict.Kind == Refuse {
+		c.Withdraw(item)
+	}
+	return verdict
 }
 
 // MustWait reports whether a request of at least the same priority is queued for
@@ -136,7 +140,7 @@
 
 // Enqueue adds an admitted request to its group's queue. estimate is the expected
 // time to first token after the request has left the queue. The verdict is Queue or
-// Refuse; in either case the caller still has to call Release.
+// Refuse; in either case the request stays admitted.
 func (c *Controller) Enqueue(item Request, estimate time.Duration, now time.Time) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -192,11 +196,17 @@
 	return 0
 }
 
-// Release ends a request that passed the limits in Admit, so that it no longer
-// counts towards the customer's concurrent requests. extraTokens is the number of
-// tokens used beyond EstimatedTokens; it may be negative.
-func (c *Controller) Release(item Request, extraTokens int, now time.Time) {
-	c.limiter.release(item.Customer, extraTokens, now)
+// Release ends an admitted request that was dispatched, so that it no longer counts
+// towards the customer's concurrent requests. extraTokens is the number of tokens used
+// beyond EstimatedTokens; it may be negative.
+func (c *Controller) Release(item Request, extraTokens int) {
+	c.limiter.release(item.Customer, 0, extraTokens)
+}
+
+// Withdraw ends an admitted request that was refused before it was dispatched. The
+// customer's limits are as if the request had not been admitted.
+func (c *Controller) Withdraw(item Request) {
+	c.limiter.release(item.Customer, -1, -item.EstimatedTokens)
 }
 
 // RecordSuccess records a successful request, which adds to the retry budget.
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -156,6 +156,31 @@
 	require.Equal(t, admit.Dispatch, c.Admit(request, start).Kind)
 	require.Equal(t, admit.Dispatch, c.Admit(request, start).Kind)
 	require.Equal(t, failure.CodeLimitExceeded, c.Admit(request, start).Code)
-	c.Release(request, 0, start)
+	c.Release(request, 0)
 	require.Equal(t, admit.Dispatch, c.Admit(request, start).Kind)
 }
+
+// TestRefusedRequestHoldsNothing guards against a customer that is locked out because
+// requests that a full queue refused, or that were withdrawn from it, still count
+// towards its limits.
+func TestRefusedRequestHoldsNothing(t *testing.T) {
+	limits := intent.Limits{MaxConcurrent: 3, RequestsPerSecond: 10, TokensPerSecond: 100}
+	c := admit.New("g1", admit.Options{MaxQueueLength: 1, RetryBurst: 1})
+	c.Configure(&intent.Intent{Customers: map[string]intent.Customer{"c": {Limits: limits}, "other": {}}})
+	require.Equal(t, admit.Queue, c.Enqueue(admit.Request{ID: "head", Customer: "other", Group: "g", Priority: 9}, 0, start).Kind)
+	request := admit.Request{ID: "a", Customer: "c", Group: "g", Priority: 5, EstimatedTokens: 30}
+	for range 20 {
+		verdict := c.Admit(request, start)
+		require.Equal(t, admit.Refuse, verdict.Kind)
+		require.Equal(t, failure.CodeOverloaded, verdict.Code, "refused by the queue, not by the limits")
+	}
+	require.True(t, c.RemoveQueued("g", "head"))
+	for range 20 {
+		require.Equal(t, admit.Dispatch, c.Admit(request, start).Kind)
+		c.Withdraw(request)
+	}
+	for range 3 {
+		require.Equal(t, admit.Dispatch, c.Admit(request, start).Kind)
+	}
+	require.Equal(t, failure.CodeLimitExceeded, c.Admit(request, start).Code)
+}
--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -200,12 +200,15 @@
 	return (baseShareWeight*c.baseShare + local) / (baseShareWeight + total)
 }
 
-func (l *limiter) release(customer string, extraTokens int, _ time.Time) {
+// release ends an admitted request and spends extraRequests and extraTokens, both of
+// which may be negative.
+func (l *limiter) release(customer string, extraRequests, extraTokens int) {
 	sh := l.shard(customer)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	state := sh.customer(customer, l.self)
 	state.concurrent = max(0, state.concurrent-1)
+	state.requests.spend(float64(extraRequests))
 	state.tokens.spend(float64(extraTokens))
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 // Acquire admits a new request and decides where it runs, after a wait in the queue
 // if necessary. The caller must call Release with the item when the request has
 // ended, unless Acquire returns an error. The error is a *failure.Refusal and means
-// that nothing ran. If the decision is to serve the request, it is already recorded
+// that nothing ran and nothing is held. If the decision is to serve the request, it is already recorded
 // as sent to its endpoint, and the caller has to record its end in the datastore.
 func (d *Dispatcher) Acquire(ctx context.Context, item admit.Request, req *sched.Request) (sched.Decision, error) {
 	// The waiter is registered before the item can be in the queue, because
@@ -86,7 +86,8 @@
 	}
 	decision, err := d.decideOrQueue(ctx, w, verdict.Kind == admit.Queue)
 	if err != nil {
-		d.Release(item, 0)
+		d.admit.Withdraw(item)
+		d.wake()
 		requestsRefused.Inc()
 	}
 	return decision, err
@@ -123,7 +124,7 @@
 // Release ends an admitted request, so that a queued one can take its slot.
 // extraTokens is the number of tokens used beyond the estimate.
 func (d *Dispatcher) Release(item admit.Request, extraTokens int) {
-	d.admit.Release(item, extraTokens, time.Now())
+	d.admit.Release(item, extraTokens)
 	d.wake()
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +21,12 @@
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
 
+// limitedCustomer may have limitedConcurrency requests at a time.
+const (
+	limitedCustomer    = "limited"
+	limitedConcurrency = 6
+)
+
 // fixture is a dispatcher with one endpoint that takes one request at a time.
 type fixture struct {
 	t     *testing.T
@@ -33,7 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		in := &intent.Intent{
 			Regions:   map[string]intent.Region{"tuul": {}},
-			Customers: map[string]intent.Customer{"depot": {}},
+			Customers: map[string]intent.Customer{"depot": {}, limitedCustomer: {Limits: intent.Limits{MaxConcurrent: limitedConcurrency}}},
 			Groups:    map[string]intent.Group{"planner": {Kind: intent.KindEngine, Regions: []string{"tuul"}, MaxConcurrent: 1}},
 		}
 		store := datastore.New(datastore.Options{Region: "tuul", Health: datastore.DefaultHealthOptions()})
@@ -62,9 +70,13 @@
 
 // acquire calls Acquire for a new request whose deadline is remaining from now.
 func (f *fixture) acquire(ctx context.Context, id string, priority int, remaining time.Duration) error {
-	item := admit.Request{ID: id, Customer: "depot", Group: "planner", Priority: priority, EstimatedTokens: 100, FirstTokenDeadline: time.Now().Add(remaining)}
+	return f.acquireFor(ctx, "depot", id, priority, remaining)
+}
+
+func (f *fixture) acquireFor(ctx context.Context, customer, id string, priority int, remaining time.Duration) error {
+	item := admit.Request{ID: id, Customer: customer, Group: "planner", Priority: priority, EstimatedTokens: 100, FirstTokenDeadline: time.Now().Add(remaining)}
 	_, err := f.d.Acquire(ctx, item, &sched.Request{
-		ID: id, Customer: "depot", Groups: []string{"planner"}, PromptTokens: 50, OutputTokens: 50, Priority: priority,
+		ID: id, Customer: customer, Groups: []string{"planner"}, PromptTokens: 50, OutputTokens: 50, Priority: priority,
 		TimeToDeadline: remaining, PermittedRegions: map[string]bool{"tuul": true},
 	})
 	return err
@@ -72,8 +84,12 @@
 
 // release records the successful end of a request and releases it.
 func (f *fixture) release(id string) {
+	f.releaseFor("depot", id)
+}
+
+func (f *fixture) releaseFor(customer, id string) {
 	f.store.RecordEnd("e1", id, datastore.Success, time.Now())
-	f.d.Release(admit.Request{ID: id, Customer: "depot", Group: "planner"}, 0)
+	f.d.Release(admit.Request{ID: id, Customer: customer, Group: "planner"}, 0)
 }
 
 func refusalCode(err error) failure.Code {
@@ -161,3 +177,48 @@
 		require.NoError(f.t, <-retried)
 	})
 }
+
+// TestRandomRequestsLeaveNothingBehind sends requests of random priority and deadline,
+// some of which are cancelled while they wait, through a short queue. Whatever became
+// of them, the customer may use its whole concurrency afterwards, and the endpoint has
+// a free slot.
+func TestRandomRequestsLeaveNothingBehind(t *testing.T) {
+	for seed := range uint64(20) {
+		withFixture(t, 3, func(f *fixture) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			outcomes := map[failure.Code]int{}
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			for i := range 200 {
+				id, priority := fmt.Sprint(i), random.IntN(10)
+				remaining := time.Duration(random.IntN(5000)) * time.Millisecond
+				patience := time.Duration(random.IntN(400)) * time.Millisecond
+				serviceTime := time.Duration(random.IntN(40)) * time.Millisecond
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), patience)
+					defer cancel()
+					err := f.acquireFor(ctx, limitedCustomer, id, priority, remaining)
+					mu.Lock()
+					outcomes[refusalCode(err)]++
+					mu.Unlock()
+					if err == nil {
+						time.Sleep(serviceTime)
+						f.releaseFor(limitedCustomer, id)
+					}
+				})
+				time.Sleep(time.Duration(random.IntN(12)) * time.Millisecond)
+			}
+			wg.Wait()
+			require.Greater(f.t, outcomes[""], 20, "served: %v", outcomes)
+			require.Positive(f.t, outcomes[failure.CodeOverloaded], "refused by the queue")
+			require.Positive(f.t, outcomes[failure.CodeDeadlineExceeded], "expired or cancelled")
+			require.Zero(f.t, f.d.admit.QueueLength("planner"))
+			for i := range limitedConcurrency {
+				verdict := f.d.admit.Admit(admit.Request{ID: fmt.Sprint("after", i), Customer: limitedCustomer, Group: "planner"}, time.Now())
+				require.Equal(f.t, admit.Dispatch, verdict.Kind, "seed %d: concurrent request %d: %s", seed, i, verdict.Message)
+			}
+			require.NoError(f.t, f.acquire(context.Background(), "last", 5, time.Minute))
+			f.release("last")
+		})
+	}
+}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -90,7 +90,12 @@
 		return err
 	}
 	picker := &chatPicker{g: g, call: c, req: req, admission: admission, pendingDecision: &decision}
-	summary, err := g.Relay.Chat(ctx, relay.ChatRequest{
+	var summary relay.Summary
+	defer func() {
+		g.Dispatcher.Release(admission, summary.Usage.TotalTokens-admission.EstimatedTokens)
+		picker.releasePending()
+	}()
+	summary, err = g.Relay.Chat(ctx, relay.ChatRequest{
 		RequestID: req.ID,
 		Customer:  c.customerName,
 		Model:     parsed.Model,
@@ -98,8 +103,6 @@
 		Priority:  c.priority,
 		Resume:    parsed.Resume,
 	}, picker.pick, g.newSink(w, r, c, parsed))
-	g.Dispatcher.Release(admission, summary.Usage.TotalTokens-admission.EstimatedTokens)
-	picker.releasePending()
 	g.recordChat(ctx, summary, err)
 	if err != nil && !summary.ResponseStarted {
 		return err
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -25,7 +25,7 @@
 	if verdict := a.Admit(admission, time.Now()); verdict.Kind == admit.Refuse {
 		return nil, verdict.Refusal()
 	}
-	return func() { a.Release(admission, 0, time.Now()) }, nil
+	return func() { a.Release(admission, 0) }, nil
 }
 
 // ActionAdmitter counts actions against their customers' limits. It implements
--- a/internal/standin/experiment/call.go
+++ b/internal/standin/experiment/call.go
@@ -198,7 +198,7 @@
 func (c *call) end() {
 	c.ended = true
 	if c.admitted {
-		c.gateway.controller.Release(c.admissionRequest(), 0, c.gateway.sim.now)
+		c.gateway.controller.Release(c.admissionRequest(), 0)
 	}
 }
 
