Let the bias of the time to first token decay while reports arrive

Change: it decays by the fraction of a half-life that has passed. Test, seen to fail on the old code: TestBiasDecaysWhileReportsArrive.

--- a/internal/sched/datastore/datastore_test.go
+++ b/internal/sched/datastore/datastore_test.go
@@ -231,3 +231,26 @@
 		require.Zero(t, ref.Load().InFlight)
 	}
 }
+
+// TestBiasDecaysWhileReportsArrive checks that a burst of slow first tokens weighs on
+// an endpoint for some half-lives only, however often its load is looked at.
+func TestBiasDecaysWhileReportsArrive(t *testing.T) {
+	s := newStore(1)
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		s.RecordSentWithEstimate("e0", id, 100, nil, 0, start)
+		s.RecordFirstToken("e0", id, start.Add(time.Second))
+		s.RecordEnd("e0", id, datastore.Success, start.Add(time.Second))
+	}
+	bias := func(now time.Time) float64 {
+		s.ApplyLoadReport("e0", blackboard.LoadReport{TakenAt: now, PrefillRate: 8000, DecodeRate: 30, MaxBatch: 32}, now)
+		return s.View(now).Groups["g"].Endpoints[0].Load().TTFTBiasSeconds
+	}
+	initial := bias(start.Add(time.Second))
+	require.Greater(t, initial, 0.5)
+	last := initial
+	for after := 2 * time.Second; after <= 61*time.Second; after += 2 * time.Second {
+		last = bias(start.Add(after))
+	}
+	require.Less(t, last, initial/100, "a minute later")
+}
--- a/internal/sched/datastore/endpoint.go
+++ b/internal/sched/datastore/endpoint.go
@@ -1,6 +1,7 @@
 package datastore
 
 import (
+	"math"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
@@ -138,16 +139,19 @@
 	e.health.recordTTFTBias(o, e.current.TTFTBiasSeconds, now)
 }
 
-// decayBias halves the TTFT bias once for each whole half-life since the previous
-// call. Calls less than a half-life apart leave it unchanged.
+// minBiasSeconds is the TTFT bias, of either sign, that counts as none.
+const minBiasSeconds = 1e-3
+
+// decayBias lets the TTFT bias decay by its half-life since the previous call.
 func (e *entry) decayBias(now time.Time) {
-	dt := now.Sub(e.biasUpdatedAt)
+	halfLives := now.Sub(e.biasUpdatedAt).Seconds() / biasHalfLife.Seconds()
+	if halfLives <= 0 {
+		return
+	}
 	e.biasUpdatedAt = now
-	for ; dt >= biasHalfLife && e.current.TTFTBiasSeconds != 0; dt -= biasHalfLife {
-		e.current.TTFTBiasSeconds /= 2
-		if e.current.TTFTBiasSeconds < 1e-3 && e.current.TTFTBiasSeconds > -1e-3 {
-			e.current.TTFTBiasSeconds = 0
-		}
+	e.current.TTFTBiasSeconds *= math.Exp2(-halfLives)
+	if math.Abs(e.current.TTFTBiasSeconds) < minBiasSeconds {
+		e.current.TTFTBiasSeconds = 0
 	}
 }
 
