Report a failure after an accepted change as not seen in force

Change: it prints the failure and ends with the code for accepted, not in force. Test, seen to fail on the old code: TestFailureAfterAcceptanceIsNotARejection.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,15 +19,14 @@
 	// ExitOK: the command succeeded.
 	ExitOK = 0
 	// ExitRejected: the configuration or change is rejected, or the command
-	// failed. Nothing was published, unless apply --wait failed after it had
-	// printed that the change is accepted.
+	// failed. Nothing was published.
 	ExitRejected = 1
 	// ExitUsage: invalid arguments, settings or folder.
 	ExitUsage = 2
 	// ExitUnknownOutcome: the change may have been published.
 	ExitUnknownOutcome = 3
 	// ExitNotInForce: the change is accepted, but was not seen in force
-	// everywhere within the time of --wait.
+	// everywhere within the time of --wait, or could not be looked for.
 	ExitNotInForce = 4
 )
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/gateway"
@@ -284,3 +285,38 @@
 	f.requireRun(ExitNotInForce, []string{"accepted: revision 3", "not seen in force in: north, south"},
 		"config", "apply", ann, "--wait", "300ms", "--admin", admin.URL)
 }
+
+// TestFailureAfterAcceptanceIsNotARejection lets the store fail right after it has
+// accepted a change that apply waits for.
+func TestFailureAfterAcceptanceIsNotARejection(t *testing.T) {
+	f := newFixture(t)
+	ann := f.newFolder(files)
+	f.requireRun(ExitOK, nil, "config", "apply", ann)
+	f.writeFile(ann, "50-routing.yaml", "routing: {retry_ratio: 0.2}")
+	f.newStore = func(u string) platform.Store {
+		return &failingStore{Store: platform.NewHTTPStore(u, platform.Options{})}
+	}
+	f.requireRun(ExitNotInForce, []string{"accepted: revision 2", "can't read the regions of revision 2"},
+		"config", "apply", ann, "--wait", "9s", "--admin", "http://127.0.0.1:1")
+}
+
+// failingStore refuses reads once the head has been written.
+type failingStore struct {
+	platform.Store
+	headWritten bool
+}
+
+// Get implements platform.Store.
+func (s *failingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.headWritten {
+		return platform.Entry{}, errors.New("the store is down")
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Put implements platform.Store.
+func (s *failingStore) Put(ctx context.Context, key string, v []byte, o platform.PutOptions) (platform.Entry, error) {
+	entry, err := s.Store.Put(ctx, key, v, o)
+	s.headWritten = s.headWritten || key == revision.HeadKey
+	return entry, err
+}
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -29,15 +29,16 @@
 func (e *UnknownOutcomeError) Error() string { return "unknown outcome of change " + e.ChangeID }
 
 // NotInForceError says that an accepted revision was not seen in force in every
-// region within the time of --wait.
+// region.
 type NotInForceError struct {
 	Revision uint64
-	Waited   time.Duration
+	// Waited is how long it was looked for, at most the time of --wait.
+	Waited time.Duration
 }
 
 // Error implements error.
 func (e *NotInForceError) Error() string {
-	return fmt.Sprintf("revision %d is accepted, but was not seen in force everywhere within %s", e.Revision, e.Waited)
+	return fmt.Sprintf("revision %d is accepted, but was not seen in force everywhere within %s", e.Revision, e.Waited.Round(time.Millisecond))
 }
 
 // AdminError says that a call to a gateway's administration API failed or got no
--- a/internal/command/waitinforce.go
+++ b/internal/command/waitinforce.go
@@ -16,13 +16,14 @@
 
 // waitInForce waits until every gateway of each region that the revision names
 // holds it or a later one, for at most the time of --wait. If that time runs out,
-// the error is a *NotInForceError.
+// or the regions can't be read, the error is a *NotInForceError.
 func (a *applyRun) waitInForce(ctx context.Context, rev uint64) error {
+	start := a.env.Now()
 	regions, err := a.revisionRegions(ctx, rev)
 	if err != nil {
-		return err
+		a.env.printErrf("can't read the regions of revision %d: %v\n", rev, err)
+		return &NotInForceError{Revision: rev, Waited: a.env.Now().Sub(start)}
 	}
-	start := a.env.Now()
 	ctx, cancel := context.WithTimeout(ctx, a.command.wait)
 	defer cancel()
 	missing := regions
