Let the stand-in engine refuse a repeated fencing token

Cause: the stand-in engine accepted an order with the token that it had seen last, unlike the stand-in service, so that a test could not see an order sent twice. Test, seen to fail on the old code: TestOutdatedFencingTokenIsRefusedIfChecked, with a repeated token.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -124,7 +124,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := newTestEngine(engine.Config{ChecksFencing: checks})
 			defer s.close()
-			for _, n := range []int{5, 4} {
+			for _, n := range []int{5, 4, 5} {
 				s.post(t, "/v1/orders", fmt.Sprintf(`{"order":{"load":"m"},"fencing":%d}`, n))
 			}
 			require.Equal(t, checks, len(s.engine.Orders()) == 1)
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -28,11 +28,11 @@
 }
 
 // executeOrder records an order as executed. It returns false if the engine
-// checks fencing tokens and has seen a higher one.
+// checks fencing tokens and has seen this one or a higher one.
 func (s *Server) executeOrder(o Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cfg.ChecksFencing && o.FencingToken < s.highestFencingToken {
+	if s.cfg.ChecksFencing && o.FencingToken <= s.highestFencingToken {
 		return false
 	}
 	s.highestFencingToken = max(s.highestFencingToken, o.FencingToken)
