Close what was opened when a gateway can't be created

Cause: edgeserver.New left its datagram sockets and listeners open when a later one could not be opened. Test, seen to fail on the old code (bind: address already in use): TestFailedStartLeavesNoSocketOpen.

--- a/internal/edgeserver/harness_test.go
+++ b/internal/edgeserver/harness_test.go
@@ -104,30 +104,29 @@
 // zones maps data centres to regions.
 var zones = map[string]string{"north-a": "north", "south-a": "south"}
 
-// startGateway starts a gateway; one that ran before gets the same addresses again.
-func (s *system) startGateway(id, zone string) *gateway {
-	site := &settings.PlatformSettings{}
-	if old, ok := s.gateways[id]; ok {
-		site = old.site
-	} else {
-		ip := fmt.Sprintf("127.0.%d.1", nextHost.Add(1)+10)
-		at := func(n int) string { return net.JoinHostPort(ip, fmt.Sprint(s.basePort+n)) }
-		*site = settings.PlatformSettings{
-			Instance: id, Region: zones[zone], DataCentre: zone, Regions: zones, IP: ip,
-			CallerAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2), DirectoryAddress: at(3),
-			FirstPort: s.basePort + 10, LastPort: s.basePort + 20, StoreAddress: s.storeAddress,
-			HeartbeatInterval: 1200 * time.Millisecond, LinkMbps: 100, CPUCores: 1,
-			Limits: settings.Limits{
-				ShutdownGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
-				ColdOverage: 1.5, ColdSlack: 3,
-			},
-		}
-		for _, g := range s.gateways {
-			site.Seeds = append(site.Seeds, g.site.PeerAddress)
-		}
+// newSite returns the settings of a new gateway, with addresses of its own.
+func (s *system) newSite(id, zone string) *settings.PlatformSettings {
+	ip := fmt.Sprintf("127.0.%d.1", nextHost.Add(1)+10)
+	at := func(n int) string { return net.JoinHostPort(ip, fmt.Sprint(s.basePort+n)) }
+	site := &settings.PlatformSettings{
+		Instance: id, Region: zones[zone], DataCentre: zone, Regions: zones, IP: ip,
+		CallerAddress: at(0), ReadyAddress: at(1), PeerAddress: at(2), DirectoryAddress: at(3),
+		FirstPort: s.basePort + 10, LastPort: s.basePort + 20, StoreAddress: s.storeAddress,
+		HeartbeatInterval: 1200 * time.Millisecond, LinkMbps: 100, CPUCores: 1,
+		Limits: settings.Limits{
+			ShutdownGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+			ColdOverage: 1.5, ColdSlack: 3,
+		},
+	}
+	for _, g := range s.gateways {
+		site.Seeds = append(site.Seeds, g.site.PeerAddress)
 	}
+	return site
+}
+
+func (s *system) newServer(site *settings.PlatformSettings) (*edgeserver.Server, error) {
 	client := platform.NewStore(s.storeAddress, platform.StoreOptions{})
-	server, err := edgeserver.New(site, edgeserver.Platform{
+	return edgeserver.New(site, edgeserver.Platform{
 		Settings:       func() (*settings.PlatformSettings, error) { return site, nil },
 		Store:          client,
 		OperatorSource: platform.OperatorSource{Store: client},
@@ -138,6 +137,17 @@
 		},
 		NewReadinessHandler: platform.ReadyHandler,
 	}, log.New(io.Discard))
+}
+
+// startGateway starts a gateway; one that ran before gets the same addresses again.
+func (s *system) startGateway(id, zone string) *gateway {
+	var site *settings.PlatformSettings
+	if old, ok := s.gateways[id]; ok {
+		site = old.site
+	} else {
+		site = s.newSite(id, zone)
+	}
+	server, err := s.newServer(site)
 	require.NoError(s.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &gateway{site: site, server: server, stop: stop, done: make(chan error, 1)}
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -101,14 +102,18 @@
 	})
 	s.registry = fleet.NewRegistry(site.Regions)
 	loads := endpointload.New()
+	var sockets openSockets
+	defer sockets.close()
 	heartbeatConn, err := net.ListenPacket("udp", heartbeatAddress)
 	if err != nil {
 		return nil, &ListenError{Address: heartbeatAddress, Cause: err}
 	}
+	sockets.add(heartbeatConn)
 	grantConn, err := net.ListenPacket("udp", grantAddress)
 	if err != nil {
 		return nil, &ListenError{Address: grantAddress, Cause: err}
 	}
+	sockets.add(grantConn)
 	grantController := grants.New(grantConn, logger)
 	s.edge = edge.New(edge.Config{
 		Board:             s.board,
@@ -143,7 +148,28 @@
 			Conn: heartbeatConn, Seeds: seedHeartbeatAddresses(site), Logger: logger,
 		}),
 	}
-	return s, s.openListeners(site)
+	if err = s.openListeners(site); err != nil {
+		for _, srv := range s.servers {
+			sockets.add(srv.listener)
+		}
+		return nil, err
+	}
+	sockets.keep()
+	return s, nil
+}
+
+// openSockets closes what has been opened so far unless all could be opened.
+type openSockets []io.Closer
+
+func (o *openSockets) add(c io.Closer) { *o = append(*o, c) }
+
+// keep leaves the sockets to their users.
+func (o *openSockets) keep() { *o = nil }
+
+func (o *openSockets) close() {
+	for _, c := range *o {
+		_ = c.Close()
+	}
 }
 
 // machineCapacity returns the link capacity in Mbit/s or the processor capacity in
--- a/internal/edgeserver/server_test.go
+++ b/internal/edgeserver/server_test.go
@@ -1,6 +1,8 @@
 package edgeserver_test
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/edgeserver"
 	"github.com/hickorystage/hickorystage/platform/platformtest"
 )
 
@@ -218,3 +221,23 @@
 	}
 	require.Greater(t, answered.Load(), int64(1000))
 }
+
+// TestFailedStartLeavesNoSocketOpen checks that a gateway whose last address is taken
+// can be created again at the same addresses once that address is free.
+func TestFailedStartLeavesNoSocketOpen(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	site := s.newSite("n1", "north-a")
+	taken, err := net.Listen("tcp", site.DirectoryAddress)
+	require.NoError(t, err)
+	_, err = s.newServer(site)
+	var listenErr *edgeserver.ListenError
+	require.ErrorAs(t, err, &listenErr)
+	require.Equal(t, site.DirectoryAddress, listenErr.Address)
+	require.NoError(t, taken.Close())
+	server, err := s.newServer(site)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	require.NoError(t, server.Run(ctx))
+}
