Count a granted request until it completes, and once

A coordinator added every grant of the last 0.9 s to the region's sums, which hold most of these requests already, and kept counting requests of 0.3 s for 0.9 s. With 64 slots that never showed; with 16 an engine took at most 26 short requests a second. The KV cache was counted the same way, and the shared part of a prompt once for each request, so that the home of a popular prefix looked full and was believed to evict it soon. Ruled out: requests that gather at few engines (208 to 309 short requests at each of the 40 of sofia), the limit on prefill utilization (33% in the mean). Change: a grant counts until the request is expected to complete, by the learned time to generate a token; the sums replace it where they hold more; shared parts are kept once. The estimate of the first output includes the wait for a slot.

--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -36,6 +36,7 @@
 		KVCapacity:          q.KVCapacity,
 		PrefillTimePerToken: t.serviceTimes.prefillPerToken(q.Service),
 		ServiceTime:         engineOverhead,
+		SlotTime:            t.serviceTimes.slotTime(q.Service),
 	}
 	if q.KVCapacity == 0 {
 		c.ServiceTime = t.serviceTimes.plainServiceTime(q.Service)
--- a/internal/endpointload/grants.go
+++ b/internal/endpointload/grants.go
@@ -1,20 +1,15 @@
 package endpointload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/placement"
 )
 
-const (
-	// prefillShare is the share of an engine's time that goes to prefill while
-	// prompts are waiting; the rest generates responses.
-	prefillShare = 0.85
-	// maxSumAge is the age that the region's load sums rarely exceed: the
-	// interval between two heartbeats to a hub plus that between two of the
-	// hub's own.
-	maxSumAge = 900 * time.Millisecond
-)
+// prefillShare is the share of an engine's time that goes to prefill while prompts
+// are waiting; the rest generates responses.
+const prefillShare = 0.85
 
 // grantedLoad is the load that a coordinator has admitted to an endpoint by
 // grants to gateways of its region.
@@ -25,14 +20,35 @@
 	// recentPrefill is the decayed sum of granted prefill times.
 	recentPrefill time.Duration
 	updated       time.Time
-	// recentGrants are the grants that the region's load sums may not include
-	// yet.
-	recentGrants []recentGrant
+	// inFlight are the granted requests that are expected not to be complete.
+	inFlight []grantedRequest
+}
+
+// grantedRequest is a request that holds a slot and KV cache until completesAt.
+type grantedRequest struct {
+	completesAt time.Time
+	// ownTokens is the KV cache in tokens that only this request uses. The
+	// sharedTokens of the prefix with the hash sharedPrefix are kept once for all
+	// requests that share it.
+	ownTokens    int
+	sharedTokens int
+	sharedPrefix uint64
 }
 
-type recentGrant struct {
-	grantedAt time.Time
-	kvTokens  int
+// newGrantedRequest returns the request of a job that completes at the given time.
+func newGrantedRequest(job Job, completesAt time.Time) grantedRequest {
+	r := grantedRequest{completesAt: completesAt, ownTokens: job.PromptTokens + job.OutputTokens}
+	if len(job.Segments) < 2 {
+		return r
+	}
+	shared := job.Segments[:len(job.Segments)-1]
+	for _, s := range shared {
+		r.sharedTokens += s.Tokens
+	}
+	r.sharedTokens = min(r.sharedTokens, job.PromptTokens)
+	r.ownTokens -= r.sharedTokens
+	r.sharedPrefix = shared[len(shared)-1].PrefixHash
+	return r
 }
 
 // advance brings the load up to now. The endpoint is assumed to prefill the
@@ -50,41 +66,67 @@
 		g.queuedPrefill[priority] -= completed
 		prefilled -= completed
 	}
-	for len(g.recentGrants) > 0 && now.Sub(g.recentGrants[0].grantedAt) > maxSumAge {
-		g.recentGrants = g.recentGrants[1:]
-	}
+	g.inFlight = slices.DeleteFunc(g.inFlight, func(r grantedRequest) bool { return !r.completesAt.After(now) })
 }
 
-// add adds a grant.
-func (g *grantedLoad) add(priority int, prefill time.Duration, kvTokens int, now time.Time) {
+// add adds a grant for a job whose prompt takes prefill to prefill and whose response
+// takes generation to generate.
+func (g *grantedLoad) add(job Job, prefill, generation time.Duration, now time.Time) {
 	g.advance(now)
-	g.queuedPrefill[min(priority, priorityLevels-1)] += prefill
+	g.queuedPrefill[min(job.Priority, priorityLevels-1)] += prefill
 	g.recentPrefill += prefill
-	g.recentGrants = append(g.recentGrants, recentGrant{grantedAt: now, kvTokens: kvTokens})
+	firstOutput := engineOverhead + time.Duration(float64(g.queuedFor(job.Priority))/prefillShare)
+	g.inFlight = append(g.inFlight, newGrantedRequest(job, now.Add(firstOutput+generation)))
 }
 
-// adjust raises a candidate's load, which is based on delayed sums, to what was
-// granted.
-func (g *grantedLoad) adjust(c *placement.Candidate, priority int, now time.Time) {
-	g.advance(now)
+// queuedFor returns the granted prefill time that is served before or with a request
+// of the given priority.
+func (g *grantedLoad) queuedFor(priority int) time.Duration {
 	var queued time.Duration
 	for p := range min(priority, priorityLevels-1) + 1 {
 		queued += g.queuedPrefill[p]
 	}
-	c.QueuedPrefill = max(c.QueuedPrefill, queued)
+	return queued
+}
+
+// kvTokens returns the KV cache that the granted requests in flight use, in tokens.
+func (g *grantedLoad) kvTokens() int {
+	sum := 0
+	counted := make(map[uint64]bool, len(g.inFlight))
+	for _, r := range g.inFlight {
+		sum += r.ownTokens
+		if r.sharedTokens > 0 && !counted[r.sharedPrefix] {
+			counted[r.sharedPrefix] = true
+			sum += r.sharedTokens
+		}
+	}
+	return sum
+}
+
+// adjust replaces a candidate's load, which is based on delayed sums, by what was
+// granted. The sums include the granted requests, after a delay; where they hold more
+// requests, the rest came without a grant or takes longer than expected, and counts
+// with its mean use of the KV cache.
+func (g *grantedLoad) adjust(c *placement.Candidate, priority int, now time.Time) {
+	g.advance(now)
+	c.QueuedPrefill = max(c.QueuedPrefill, g.queuedFor(priority))
 	c.PrefillUtilization = max(c.PrefillUtilization, g.recentPrefill.Seconds()/utilizationTimeConstant.Seconds())
-	c.Waiting += len(g.recentGrants)
-	for _, r := range g.recentGrants {
-		c.KVTokens += r.kvTokens
+	reported, granted := c.Running+c.Waiting, len(g.inFlight)
+	kvTokens := g.kvTokens()
+	if reported > granted {
+		kvTokens += c.KVTokens / reported * (reported - granted)
 	}
+	c.KVTokens = kvTokens
+	c.Waiting += max(granted-reported, 0)
 }
 
 // RecordGrant adds a request that this gateway, as the endpoint's coordinator,
 // admits to the endpoint now.
 func (t *Tracker) RecordGrant(id string, incarnation int64, job Job, now time.Time) {
 	prefill := time.Duration(max(job.PromptTokens-job.CachedTokens, 0)) * t.serviceTimes.prefillPerToken(job.Service)
+	generation := t.serviceTimes.generationTime(job.Service, job.OutputTokens)
 	t.withAccount(id, incarnation, func(a *account) {
-		a.grantedLoad.add(job.Priority, prefill, job.PromptTokens+job.OutputTokens, now)
+		a.grantedLoad.add(job, prefill, generation, now)
 		a.prefixes.touch(job.Segments, now)
 	})
 }
--- a/internal/endpointload/servicetimes.go
+++ b/internal/endpointload/servicetimes.go
@@ -13,6 +13,9 @@
 	// defaultPlainServiceTime is the time of a request to a plain service until
 	// one has been observed.
 	defaultPlainServiceTime = 20 * time.Millisecond
+	// defaultTimePerOutputToken is the time to generate one token of a response
+	// until a response has been observed.
+	defaultTimePerOutputToken = 10 * time.Millisecond
 	// engineOverhead is the time that a model request takes in addition to
 	// prefill: connection, admission and first step.
 	engineOverhead = 20 * time.Millisecond
@@ -29,16 +32,57 @@
 	maxPrefillPerToken = 500 * time.Microsecond
 )
 
-// serviceTimes holds the learned prefill times per token of model services and
-// the request times of plain services, by service.
+// serviceTimes holds what was learned of the times of each service, by service:
+// for model services the prefill time of a prompt token, the time to generate an
+// output token and the time that a request holds a slot, for plain services the time
+// of a request.
 type serviceTimes struct {
-	mu       sync.RWMutex
-	perToken map[string]time.Duration
-	plain    map[string]time.Duration
+	mu             sync.RWMutex
+	perToken       map[string]time.Duration
+	perOutputToken map[string]time.Duration
+	slot           map[string]time.Duration
+	plain          map[string]time.Duration
 }
 
 func newServiceTimes() *serviceTimes {
-	return &serviceTimes{perToken: make(map[string]time.Duration), plain: make(map[string]time.Duration)}
+	return &serviceTimes{
+		perToken:       make(map[string]time.Duration),
+		perOutputToken: make(map[string]time.Duration),
+		slot:           make(map[string]time.Duration),
+		plain:          make(map[string]time.Duration),
+	}
+}
+
+// generationTime returns the expected time from the first output of a response of
+// the given length to its end.
+func (s *serviceTimes) generationTime(service string, outputTokens int) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	perToken, ok := s.perOutputToken[service]
+	if !ok {
+		perToken = defaultTimePerOutputToken
+	}
+	return time.Duration(outputTokens) * perToken
+}
+
+// slotTime returns the mean time for which a model request holds a slot, 0 until one
+// has been observed.
+func (s *serviceTimes) slotTime(service string) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.slot[service]
+}
+
+// observeGeneration learns from a complete response: generation is the time from its
+// first output to its end, total that from the sending of the request.
+func (s *serviceTimes) observeGeneration(job Job, generation, total time.Duration) {
+	if job.Forwarded || job.OutputTokens <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perOutputToken[job.Service] = movingAverage(s.perOutputToken[job.Service], generation/time.Duration(job.OutputTokens), defaultTimePerOutputToken)
+	s.slot[job.Service] = movingAverage(s.slot[job.Service], total, total)
 }
 
 func (s *serviceTimes) prefillPerToken(service string) time.Duration {
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -115,7 +115,9 @@
 	prefill time.Duration
 	// uncontended is set if no other request was waiting at the endpoint when
 	// this one was sent.
-	uncontended     bool
+	uncontended bool
+	// firstOutputAt is set once responseStarted is.
+	firstOutputAt   time.Time
 	responseStarted bool
 	ended           bool
 }
@@ -142,7 +144,7 @@
 	if req.responseStarted {
 		return
 	}
-	req.responseStarted = true
+	req.responseStarted, req.firstOutputAt = true, now
 	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.startResponse(req, now) })
 	if req.uncontended {
 		req.tracker.serviceTimes.observePrefill(req.job, now.Sub(req.start))
@@ -156,7 +158,11 @@
 	}
 	req.ended = true
 	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.finish(req, result, now) })
-	if result == Succeeded && req.job.PromptTokens == 0 && !req.job.Forwarded {
+	switch {
+	case result != Succeeded:
+	case req.job.PromptTokens > 0 && req.responseStarted:
+		req.tracker.serviceTimes.observeGeneration(req.job, now.Sub(req.firstOutputAt), now.Sub(req.start))
+	case req.job.PromptTokens == 0 && !req.job.Forwarded:
 		req.tracker.serviceTimes.observePlainService(req.job.Service, now.Sub(req.start))
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -80,6 +80,9 @@
 	// ServiceTime is the service time of a plain request, or the fixed overhead
 	// of a model request.
 	ServiceTime time.Duration
+	// SlotTime is the mean time for which a model request holds a slot, 0 if
+	// unknown.
+	SlotTime time.Duration
 	// FailureRate is the share of recent requests that failed, from 0 to 1.
 	FailureRate float64
 	// Rank orders the candidates for this request, the highest first. Without
@@ -244,16 +247,16 @@
 // estimateFirstOutput returns the estimated time until the first output of the
 // response.
 func estimateFirstOutput(req Request, c *Candidate) time.Duration {
-	wait := time.Duration(float64(c.QueuedPrefill+prefillTime(req, c)) / prefillShare)
 	if req.PromptTokens == 0 {
-		wait = plainServiceWait(c)
+		return c.RoundTrip + slotWait(c, c.ServiceTime) + c.ServiceTime
 	}
-	return c.RoundTrip + wait + c.ServiceTime
+	prefill := time.Duration(float64(c.QueuedPrefill+prefillTime(req, c)) / prefillShare)
+	return c.RoundTrip + max(slotWait(c, c.SlotTime), prefill) + c.ServiceTime
 }
 
-// plainServiceWait returns the queueing time at an endpoint that runs up to
-// Slots requests at once.
-func plainServiceWait(c *Candidate) time.Duration {
+// slotWait returns the time until a slot is free at an endpoint whose requests hold
+// one for slotTime each.
+func slotWait(c *Candidate, slotTime time.Duration) time.Duration {
 	if c.Slots == 0 {
 		return 0
 	}
@@ -261,7 +264,7 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return c.ServiceTime * time.Duration(ahead) / time.Duration(c.Slots)
+	return slotTime * time.Duration(ahead) / time.Duration(c.Slots)
 }
 
 // prefillTime returns the time to prefill the part of the prompt that is not
