Keep the lists that every request needs until they change

At 300 gateways and 160 endpoints a gateway sorted the views of all endpoints and the statuses of all gateways for each request, and a coordinator weighed every endpoint of its region against every gateway for each grant request: 636 us for a placement and 896 us for a grant, of which a request makes up to three. Change: fleet keeps the lists of living gateways and of usable endpoints until something in them changes, 100 ms at most; edge keeps which gateway coordinates an endpoint while the gateways stay the same; a coordinator looks at the endpoint that is asked for only. canReach no longer moves the round-robin counter, which made requests use every third gateway of a region of some sizes.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -21,47 +21,6 @@
 	RequestGrant(ctx context.Context, gateway, address string, req grants.Request) (grants.Response, error)
 }
 
-// coordinators are the gateways of the local region, this one included, among
-// which the coordination of its endpoints is divided. Each gateway computes them
-// from its own view of the fleet.
-type coordinators struct {
-	selfID string
-	ids    []string
-	// others holds all coordinators but this gateway, by id.
-	others map[string]fleet.GatewayStatus
-}
-
-// coordinators returns the coordinators that this gateway believes to be alive.
-func (e *Edge) coordinators(now time.Time) coordinators {
-	self := e.Gateways.Self()
-	alive := e.Gateways.Alive(self.Region, now)
-	c := coordinators{selfID: self.ID, ids: make([]string, 0, len(alive)+1), others: make(map[string]fleet.GatewayStatus, len(alive))}
-	c.ids = append(c.ids, self.ID)
-	for _, g := range alive {
-		c.ids = append(c.ids, g.ID)
-		c.others[g.ID] = g
-	}
-	return c
-}
-
-// coordinatorOf returns the id of the coordinator of an endpoint. Gateways with the
-// same view of the fleet agree on it; while their views differ, two gateways may
-// admit requests to one endpoint.
-func (c coordinators) coordinatorOf(endpoint string) string {
-	var best string
-	var bestWeight uint64
-	for _, id := range c.ids {
-		if weight := rendezvous.Weight(coordinatorKeyPrefix+endpoint, id); best == "" || weight > bestWeight || weight == bestWeight && id < best {
-			best, bestWeight = id, weight
-		}
-	}
-	return best
-}
-
-// coordinatorKeyPrefix is the prefix of the rendezvous keys by which endpoints are
-// assigned to coordinators.
-const coordinatorKeyPrefix = "coordinator "
-
 // Grant decides on a request for a grant from another gateway of this region, by
 // the load of the endpoints that this gateway coordinates. It grants no cold
 // endpoints: only their coordinator sends to those. It implements
@@ -104,7 +63,7 @@
 	var out []placement.Candidate
 	best := -1
 	for _, view := range e.Registry.Usable(req.Service, e.heartbeatInterval(), now) {
-		if view.Region != local || coords.coordinatorOf(view.ID) != coords.selfID || !req.Admits(view.ID) || !usable(view) {
+		if view.Region != local || !req.Admits(view.ID) || coords.coordinatorOf(view.ID) != coords.selfID || !usable(view) {
 			continue
 		}
 		c, ok := e.Loads.Candidate(endpointload.Query{
@@ -199,7 +158,7 @@
 // requestGrantFrom asks one coordinator, which may be this gateway itself, and adds
 // the response to result. A grant for an endpoint that is not in local counts as
 // denied.
-func (s *session) requestGrantFrom(ctx context.Context, result *grantResult, coords coordinators, id string, req grants.Request, local []placement.Candidate) {
+func (s *session) requestGrantFrom(ctx context.Context, result *grantResult, coords *coordinators, id string, req grants.Request, local []placement.Candidate) {
 	response, err := s.grantResponseOf(ctx, coords, id, req)
 	if err != nil {
 		s.log("not_granted", "coordinator", id, "err", err)
@@ -222,7 +181,7 @@
 	}
 }
 
-func (s *session) grantResponseOf(ctx context.Context, coords coordinators, id string, req grants.Request) (grants.Response, error) {
+func (s *session) grantResponseOf(ctx context.Context, coords *coordinators, id string, req grants.Request) (grants.Response, error) {
 	if id == coords.selfID {
 		now := time.Now()
 		return s.edge.grant(req, now, func(view fleet.EndpointView) bool { return s.mayUseCold(view, now) }), nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,9 @@
 	roundTrips *roundTrips
 	// nextGateway is the round-robin counter over the gateways of a remote region.
 	nextGateway atomic.Uint64
+
+	coordinatorsMu   sync.Mutex
+	lastCoordinators *coordinators
 }
 
 // New returns an Edge that measures the round trips to other regions on the
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -183,7 +184,7 @@
 func (s *session) canReach(region string, known map[string]bool, now time.Time) bool {
 	ok, seen := known[region]
 	if !seen {
-		_, ok = s.edge.remoteGateway(region, now)
+		ok = slices.ContainsFunc(s.edge.Gateways.Alive(region, now), func(g fleet.GatewayStatus) bool { return g.Ready })
 		known[region] = ok
 	}
 	return ok
@@ -217,14 +218,15 @@
 // remoteGateway returns a ready gateway of another region, chosen round-robin, and
 // false if there is none.
 func (e *Edge) remoteGateway(region string, now time.Time) (fleet.GatewayStatus, bool) {
-	var ready []fleet.GatewayStatus
-	for _, g := range e.Gateways.Alive(region, now) {
-		if g.Ready {
-			ready = append(ready, g)
-		}
-	}
-	if len(ready) == 0 {
+	alive := e.Gateways.Alive(region, now)
+	if len(alive) == 0 {
 		return fleet.GatewayStatus{}, false
 	}
-	return ready[e.nextGateway.Add(1)%uint64(len(ready))], true
+	first := int(e.nextGateway.Add(1) % uint64(len(alive)))
+	for i := range alive {
+		if g := alive[(first+i)%len(alive)]; g.Ready {
+			return g, true
+		}
+	}
+	return fleet.GatewayStatus{}, false
 }
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -69,8 +69,27 @@
 	known map[string]*member
 	// lastSummary is when the newest summary of each region was created.
 	lastSummary map[string]time.Time
+	// changes counts the changes that can make an aliveList or a regionSize wrong at
+	// once.
+	changes        uint64
+	lastRegionSize atomic.Pointer[regionSize]
+
+	aliveMu sync.Mutex
+	// alive holds the last result of Alive for each region.
+	alive map[string]aliveList
 }
 
+// aliveList is the result of Alive at a time.
+type aliveList struct {
+	at      time.Time
+	changes uint64
+	list    []GatewayStatus
+}
+
+// aliveListTTL is how long an aliveList is used while no gateway changes: a small part
+// of SilenceTimeout, after which a gateway drops out of it.
+const aliveListTTL = 100 * time.Millisecond
+
 type member struct {
 	status GatewayStatus
 	// lastSeen is the time of the last status, zero if there was none; listedAt
@@ -86,7 +105,7 @@
 
 // NewGateways returns an empty view for the gateway self.
 func NewGateways(self Gateway) *Gateways {
-	return &Gateways{self: self, known: make(map[string]*member), lastSummary: make(map[string]time.Time)}
+	return &Gateways{self: self, known: make(map[string]*member), lastSummary: make(map[string]time.Time), alive: make(map[string]aliveList)}
 }
 
 // Self returns this gateway.
@@ -134,11 +153,17 @@
 	m, ok := g.known[s.ID]
 	if !ok {
 		g.known[s.ID] = &member{status: s, lastSeen: now}
+		g.changes++
 		return true
 	}
 	if m.status.Incarnation == s.Incarnation && s.Seq <= m.status.Seq {
 		return false
 	}
+	unchanged := m.status
+	unchanged.Seq = s.Seq
+	if unchanged != s || !g.isAlive(m, now) {
+		g.changes++
+	}
 	becameAlive := m.lastSeen.IsZero() || now.Sub(m.lastSeen) > SilenceTimeout || m.status.Incarnation != s.Incarnation
 	m.status, m.lastSeen, m.viaSummary = s, now, false
 	return becameAlive
@@ -163,6 +188,7 @@
 	for _, s := range statuses {
 		if _, ok := g.known[s.ID]; !ok && s.ID != g.self.ID && s.ID != "" {
 			g.known[s.ID] = &member{status: s}
+			g.changes++
 		}
 	}
 }
@@ -221,6 +247,9 @@
 		candidate := m.status
 		candidate.Ready = ready
 		if candidate.Compact() == compact {
+			if m.status.Ready != ready || !g.isAlive(m, now) {
+				g.changes++
+			}
 			m.status.Ready, m.lastSeen, m.viaSummary = ready, now, true
 		}
 	}
@@ -239,6 +268,7 @@
 		switch {
 		case !ok:
 			g.known[gw.ID] = &member{status: GatewayStatus{Gateway: gw}, listedAt: now}
+			g.changes++
 		case m.lastSeen.IsZero():
 			m.status.Gateway, m.listedAt = gw, now
 		default:
@@ -251,6 +281,7 @@
 		}
 		if now.Sub(m.lastSeen) > silentRetention && now.Sub(m.listedAt) > silentRetention {
 			delete(g.known, id)
+			g.changes++
 		}
 	}
 }
@@ -279,11 +310,24 @@
 }
 
 // Alive returns the gateways of the region that are alive and not leaving,
-// without this one, ordered by id.
+// without this one, ordered by id. The list is shared and must not be changed. A
+// gateway that has fallen silent is in it for up to aliveListTTL longer, and its
+// sequence numbers may be older than the newest.
 func (g *Gateways) Alive(region string, now time.Time) []GatewayStatus {
-	return g.filter(func(m *member) bool {
+	g.aliveMu.Lock()
+	defer g.aliveMu.Unlock()
+	g.mu.RLock()
+	changes := g.changes
+	g.mu.RUnlock()
+	last, ok := g.alive[region]
+	if age := now.Sub(last.at); ok && last.changes == changes && age >= 0 && age < aliveListTTL {
+		return last.list
+	}
+	list := slices.Clip(g.filter(func(m *member) bool {
 		return m.status.Region == region && !m.status.Leaving && g.isAlive(m, now)
-	})
+	}))
+	g.alive[region] = aliveList{at: now, changes: changes, list: list}
+	return list
 }
 
 // RecentlyLeft returns the gateways of the region that announced within
@@ -308,6 +352,31 @@
 	return g.filter(func(m *member) bool { return m.status.Region == region })
 }
 
+// regionSize is the number of known gateways of this gateway's region after so many
+// changes.
+type regionSize struct {
+	changes  uint64
+	gateways int
+}
+
+// countRegion returns the number of known gateways of this gateway's region, alive or
+// not, without this one.
+func (g *Gateways) countRegion() int {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if last := g.lastRegionSize.Load(); last != nil && last.changes == g.changes {
+		return last.gateways
+	}
+	size := regionSize{changes: g.changes}
+	for _, m := range g.known {
+		if m.status.Region == g.self.Region {
+			size.gateways++
+		}
+	}
+	g.lastRegionSize.Store(&size)
+	return size.gateways
+}
+
 // Get returns the newest status of a gateway, and whether the gateway is known.
 func (g *Gateways) Get(id string) (GatewayStatus, bool) {
 	g.mu.RLock()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -93,8 +93,25 @@
 	evacuated map[string]bool
 	// evacuationEnded is when the last evacuation of each data centre ended.
 	evacuationEnded map[string]time.Time
+	// changes counts the changes of any of these.
+	changes uint64
+
+	usableMu sync.Mutex
+	// usable holds the last result of Usable for each service.
+	usable map[string]usableList
+}
+
+// usableList is the result of Usable at a time.
+type usableList struct {
+	at      time.Time
+	changes uint64
+	list    []EndpointView
 }
 
+// usableListTTL is how long a usableList is used while nothing changes: a small part
+// of the time for which a taken address keeps an endpoint out of it.
+const usableListTTL = 100 * time.Millisecond
+
 // NewRegistry returns an empty registry. regions maps data centres to their
 // regions; endpoints in data centres that it lacks are ignored.
 func NewRegistry(regions map[string]string) *Registry {
@@ -104,13 +121,20 @@
 		leaving:         make(map[incarnationKey]time.Time),
 		evacuated:       make(map[string]bool),
 		evacuationEnded: make(map[string]time.Time),
+		usable:          make(map[string]usableList),
 	}
 }
 
+// lockForChange locks the registry for a change.
+func (r *Registry) lockForChange() {
+	r.mu.Lock()
+	r.changes++
+}
+
 // SetRegions replaces the map of data centres to regions. Endpoints in data
 // centres that it lacks are removed.
 func (r *Registry) SetRegions(regions map[string]string) {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	r.regions = regions
 	for id, v := range r.views {
@@ -144,7 +168,7 @@
 
 // Apply merges changed entries and returns the resulting changes.
 func (r *Registry) Apply(entries []Entry, now time.Time) []Change {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	var out []Change
 	for _, e := range entries {
@@ -156,7 +180,7 @@
 // Replace merges the complete list of entries and returns the resulting changes.
 // Endpoints that it lacks are treated as deleted.
 func (r *Registry) Replace(entries []Entry, now time.Time) []Change {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	var out []Change
 	present := make(map[string]bool, len(entries))
@@ -175,7 +199,7 @@
 // RecordStoreRecovery records that the store answers again after an outage.
 // Entries found missing within ReregistrationGrace are kept for that time.
 func (r *Registry) RecordStoreRecovery(now time.Time) {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	r.storeRecoveredAt = now
 }
@@ -275,7 +299,7 @@
 // a data centre that is no longer evacuated may be cold before their entries say
 // so.
 func (r *Registry) SetEvacuated(set map[string]bool, now time.Time) {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	for dc := range r.evacuated {
 		if !set[dc] {
@@ -289,7 +313,7 @@
 // ReregistrationGrace, and the leaving marks older than leavingRetention. It
 // returns the resulting changes.
 func (r *Registry) RemoveExpired(now time.Time) []Change {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	var out []Change
 	for id, v := range r.views {
@@ -313,7 +337,7 @@
 // MarkLeaving records that an incarnation is leaving, as reported by a peer. It
 // reports whether this was not known before.
 func (r *Registry) MarkLeaving(id string, incarnation int64, now time.Time) bool {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	key := incarnationKey{id, incarnation}
 	if _, ok := r.leaving[key]; ok {
@@ -338,7 +362,7 @@
 }
 
 func (r *Registry) updateView(id string, incarnation int64, set func(*EndpointView)) {
-	r.mu.Lock()
+	r.lockForChange()
 	defer r.mu.Unlock()
 	if v, ok := r.views[id]; ok && v.Incarnation == incarnation {
 		set(v)
@@ -346,10 +370,24 @@
 }
 
 // Usable returns the endpoints of a service that may get new requests, ordered
-// by id. heartbeatInterval is the time between two heartbeats of an endpoint.
+// by id. heartbeatInterval is the time between two heartbeats of an endpoint. The list
+// is shared and must not be changed. An endpoint whose address is no longer taken
+// appears in it up to usableListTTL later.
 func (r *Registry) Usable(service string, heartbeatInterval time.Duration, now time.Time) []EndpointView {
+	r.usableMu.Lock()
+	defer r.usableMu.Unlock()
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	last, ok := r.usable[service]
+	if age := now.Sub(last.at); ok && last.changes == r.changes && age >= 0 && age < usableListTTL {
+		return last.list
+	}
+	list := slices.Clip(r.usableNow(service, heartbeatInterval, now))
+	r.usable[service] = usableList{at: now, changes: r.changes, list: list}
+	return list
+}
+
+func (r *Registry) usableNow(service string, heartbeatInterval time.Duration, now time.Time) []EndpointView {
 	var out []EndpointView
 	for _, v := range r.views {
 		if v.Service != service || !v.LeavingSince.IsZero() || v.IsAddressTaken(heartbeatInterval, now) || r.evacuated[v.DataCentre] {
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -22,7 +22,7 @@
 // Rendezvous hashing breaks ties. Each gateway computes the hubs from its own
 // view; gateways may disagree for a moment without harm.
 func (g *Gateways) Hubs(region string, now time.Time) []string {
-	all := g.Alive(region, now)
+	all := slices.Clone(g.Alive(region, now))
 	if region == g.self.Region && !g.IsLeaving() {
 		all = append(all, GatewayStatus{Gateway: g.self, StoreUnreachable: g.IsStoreUnreachable(now)})
 	}
@@ -66,4 +66,4 @@
 
 // IsFullMesh reports whether the gateways of this gateway's region form a full
 // mesh.
-func (g *Gateways) IsFullMesh() bool { return len(g.Known(g.self.Region)) < MaxFullMeshGateways }
+func (g *Gateways) IsFullMesh() bool { return g.countRegion() < MaxFullMeshGateways }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -11,11 +11,11 @@
 
 // Weight returns the weight of member for key.
 func Weight(key, member string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
+	var buffer [128]byte
+	b := append(buffer[:0], key...)
+	b = append(b, 0)
+	b = append(b, member...)
+	return xxhash.Sum64(b)
 }
 
 // Top returns the k members with the highest weights for key, the highest
