Hash the endpoints' entries only after a change

Cause: each gateway formatted and hashed all entries every 300 ms to compare them with the store reader's, and marked the registry as changed by checks that found nothing to change. Change: the fingerprint is kept until the registry changes; setting the same evacuations and removing nothing are no changes.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,7 +96,8 @@
 	// evacuationEnded is when the last evacuation of each data centre ended.
 	evacuationEnded map[string]time.Time
 	// changes counts the changes of any of these.
-	changes uint64
+	changes         uint64
+	lastFingerprint atomic.Pointer[fingerprint]
 
 	usableMu sync.Mutex
 	// usable holds the last result of Usable for each service.
@@ -299,8 +302,12 @@
 // a data centre that is no longer evacuated may be cold before their entries say
 // so.
 func (r *Registry) SetEvacuated(set map[string]bool, now time.Time) {
-	r.lockForChange()
+	r.mu.Lock()
 	defer r.mu.Unlock()
+	if maps.Equal(r.evacuated, set) {
+		return
+	}
+	r.changes++
 	for dc := range r.evacuated {
 		if !set[dc] {
 			r.evacuationEnded[dc] = now
@@ -313,12 +320,13 @@
 // ReregistrationGrace, and the leaving marks older than leavingRetention. It
 // returns the resulting changes.
 func (r *Registry) RemoveExpired(now time.Time) []Change {
-	r.lockForChange()
+	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Change
 	for id, v := range r.views {
 		if !v.MissingSince.IsZero() && now.Sub(v.MissingSince) >= ReregistrationGrace {
 			delete(r.views, id)
+			r.changes++
 			out = append(out, removal(v))
 		}
 	}
@@ -425,9 +433,24 @@
 	return out
 }
 
+// fingerprint is the fingerprint of the entries after so many changes.
+type fingerprint struct{ changes, hash uint64 }
+
 // Fingerprint returns a hash of the entries without the values that change with
 // each heartbeat. Registries with equal entries have the same fingerprint.
 func (r *Registry) Fingerprint() uint64 {
+	r.mu.RLock()
+	changes := r.changes
+	r.mu.RUnlock()
+	if last := r.lastFingerprint.Load(); last != nil && last.changes == changes {
+		return last.hash
+	}
+	f := fingerprint{changes: changes, hash: r.computeFingerprint()}
+	r.lastFingerprint.Store(&f)
+	return f.hash
+}
+
+func (r *Registry) computeFingerprint() uint64 {
 	h := xxhash.New()
 	for _, e := range r.Entries(time.Time{}) {
 		_, _ = fmt.Fprintf(h, "%s %d %s %s %s %d %d %t\n", e.ID, e.Incarnation, e.Service, e.Address, e.DataCentre, e.Slots, e.State, e.ColdRemaining > 0)
