Keep a fleet of hundreds of gateways together within its datagrams

The store reader's word came each 0.9 s and was up to 2.2 s old where 1.6 s counted as stale, so that the region read the store also without any loss. (1.6 s was one of the constants whose reason nobody could tell.) Change: introductions are sent in parts; summaries describe those members in full that changed, three times, and the rest in turn; an unchanged list of living members is named by its hash, and sent now and then; a message holds three summaries. A gateway that is taken for a hub and isn't names the hubs. The store reader sends its status in each round of a large region, and how old it may get follows from the time within which a change has to take effect.

--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -30,9 +30,6 @@
 	// Since endpoints rewrite their entries all the time, a watch that returns at
 	// each change would cost more calls.
 	readInterval = 900 * time.Millisecond
-	// staleAfter is the age of the last known read of the store from which on a
-	// gateway that is not the store reader reads it itself.
-	staleAfter = 1600 * time.Millisecond
 	// watchWait is how long the store may delay its response to a watch while
 	// there are no changes.
 	watchWait = 10 * time.Millisecond
@@ -113,7 +110,7 @@
 	switch {
 	case c.Gateways.IsStoreReader(now):
 		c.readIfDue(ctx, now)
-	case c.Board.EndpointsDiscovered.Get() && now.Sub(readAt) < staleAfter:
+	case c.Board.EndpointsDiscovered.Get() && now.Sub(readAt) < fleet.StaleAfter(c.Board.Settings.Get().Limits.EndpointDrain):
 		c.followStoreReader(ctx, status, from, readAt)
 	case !c.Board.EndpointsDiscovered.Get() && from != "" && c.fetchFromPeer(ctx, from):
 	default:
--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -32,7 +32,8 @@
 	// other regions.
 	largeRegionRounds = 3
 	remoteRounds      = 3
-	// One of fullSummaryRounds summaries describes all members in full.
+	// One of fullSummaryRounds summaries of a small region describes all members in
+	// full.
 	fullSummaryRounds = 12
 	// cachedPrefixRepeats is the number of heartbeats that carry the same cached
 	// prefix: one of them may be lost.
@@ -74,15 +75,18 @@
 	round int
 	// remoteSummaries holds the newest summary of each other region.
 	remoteSummaries map[string]*receivedSummary
-	// lastAlive holds the members of the region that are alive; aliveChangedAt is
-	// when they last changed.
-	lastAlive      []fleet.CompactStatus
-	aliveChangedAt time.Time
 	// introductions counts the introductions asked for since the last round.
 	introductions int
 	// lastSentLoads are the loads of this gateway, by endpoint, that the hubs were
 	// last sent.
 	lastSentLoads map[string]endpointload.EndpointLoad
+
+	// aliveLists completes summaries that leave out their list.
+	aliveLists aliveLists
+
+	// localDescriber is for summaries to this region, remoteDescriber for those to
+	// other regions. Only the goroutine that sends the rounds uses them.
+	localDescriber, remoteDescriber *describer
 }
 
 type receivedSummary struct {
@@ -95,7 +99,10 @@
 
 // New returns the controller.
 func New(c Config) *Controller {
-	return &Controller{Config: c, remoteSummaries: make(map[string]*receivedSummary)}
+	return &Controller{
+		Config: c, remoteSummaries: make(map[string]*receivedSummary),
+		aliveLists: make(aliveLists), localDescriber: newDescriber(), remoteDescriber: newDescriber(),
+	}
 }
 
 // Name implements controller.Controller.
@@ -154,9 +161,12 @@
 		c.introduce(m.From, now)
 	}
 	if m.From.Region == own {
-		if c.Gateways.IsFullMesh() || c.Gateways.IsHub(now) {
+		switch {
+		case c.Gateways.IsFullMesh() || c.Gateways.IsHub(now):
 			// Other gateways get the sums from the hubs instead.
 			c.Loads.ApplyGatewayLoads(m.From.ID, m.Loads, now)
+		case m.ToHub && c.mayIntroduce():
+			c.nameHubs(m.From, now)
 		}
 		if m.StoreStatus != nil {
 			c.StoreStatus.Set(m.From.ID, *m.StoreStatus, now)
@@ -190,7 +200,7 @@
 		}
 		c.Gateways.AddKnown(summary.Members)
 		if !c.Gateways.IsFullMesh() && !c.Gateways.IsHub(now) {
-			c.Gateways.ApplyRegionSummary(own, summary.Alive, summary.Members, now)
+			c.applyMembers(summary, now)
 			c.Loads.ApplyRegionLoads(own, c.withoutOwnLoads(summary.Loads), now)
 			c.Loads.ApplyCachedPrefixes(summary.CachedPrefixes, false, now)
 		}
@@ -200,11 +210,25 @@
 	if !c.storeSummary(summary, createdAt, from.Region != own) {
 		return
 	}
-	c.Gateways.ApplyRegionSummary(summary.Region, summary.Alive, summary.Members, createdAt)
+	c.applyMembers(summary, createdAt)
 	c.Loads.ApplyRegionLoads(summary.Region, summary.Loads, createdAt)
 	c.Loads.ApplyCachedPrefixes(summary.CachedPrefixes, false, now)
 }
 
+// applyMembers merges what a summary that was created at the given time says of the
+// members of its region. Without its list of living members it says nothing about who
+// is alive.
+func (c *Controller) applyMembers(summary RegionSummary, at time.Time) {
+	c.mu.Lock()
+	alive, known := c.aliveLists.complete(summary)
+	c.mu.Unlock()
+	if !known {
+		c.Gateways.AddKnown(summary.Members)
+		return
+	}
+	c.Gateways.ApplyRegionSummary(summary.Region, alive, summary.Members, at)
+}
+
 // storeSummary stores a summary of another region, and reports whether it is newer
 // than the stored one. isDirect says that it came from another region.
 func (c *Controller) storeSummary(summary RegionSummary, createdAt time.Time, isDirect bool) bool {
@@ -214,9 +238,12 @@
 	if ok && (old.Hub == summary.Hub && old.Seq >= summary.Seq || !createdAt.After(old.createdAt)) {
 		return false
 	}
-	if ok && !old.relayed && summary.Members == nil {
+	if ok && !old.relayed {
 		// Members that have not been passed on yet must not be lost.
-		summary.Members = old.Members
+		summary.Members = mergeMembers(old.Members, summary.Members)
+		if len(summary.Alive) == 0 && summary.AliveHash == old.AliveHash {
+			summary.Alive = old.Alive
+		}
 	}
 	c.remoteSummaries[summary.Region] = &receivedSummary{RegionSummary: summary, createdAt: createdAt, relayed: !isDirect}
 	return true
--- a/internal/controller/heartbeat/heartbeat_test.go
+++ b/internal/controller/heartbeat/heartbeat_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"gopkg.in/tomb.v2"
 
@@ -28,10 +30,16 @@
 	partitioned map[string]bool
 	rng         *rand.Rand
 	bytes       int
+	tooLong     int
 }
 
 const datagramDelay = 2 * time.Millisecond
 
+// maxUDPPayload is the size of the largest datagram that UDP over IPv4 carries.
+const maxUDPPayload = 65_507
+
+var errMessageTooLong = errors.New("message too long")
+
 func newFakeNetwork() *fakeNetwork {
 	return &fakeNetwork{conns: make(map[string]*packetConn), partitioned: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2))}
 }
@@ -56,6 +64,19 @@
 	d.loss = loss
 }
 
+func (d *fakeNetwork) recordTooLong() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tooLong++
+}
+
+// tooLongCount returns the number of datagrams that were too long to be sent.
+func (d *fakeNetwork) tooLongCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tooLong
+}
+
 // sent returns the number of bytes sent so far.
 func (d *fakeNetwork) sent() int {
 	d.mu.Lock()
@@ -99,6 +120,10 @@
 }
 
 func (c *packetConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	if len(p) > maxUDPPayload {
+		c.net.recordTooLong()
+		return 0, errMessageTooLong
+	}
 	c.net.send(c.address, to.String(), p)
 	return len(p), nil
 }
@@ -370,3 +395,59 @@
 		})
 	})
 }
+
+// statusReadAge is the greatest age of what the store reader says that it has read: the
+// interval between two reads and that between two checks of whether one is due.
+const statusReadAge = 1200 * time.Millisecond
+
+// worstStatusAge returns the longest time without a new status of the store reader at
+// any gateway.
+func (f *testFleet) worstStatusAge(watched time.Duration) time.Duration {
+	var worst time.Duration
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range f.nodes {
+			if _, _, receivedAt, _ := n.StoreStatus.Get(); !n.Gateways.IsStoreReader(time.Now()) {
+				worst = max(worst, time.Since(receivedAt))
+			}
+		}
+	}
+	return worst
+}
+
+// trafficDelay is the time from the start of a large fleet to its first request.
+const trafficDelay = 14 * time.Second
+
+// TestHundredsOfGateways starts 295 gateways at once. All have to find each other
+// without a datagram that is too long for UDP, see a hub die and a gateway restart
+// within seconds, and stay within the bytes that control may cost a gateway.
+func TestHundredsOfGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &testFleet{t: t, net: newFakeNetwork(), seeds: []string{"10.0.0.2:7660", "10.0.0.3:7660"}}
+		f.run(func() {
+			started := time.Now()
+			f.addGateways("north", 100)
+			f.addGateways("south", 100)
+			f.addGateways("west", 95)
+			f.requireSettled(trafficDelay)
+			t.Logf("settled after %s", time.Since(started))
+			time.Sleep(trafficDelay - time.Since(started))
+			before := f.net.sent()
+			const seconds = 6
+			for range seconds {
+				time.Sleep(time.Second)
+				require.Empty(t, f.viewMismatch(), "gateways must not drop out of each other's view")
+			}
+			require.LessOrEqual(t, f.worstStatusAge(seconds/2*time.Second), fleet.StaleAfter(0)-statusReadAge, "the store reader's status comes often enough")
+			each := (f.net.sent() - before) / (seconds + seconds/2) / len(f.nodes)
+			t.Logf("%d bytes per second and gateway", each)
+			require.Less(t, each, 9_000)
+			hub := f.nodes[0].Gateways.Hubs("south", time.Now())[0]
+			f.kill(f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.id == hub })])
+			n := f.nodes[len(f.nodes)-1]
+			f.kill(n)
+			f.startGateway(n.id, n.region, n.address)
+			f.requireSettled(6 * time.Second)
+			require.Zero(t, f.net.tooLongCount(), "datagrams too long to be sent")
+		})
+	})
+}
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -17,6 +17,8 @@
 	// and passes summaries of other regions on to its own. In a full mesh every
 	// gateway sends the members of the region when they have changed.
 	Summaries []RegionSummary `json:"digests,omitempty"`
+	// ToHub is set if the sender of a large region takes the receiver for a hub.
+	ToHub bool `json:"to_hub,omitempty"`
 	// RequestKnown asks the receiver to respond with the gateways that it knows.
 	// Known holds them in the response.
 	RequestKnown bool                  `json:"ask,omitempty"`
@@ -33,10 +35,12 @@
 	Hub       string `json:"hub"`
 	Seq       uint64 `json:"seq"`
 	AgeMillis int64  `json:"age_ms,omitempty"`
-	// Alive lists the gateways of the region that are alive. Members describes
-	// them in full, and those that recently left; it is set in some summaries only.
-	Alive   []fleet.CompactStatus `json:"alive"`
-	Members []fleet.GatewayStatus `json:"members,omitempty"`
+	// Alive lists the gateways of the region that are alive, AliveHash is a hash of
+	// that list. A summary may leave out a list that was sent before. Members
+	// describes some of them, and of those that recently left, in full.
+	Alive     []fleet.CompactStatus `json:"alive,omitempty"`
+	AliveHash uint64                `json:"alive_hash,omitempty"`
+	Members   []fleet.GatewayStatus `json:"members,omitempty"`
 	// Loads are the sums over all gateways of the region.
 	Loads          []endpointload.EndpointLoad `json:"rows,omitempty"`
 	CachedPrefixes []endpointload.CachedPrefix `json:"read,omitempty"`
--- a/internal/controller/heartbeat/send.go
+++ b/internal/controller/heartbeat/send.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
@@ -73,7 +74,7 @@
 			m.Summaries = c.takeUnrelayed(now)
 		}
 		m.CachedPrefixes = c.Loads.CachedPrefixes(cachedPrefixRepeats*interval, now)
-		if summary := c.memberSummary(self, plan.allMembers, now); summary.Members != nil {
+		if summary := c.memberSummary(self, c.localDescriber, plan.allMembers, now); summary.Members != nil {
 			m.Summaries = append(m.Summaries, summary)
 		}
 		c.send(c.Gateways.Known(self.Region), m)
@@ -93,14 +94,33 @@
 	own := m.From.Region
 	c.recordSentLoads(m.Loads)
 	m.CachedPrefixes = c.Loads.CachedPrefixes(cachedPrefixRepeats*largeRegionRounds*interval, now)
+	m.ToHub = true
 	c.send(c.lookUp(hubs), m)
+	m.ToHub = false
 	c.send(c.selectNotAlive(own, plan, now), m)
-	if hubIndex < 0 || plan.round/largeRegionRounds%len(hubs) != hubIndex {
+	if hubIndex < 0 {
 		return
 	}
-	m.Summaries = append(c.takeUnrelayed(now), c.regionSummary(m.From, m.Loads, cachedPrefixRepeats*largeRegionRounds*interval, plan.allMembers, now))
+	if plan.round/largeRegionRounds%len(hubs) != hubIndex {
+		c.sendStoreStatus(m, hubs)
+		return
+	}
+	summaries := append(c.takeUnrelayed(now), c.regionSummary(m.From, m.Loads, cachedPrefixRepeats*largeRegionRounds*interval, c.localDescriber, plan.allMembers, now))
 	m.CachedPrefixes = nil
-	c.send(c.Gateways.Known(own), m)
+	for part := range slices.Chunk(summaries, summariesPerMessage) {
+		m.Summaries = part
+		c.send(c.Gateways.Known(own), m)
+	}
+}
+
+// sendStoreStatus sends the status of the store reader to all gateways of its region
+// but the hubs, which have it, in the rounds in which it sends no summary.
+func (c *Controller) sendStoreStatus(m Message, hubs []string) {
+	if m.StoreStatus == nil {
+		return
+	}
+	others := slices.DeleteFunc(c.Gateways.Known(m.From.Region), func(s fleet.GatewayStatus) bool { return slices.Contains(hubs, s.ID) })
+	c.send(others, Message{From: m.From, StoreStatus: m.StoreStatus})
 }
 
 // notAlivePerRound is the number of gateways that are not alive to which a round
@@ -123,7 +143,7 @@
 // hub alternates between the hubs of a region, and the two hubs never choose the
 // same one in a round, so that the failure of any hub cuts off no region.
 func (c *Controller) sendRemote(self fleet.GatewayStatus, loads []endpointload.EndpointLoad, hubIndex int, plan sendPlan, now time.Time) {
-	summary := c.regionSummary(self, loads, cachedPrefixRepeats*remoteRounds*interval, plan.allMembers, now)
+	summary := c.regionSummary(self, loads, cachedPrefixRepeats*remoteRounds*interval, c.remoteDescriber, plan.allMembers, now)
 	m := Message{From: self, Summaries: []RegionSummary{summary}}
 	for _, region := range c.Gateways.Regions() {
 		if region == self.Region {
@@ -176,26 +196,41 @@
 			members = append(members, c.lookUp(c.Gateways.Hubs(region, now))...)
 		}
 	}
-	m := Message{From: self, Known: members}
+	m := Message{From: self}
 	if c.Gateways.IsStoreReader(now) {
 		status := c.OwnStoreStatus(now)
 		m.StoreStatus = &status
 	}
-	c.send([]fleet.GatewayStatus{to}, m)
+	if len(members) == 0 {
+		c.send([]fleet.GatewayStatus{to}, m)
+	}
+	for part := range slices.Chunk(members, maxIntroduced) {
+		m.Known = part
+		c.send([]fleet.GatewayStatus{to}, m)
+	}
+}
+
+// nameHubs tells a gateway of this region that takes this one for a hub which gateways
+// are. Until the hubs know it, nobody else tells it.
+func (c *Controller) nameHubs(to fleet.GatewayStatus, now time.Time) {
+	hubs := slices.DeleteFunc(c.lookUp(c.Gateways.Hubs(to.Region, now)), func(s fleet.GatewayStatus) bool { return s.ID == to.ID })
+	if len(hubs) > 0 {
+		c.send([]fleet.GatewayStatus{to}, Message{From: c.ownStatus(), Known: hubs})
+	}
 }
 
 // regionSummary returns the summary of this gateway's region, with the prefixes
 // cached within the given time. loads are this gateway's own.
-func (c *Controller) regionSummary(self fleet.GatewayStatus, loads []endpointload.EndpointLoad, within time.Duration, allMembers bool, now time.Time) RegionSummary {
-	summary := c.memberSummary(self, allMembers, now)
+func (c *Controller) regionSummary(self fleet.GatewayStatus, loads []endpointload.EndpointLoad, within time.Duration, d *describer, allMembers bool, now time.Time) RegionSummary {
+	summary := c.memberSummary(self, d, allMembers, now)
 	summary.Loads = c.Loads.RegionLoads(loads, now)
 	summary.CachedPrefixes = c.Loads.RegionCachedPrefixes(within, now)
 	return summary
 }
 
 // memberSummary returns a summary of the members of this gateway's region without
-// loads. It describes them in full if allMembers is set or they changed recently.
-func (c *Controller) memberSummary(self fleet.GatewayStatus, allMembers bool, now time.Time) RegionSummary {
+// loads. It describes those in full that d chooses.
+func (c *Controller) memberSummary(self fleet.GatewayStatus, d *describer, allMembers bool, now time.Time) RegionSummary {
 	summary := RegionSummary{Region: self.Region, Hub: self.ID + "/" + self.Incarnation, Seq: self.Seq}
 	members := append(c.Gateways.Alive(self.Region, now), self)
 	for _, m := range members {
@@ -203,27 +238,15 @@
 			summary.Alive = append(summary.Alive, m.Compact())
 		}
 	}
-	if allMembers || c.haveMembersChanged(summary.Alive, now) {
-		summary.Members = append(members, c.Gateways.RecentlyLeft(self.Region, now)...)
+	if summary.AliveHash = hashAlive(summary.Alive); !d.includeAlive(summary.AliveHash) {
+		summary.Alive = nil
 	}
+	members = append(members, c.Gateways.RecentlyLeft(self.Region, now)...)
+	slices.SortFunc(members, func(a, b fleet.GatewayStatus) int { return strings.Compare(a.ID, b.ID) })
+	summary.Members = d.choose(members, membersInTurn(len(members), allMembers))
 	return summary
 }
 
-// changedMembersTime is how long summaries describe the members in full after they
-// have changed.
-const changedMembersTime = 2 * largeRegionRounds * interval
-
-// haveMembersChanged reports whether the members have changed within
-// changedMembersTime.
-func (c *Controller) haveMembersChanged(alive []fleet.CompactStatus, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !slices.Equal(c.lastAlive, alive) {
-		c.lastAlive, c.aliveChangedAt = alive, now
-	}
-	return now.Sub(c.aliveChangedAt) < changedMembersTime
-}
-
 // takeUnrelayed returns the summaries of other regions that are to be passed on
 // within this region, and marks them as passed on.
 func (c *Controller) takeUnrelayed(now time.Time) []RegionSummary {
--- a/internal/controller/heartbeat/size_test.go
+++ b/internal/controller/heartbeat/size_test.go
@@ -89,7 +89,7 @@
 	c := newLargeHub(now)
 	b.ReportAllocs()
 	for b.Loop() {
-		_, err := json.Marshal(c.regionSummary(c.ownStatus(), nil, time.Second, false, now))
+		_, err := json.Marshal(c.regionSummary(c.ownStatus(), nil, time.Second, c.localDescriber, false, now))
 		require.NoError(b, err)
 	}
 }
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -28,10 +28,6 @@
 	// connection that went silent is detected when that time is over, which is
 	// within the shortest time in which a change has to be in force.
 	watchWait = time.Second
-	// staleAfter is the age of the last known response of the store from which on
-	// a gateway that is not the store reader watches it itself: the length of a
-	// watch plus the time of several heartbeats.
-	staleAfter = 1600 * time.Millisecond
 	// retryWait is the delay after a failed call.
 	retryWait = 250 * time.Millisecond
 )
@@ -118,7 +114,7 @@
 func (c *Controller) refresh(ctx context.Context, now time.Time) error {
 	status, from, _, changed := c.StoreStatus.Get()
 	known := c.Board.Routes.Get() != nil
-	isFresh := now.Sub(c.StoreStatus.OperatorsReadAt()) < staleAfter
+	isFresh := now.Sub(c.StoreStatus.OperatorsReadAt()) < c.staleAfter()
 	switch {
 	case !known && status.ConfigVersion > 0 && c.fetchFromPeer(ctx, from):
 		return nil
@@ -151,13 +147,20 @@
 	c.watchFrom = 0
 }
 
+// staleAfter returns the age of the last known response of the store from which on a
+// gateway that is not the store reader watches it itself.
+func (c *Controller) staleAfter() time.Duration {
+	limits := c.Board.Settings.Get().Limits
+	return fleet.StaleAfter(min(limits.ConfigPropagation, limits.Evacuation))
+}
+
 // waitForStatus waits until changed is closed by the next status, or the last
 // status is stale.
 func (c *Controller) waitForStatus(ctx context.Context, changed <-chan struct{}) {
 	select {
 	case <-ctx.Done():
 	case <-changed:
-	case <-time.After(max(time.Until(c.StoreStatus.OperatorsReadAt().Add(staleAfter)), time.Millisecond)):
+	case <-time.After(max(time.Until(c.StoreStatus.OperatorsReadAt().Add(c.staleAfter())), time.Millisecond)):
 	}
 }
 
--- a/internal/controller/routesync/routesync_test.go
+++ b/internal/controller/routesync/routesync_test.go
@@ -288,7 +288,7 @@
 	applyStatus(2, 8, "north-a")
 	require.Eventually(t, func() bool { return version(c) == 8 && c.Board.Evacuated.Get()["north-a"] }, time.Second, time.Millisecond)
 	require.Zero(t, s.callCount())
-	require.Eventually(t, func() bool { return s.callCount() > 0 }, 2*staleAfter, 10*time.Millisecond, "the store is called once the status is stale")
+	require.Eventually(t, func() bool { return s.callCount() > 0 }, 2*fleet.StaleAfter(0), 10*time.Millisecond, "the store is called once the status is stale")
 	tb.Kill(nil)
 	require.NoError(t, tb.Wait())
 }
--- a/internal/fleet/storestatus.go
+++ b/internal/fleet/storestatus.go
@@ -22,6 +22,26 @@
 	OperatorsAgeMillis int64 `json:"operators_age_ms"`
 }
 
+// A gateway that has not heard for a while what the store reader has read reads the
+// store itself.
+const (
+	// staleShare is the part of the time within which a change has to take effect
+	// after which it does so. The rest is for the read, and for requests that are on
+	// their way.
+	staleShare = 0.55
+	// minStaleAfter is longer than the status takes to reach all gateways of a large
+	// region: the interval between two reads, that between two checks of whether a
+	// read is due, and that between two heartbeats of a hub.
+	minStaleAfter = 1650 * time.Millisecond
+)
+
+// StaleAfter returns the age of the last known read of the store from which on a
+// gateway that is not the store reader reads the store itself, for data whose changes
+// have to take effect within bound.
+func StaleAfter(bound time.Duration) time.Duration {
+	return max(time.Duration(staleShare*float64(bound)), minStaleAfter)
+}
+
 // LatestStoreStatus holds the newest StoreStatus received. It is safe for
 // concurrent use.
 type LatestStoreStatus struct {
