Read at most 64 KB of a response's head

Cause: net/http reads heads of up to 10 MB for each connection, so that a few endpoints that send a head without end use up a machine of 184 MB. Bodies, events, store answers and peers' answers were bounded already, in size or by the deadline. Change: one limit for the heads of endpoints, gateways, the store, engines and load reports. Tests: TestEndlessBytes plays 13 kinds over real sockets; status line, header value and many headers failed first (10.5, 12.2 and 10.5 MB taken), the other ten passed. TestEndlessStoreAnswers and TestSlowSoundStreamIsNotCut passed at once, as guards.

--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -18,6 +18,7 @@
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // Limits on polling.
@@ -70,7 +71,7 @@
 		board:     board,
 		view:      membership.New(board),
 		interval:  interval,
-		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dial}},
+		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes}},
 		onLeaving: onLeaving,
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // Timeouts and connection limits of calls to other gateways.
@@ -79,10 +80,14 @@
 		DialContext:         dialWithTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 	}
 	unpooled := &http.Transport{
 		DialContext:       dialWithTimeout,
 		DisableKeepAlives: true,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 	}
 	return &Client{
 		signer:   signer,
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -17,6 +17,7 @@
 	"goji.io/pat"
 
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // URL paths.
@@ -90,8 +91,10 @@
 // NewClient returns a client that opens connections with dial.
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	return &Client{http: &http.Client{
-		Timeout:   fetchTimeout,
-		Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		Timeout: fetchTimeout,
+		Transport: &http.Transport{
+			DialContext: dial, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+		},
 	}}
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // poolShards is the number of shards of the map of pools.
@@ -115,6 +117,8 @@
 		ReadBufferSize:     readBufferBytes,
 		WriteBufferSize:    writeBufferBytes,
 		Protocols:          &protocols,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -44,6 +44,11 @@
 	bufferBytes = 4 << 10
 )
 
+// MaxResponseHeaderBytes is the size of the largest header of a response, informational
+// ones included, that the gateway reads from any server. The default of net/http, 10 MB
+// for each connection, would let a few broken servers use up a small machine's memory.
+const MaxResponseHeaderBytes = 64 << 10
+
 // NotSentError reports that no byte of a request was sent.
 type NotSentError struct{ Cause error }
 
@@ -166,6 +171,8 @@
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
 		Protocols:           &protocols,
+
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}
 }
 
