Send to cold endpoints only from gateways that no other may stand for

A gateway that hears no other for some seconds, on a full link, believes that it is alone and takes over all cold endpoints; the limit reckons with three at a time. Change: the coordinator of a cold endpoint is chosen among the gateways that were seen within 10 s, the time after which others count as gone for shared limits. Test: TestDeafGatewayLeavesColdEndpointsAlone (with the living gateways instead it would send to all 100; not run on the old code, which lacks the function).

--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -220,3 +220,33 @@
 		require.InEpsilon(t, endpoints/(fleet.MaxFullMeshGateways+1), n, 0.4, id)
 	}
 }
+
+// TestDeafGatewayLeavesColdEndpointsAlone guards against gateways that hear no other
+// for some seconds, for example on a full link, and then each take themselves for the
+// coordinator of all cold endpoints.
+func TestDeafGatewayLeavesColdEndpointsAlone(t *testing.T) {
+	f := &fakeGrants{}
+	c, _ := newLargeNorth(t, f)
+	e := c.regions["north"].edge
+	now := time.Now()
+	for i := range fleet.MaxFullMeshGateways {
+		id := fmt.Sprintf("gw-north-%d", i)
+		e.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: id, Incarnation: "1", Region: "north"}, Seq: 2}, now)
+	}
+	deafAt, goneAt := now.Add(5*time.Second), now.Add(time.Minute)
+	require.Empty(t, e.Gateways.Alive("north", deafAt))
+	own, ownWhenGone := 0, 0
+	const endpoints = 100
+	for i := range endpoints {
+		id := fmt.Sprint("cold", i)
+		if e.mayCoordinateCold(id, deafAt) {
+			own++
+			require.True(t, e.mayCoordinateCold(id, now))
+		}
+		if e.mayCoordinateCold(id, goneAt) {
+			ownWhenGone++
+		}
+	}
+	require.Less(t, own, endpoints/3, "its part of the endpoints")
+	require.Equal(t, endpoints, ownWhenGone, "after a while it is alone")
+}
--- a/internal/edge/coordinators.go
+++ b/internal/edge/coordinators.go
@@ -9,15 +9,15 @@
 	"github.com/hickorystage/hickorystage/internal/rendezvous"
 )
 
-// coordinators are the gateways of the local region, this one included, among
-// which the coordination of its endpoints is divided. Each gateway computes them
+// coordinators are gateways of the local region, this one included, among which the
+// coordination of its endpoints is divided. Each gateway computes them
 // from its own view of the fleet.
 type coordinators struct {
 	selfID string
 	ids    []string
-	// alive is the list that the coordinators were computed from; others holds the
-	// same gateways by id.
-	alive  []fleet.GatewayStatus
+	// list is what the coordinators were computed from; others holds the same
+	// gateways by id.
+	list   []fleet.GatewayStatus
 	others map[string]fleet.GatewayStatus
 
 	// byEndpoint holds the coordinators that were looked up, by endpoint.
@@ -36,24 +36,43 @@
 
 // coordinators returns the coordinators that this gateway believes to be alive.
 func (e *Edge) coordinators(now time.Time) *coordinators {
-	alive := e.Gateways.Alive(e.Gateways.Self().Region, now)
-	e.coordinatorsMu.Lock()
-	defer e.coordinatorsMu.Unlock()
-	if e.lastCoordinators == nil || !isSameList(e.lastCoordinators.alive, alive) {
-		e.lastCoordinators = newCoordinators(e.Gateways.Self().ID, alive, e.lastCoordinators)
+	return e.grantCoordinators.update(e.Gateways.Self().ID, e.Gateways.Alive(e.Gateways.Self().Region, now))
+}
+
+// mayCoordinateCold reports whether this gateway is the one that sends requests to a
+// cold endpoint. Their number is limited over all gateways; so one that others may
+// still take for the coordinator counts, although this gateway no longer hears it. A
+// gateway that hears nobody for a while must not take over all cold endpoints.
+func (e *Edge) mayCoordinateCold(endpoint string, now time.Time) bool {
+	coords := e.coldCoordinators.update(e.Gateways.Self().ID, e.Gateways.Recent(e.Gateways.Self().Region, now))
+	return coords.coordinatorOf(endpoint) == coords.selfID
+}
+
+// latestCoordinators holds the coordinators for the last list of gateways.
+type latestCoordinators struct {
+	mu   sync.Mutex
+	last *coordinators
+}
+
+// update returns the coordinators for a list of gateways.
+func (l *latestCoordinators) update(selfID string, list []fleet.GatewayStatus) *coordinators {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last == nil || !isSameList(l.last.list, list) {
+		l.last = newCoordinators(selfID, list, l.last)
 	}
-	return e.lastCoordinators
+	return l.last
 }
 
 // newCoordinators returns the coordinators of a region. It takes over the assignments
 // of previous, which may be nil, if the gateways are the same.
-func newCoordinators(selfID string, alive []fleet.GatewayStatus, previous *coordinators) *coordinators {
+func newCoordinators(selfID string, list []fleet.GatewayStatus, previous *coordinators) *coordinators {
 	c := &coordinators{
-		selfID: selfID, ids: make([]string, 0, len(alive)+1), alive: alive, others: make(map[string]fleet.GatewayStatus, len(alive)),
+		selfID: selfID, ids: make([]string, 0, len(list)+1), list: list, others: make(map[string]fleet.GatewayStatus, len(list)),
 		byEndpoint: &assignments{byEndpoint: make(map[string]string)},
 	}
 	c.ids = append(c.ids, selfID)
-	for _, g := range alive {
+	for _, g := range list {
 		c.ids = append(c.ids, g.ID)
 		c.others[g.ID] = g
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,8 +64,8 @@
 	// nextGateway is the round-robin counter over the gateways of a remote region.
 	nextGateway atomic.Uint64
 
-	coordinatorsMu   sync.Mutex
-	lastCoordinators *coordinators
+	// grantCoordinators decide on grants, coldCoordinators send to cold endpoints.
+	grantCoordinators, coldCoordinators latestCoordinators
 }
 
 // New returns an Edge that measures the round trips to other regions on the
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -211,8 +211,7 @@
 	if s.service.ColdRequestsPerSecond <= 0 || !view.IsCold(s.edge.heartbeatInterval(), now) {
 		return true
 	}
-	coords := s.edge.coordinators(now)
-	return coords.coordinatorOf(view.ID) == coords.selfID && s.edge.ColdStarts.Allows(view.ID, s.service.ColdRequestsPerSecond, now)
+	return s.edge.mayCoordinateCold(view.ID, now) && s.edge.ColdStarts.Allows(view.ID, s.service.ColdRequestsPerSecond, now)
 }
 
 // remoteGateway returns a ready gateway of another region, chosen round-robin, and
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -69,26 +69,26 @@
 	known map[string]*member
 	// lastSummary is when the newest summary of each region was created.
 	lastSummary map[string]time.Time
-	// changes counts the changes that can make an aliveList or a regionSize wrong at
+	// changes counts the changes that can make a memberList or a regionSize wrong at
 	// once.
 	changes        uint64
 	lastRegionSize atomic.Pointer[regionSize]
 
-	aliveMu sync.Mutex
-	// alive holds the last result of Alive for each region.
-	alive map[string]aliveList
+	listsMu sync.Mutex
+	// lists holds the last result of each call of memberList.
+	lists map[string]memberList
 }
 
-// aliveList is the result of Alive at a time.
-type aliveList struct {
+// memberList is a list of gateways as of a time.
+type memberList struct {
 	at      time.Time
 	changes uint64
 	list    []GatewayStatus
 }
 
-// aliveListTTL is how long an aliveList is used while no gateway changes: a small part
-// of SilenceTimeout, after which a gateway drops out of it.
-const aliveListTTL = 100 * time.Millisecond
+// memberListTTL is how long a memberList is used while no gateway changes: a small part
+// of SilenceTimeout, after which a gateway drops out of Alive.
+const memberListTTL = 100 * time.Millisecond
 
 type member struct {
 	status GatewayStatus
@@ -105,7 +105,7 @@
 
 // NewGateways returns an empty view for the gateway self.
 func NewGateways(self Gateway) *Gateways {
-	return &Gateways{self: self, known: make(map[string]*member), lastSummary: make(map[string]time.Time), alive: make(map[string]aliveList)}
+	return &Gateways{self: self, known: make(map[string]*member), lastSummary: make(map[string]time.Time), lists: make(map[string]memberList)}
 }
 
 // Self returns this gateway.
@@ -311,22 +311,38 @@
 
 // Alive returns the gateways of the region that are alive and not leaving,
 // without this one, ordered by id. The list is shared and must not be changed. A
-// gateway that has fallen silent is in it for up to aliveListTTL longer, and its
+// gateway that has fallen silent is in it for up to memberListTTL longer, and its
 // sequence numbers may be older than the newest.
 func (g *Gateways) Alive(region string, now time.Time) []GatewayStatus {
-	g.aliveMu.Lock()
-	defer g.aliveMu.Unlock()
+	return g.memberList("alive "+region, now, func(m *member) bool {
+		return m.status.Region == region && !m.status.Leaving && g.isAlive(m, now)
+	})
+}
+
+// Recent returns the gateways of the region that were seen within limitShareTimeout
+// and are not leaving, without this one, ordered by id: those that may still use their
+// part of a limit, although this gateway no longer hears them. The list is shared and
+// must not be changed.
+func (g *Gateways) Recent(region string, now time.Time) []GatewayStatus {
+	return g.memberList("recent "+region, now, func(m *member) bool {
+		return m.status.Region == region && !m.status.Leaving && now.Sub(m.lastSeen) <= limitShareTimeout
+	})
+}
+
+// memberList returns the gateways that keep selects. It uses the last result for the
+// same key while that is valid.
+func (g *Gateways) memberList(key string, now time.Time, keep func(*member) bool) []GatewayStatus {
+	g.listsMu.Lock()
+	defer g.listsMu.Unlock()
 	g.mu.RLock()
 	changes := g.changes
 	g.mu.RUnlock()
-	last, ok := g.alive[region]
-	if age := now.Sub(last.at); ok && last.changes == changes && age >= 0 && age < aliveListTTL {
+	last, ok := g.lists[key]
+	if age := now.Sub(last.at); ok && last.changes == changes && age >= 0 && age < memberListTTL {
 		return last.list
 	}
-	list := slices.Clip(g.filter(func(m *member) bool {
-		return m.status.Region == region && !m.status.Leaving && g.isAlive(m, now)
-	}))
-	g.alive[region] = aliveList{at: now, changes: changes, list: list}
+	list := slices.Clip(g.filter(keep))
+	g.lists[key] = memberList{at: now, changes: changes, list: list}
 	return list
 }
 
