Let every gateway of a large fleet be found within seconds of the start

Cause: TestHundredsOfGateways failed in 4 of 16 runs with one or two gateways missing in one view after 14 s, of three kinds: a gateway that believes in a full mesh of the few it knows is told nothing by the hubs, which don't know it; what a hub describes to a gateway of another region that is not its hub is not passed on; and a gateway that joins lacks the lists that summaries leave out. Change: whoever gets heartbeats as a hub or in a mesh and is neither names the hubs; new remote hubs are described everything; lists are repeated when a gateway joins.

--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -81,12 +81,17 @@
 	// last sent.
 	lastSentLoads map[string]endpointload.EndpointLoad
 
+	// memberJoined is set if a gateway of this region has become alive: it lacks the
+	// lists that summaries leave out.
+	memberJoined bool
 	// aliveLists completes summaries that leave out their list.
 	aliveLists aliveLists
 
 	// localDescriber is for summaries to this region, remoteDescriber for those to
 	// other regions. Only the goroutine that sends the rounds uses them.
 	localDescriber, remoteDescriber *describer
+	// lastRemoteHubs are the hubs of other regions that the last round went to.
+	lastRemoteHubs []string
 }
 
 type receivedSummary struct {
@@ -162,6 +167,11 @@
 	if becameAlive {
 		c.Logger.Info("gateway is alive", "id", m.From.ID, "region", m.From.Region, "ready", m.From.Ready)
 	}
+	if becameAlive && m.From.Region == own {
+		c.mu.Lock()
+		c.memberJoined = true
+		c.mu.Unlock()
+	}
 	if (becameAlive || m.RequestKnown) && c.mayIntroduce() {
 		c.introduce(m.From, now)
 	}
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -17,7 +17,8 @@
 	// and passes summaries of other regions on to its own. In a full mesh every
 	// gateway sends the members of the region when they have changed.
 	Summaries []RegionSummary `json:"digests,omitempty"`
-	// ToHub is set if the sender of a large region takes the receiver for a hub.
+	// ToHub is set if the sender takes the receiver for a hub of its region, or the
+	// region for a full mesh.
 	ToHub bool `json:"to_hub,omitempty"`
 	// RequestKnown asks the receiver to respond with the gateways that it knows.
 	// Known holds them in the response.
--- a/internal/controller/heartbeat/send.go
+++ b/internal/controller/heartbeat/send.go
@@ -77,7 +77,9 @@
 		if summary := c.memberSummary(self, c.localDescriber, plan.allMembers, now); summary.Members != nil {
 			m.Summaries = append(m.Summaries, summary)
 		}
+		m.ToHub = true
 		c.send(c.Gateways.Known(self.Region), m)
+		m.ToHub = false
 	case plan.largeRegion || self.Leaving:
 		c.sendLargeRegion(m, hubs, hubIndex, plan, now)
 	}
@@ -105,6 +107,7 @@
 		c.sendStoreStatus(m, hubs)
 		return
 	}
+	c.repeatListsForNewMembers()
 	summaries := append(c.takeUnrelayed(now), c.regionSummary(m.From, m.Loads, cachedPrefixRepeats*largeRegionRounds*interval, c.localDescriber, plan.allMembers, now))
 	m.CachedPrefixes = nil
 	for part := range slices.Chunk(summaries, summariesPerMessage) {
@@ -113,6 +116,21 @@
 	}
 }
 
+// repeatListsForNewMembers lets the next summaries hold the lists of living members if
+// a gateway has joined since the last ones.
+func (c *Controller) repeatListsForNewMembers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.memberJoined {
+		return
+	}
+	c.memberJoined = false
+	c.localDescriber.aliveSummaries = 0
+	for _, h := range c.remoteSummaries {
+		h.describer.aliveSummaries = 0
+	}
+}
+
 // sendStoreStatus sends the status of the store reader to all gateways of its region
 // but the hubs, which have it, in the rounds in which it sends no summary.
 func (c *Controller) sendStoreStatus(m Message, hubs []string) {
@@ -143,6 +161,7 @@
 // hub alternates between the hubs of a region, and the two hubs never choose the
 // same one in a round, so that the failure of any hub cuts off no region.
 func (c *Controller) sendRemote(self fleet.GatewayStatus, loads []endpointload.EndpointLoad, hubIndex int, plan sendPlan, now time.Time) {
+	c.describeAgainToNewHubs(now)
 	summary := c.regionSummary(self, loads, cachedPrefixRepeats*remoteRounds*interval, c.remoteDescriber, plan.allMembers, now)
 	m := Message{From: self, Summaries: []RegionSummary{summary}}
 	for _, region := range c.Gateways.Regions() {
@@ -156,6 +175,22 @@
 	}
 }
 
+// describeAgainToNewHubs forgets what other regions have been told if their hubs have
+// changed. What was sent to a gateway that is not a hub, or no longer, was not passed
+// on.
+func (c *Controller) describeAgainToNewHubs(now time.Time) {
+	var hubs []string
+	for _, region := range c.Gateways.Regions() {
+		if region != c.Gateways.Self().Region {
+			hubs = append(hubs, c.Gateways.Hubs(region, now)...)
+		}
+	}
+	slices.Sort(hubs)
+	if !slices.Equal(hubs, c.lastRemoteHubs) {
+		c.lastRemoteHubs, c.remoteDescriber = hubs, newDescriber()
+	}
+}
+
 // A gateway asks the seeds for other gateways every askInterval rounds within its
 // first askRounds rounds, and for longer if it knows none.
 const (
