Let probes between gateways leave the reported load alone

Cause: reading the change of the heartbeats: probes to gateways that are not alive carry no load any more, and a hub took that for a load of none. Over a link that passes one way only, the hub would undercount that gateway for good; introductions did the same for half a second before. A summary of an earlier build, which has no hash, would have been completed by the first list that such a build sent. Change: loads count only in heartbeats to a hub or within a mesh; a list without a hash is taken as it is. Test, seen to fail without the change: TestProbesLeaveLoadsAlone.

--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -177,10 +177,13 @@
 	}
 	if m.From.Region == own {
 		switch {
+		case !m.ToHub:
+			// Introductions and the like carry no loads; that doesn't mean that the
+			// sender has none.
 		case c.Gateways.IsFullMesh() || c.Gateways.IsHub(now):
 			// Other gateways get the sums from the hubs instead.
 			c.Loads.ApplyGatewayLoads(m.From.ID, m.Loads, now)
-		case m.ToHub && c.mayIntroduce():
+		case c.mayIntroduce():
 			c.nameHubs(m.From, now)
 		}
 		if m.StoreStatus != nil {
--- a/internal/controller/heartbeat/heartbeat_test.go
+++ b/internal/controller/heartbeat/heartbeat_test.go
@@ -369,6 +369,23 @@
 	})
 }
 
+// TestProbesLeaveLoadsAlone guards against a hub that forgets the load of a gateway for
+// which it looks dead, as over a link that passes one way only: such a gateway sends it
+// probes without loads.
+func TestProbesLeaveLoadsAlone(t *testing.T) {
+	forEachFleetSize(t, func(f *testFleet) {
+		hub := f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.Gateways.IsHub(time.Now()) })]
+		sender := f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n != hub && n.region == hub.region })]
+		now := time.Now()
+		sender.Loads.Begin("e", 0, endpointload.Job{Service: "s", PromptTokens: 100, OutputTokens: 10}, now).RecordFirstOutput(now)
+		time.Sleep(time.Second)
+		hub.applyMessage(Message{From: sender.ownStatus()}, time.Now())
+		c, ok := hub.Loads.Candidate(endpointload.Query{ID: "e", Service: "s"}, time.Now())
+		require.True(f.t, ok)
+		require.Equal(f.t, 1, c.Running)
+	})
+}
+
 // TestIdleHeartbeatTrafficIsSmall bounds the bytes that heartbeats cost a gateway of
 // an idle fleet.
 func TestIdleHeartbeatTrafficIsSmall(t *testing.T) {
--- a/internal/controller/heartbeat/members.go
+++ b/internal/controller/heartbeat/members.go
@@ -160,6 +160,10 @@
 // complete returns the list of the summary, from an earlier one if it was left out,
 // and whether it is known. It keeps the list.
 func (l aliveLists) complete(s RegionSummary) ([]fleet.CompactStatus, bool) {
+	if s.AliveHash == 0 {
+		// An earlier build always sends the list.
+		return s.Alive, true
+	}
 	lists := l[s.Region]
 	i := slices.IndexFunc(lists, func(a aliveList) bool { return a.hash == s.AliveHash })
 	switch {
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -18,7 +18,7 @@
 	// gateway sends the members of the region when they have changed.
 	Summaries []RegionSummary `json:"digests,omitempty"`
 	// ToHub is set if the sender takes the receiver for a hub of its region, or the
-	// region for a full mesh.
+	// region for a full mesh. Only then do Loads count.
 	ToHub bool `json:"to_hub,omitempty"`
 	// RequestKnown asks the receiver to respond with the gateways that it knows.
 	// Known holds them in the response.
