Probe every silent gateway in turn, and named hubs at once

Traced by reading: the choice of two gateways to probe moved on by six places from round to round, since only each third round probes, and with a list whose length six divides it came by a third of them only, for good. A gateway that takes a wrong one for its hub, and learns the right ones as not alive, could miss them for good. Change: the choice moves on by what it has taken; hubs that are named get the next heartbeat at once.

--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -84,12 +84,16 @@
 	// memberJoined is set if a gateway of this region has become alive: it lacks the
 	// lists that summaries leave out.
 	memberJoined bool
+	// namedHubs are the hubs that other gateways have named since the last round.
+	namedHubs []string
 	// aliveLists completes summaries that leave out their list.
 	aliveLists aliveLists
 
 	// localDescriber is for summaries to this region, remoteDescriber for those to
 	// other regions. Only the goroutine that sends the rounds uses them.
 	localDescriber, remoteDescriber *describer
+	// nextProbe is where the next round's choice of gateways that are not alive begins.
+	nextProbe int
 	// lastRemoteHubs are the hubs of other regions that the last round went to.
 	lastRemoteHubs []string
 }
@@ -176,6 +180,7 @@
 		c.introduce(m.From, now)
 	}
 	if m.From.Region == own {
+		c.recordNamedHubs(m.Hubs)
 		switch {
 		case !m.ToHub:
 			// Introductions and the like carry no loads; that doesn't mean that the
@@ -197,6 +202,16 @@
 	}
 }
 
+// recordNamedHubs records the hubs that another gateway names.
+func (c *Controller) recordNamedHubs(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.namedHubs = ids
+}
+
 // maxIntroductions limits the introductions sent between two rounds.
 const maxIntroductions = 32
 
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -20,6 +20,9 @@
 	// ToHub is set if the sender takes the receiver for a hub of its region, or the
 	// region for a full mesh. Only then do Loads count.
 	ToHub bool `json:"to_hub,omitempty"`
+	// Hubs are the ids of the hubs of the receiver's region, for a receiver that took
+	// the sender for one. Known describes them.
+	Hubs []string `json:"hubs,omitempty"`
 	// RequestKnown asks the receiver to respond with the gateways that it knows.
 	// Known holds them in the response.
 	RequestKnown bool                  `json:"ask,omitempty"`
--- a/internal/controller/heartbeat/send.go
+++ b/internal/controller/heartbeat/send.go
@@ -97,9 +97,9 @@
 	c.recordSentLoads(m.Loads)
 	m.CachedPrefixes = c.Loads.CachedPrefixes(cachedPrefixRepeats*largeRegionRounds*interval, now)
 	m.ToHub = true
-	c.send(c.lookUp(hubs), m)
+	c.send(c.lookUp(c.withNamedHubs(hubs)), m)
 	m.ToHub = false
-	c.send(c.selectNotAlive(own, plan, now), Message{From: m.From})
+	c.send(c.selectNotAlive(own, now), Message{From: m.From})
 	if hubIndex < 0 {
 		return
 	}
@@ -148,12 +148,13 @@
 // selectNotAlive returns some of the region's gateways that are known and not
 // alive, different ones in each round. Heartbeats to them let a gateway that lost
 // contact rejoin.
-func (c *Controller) selectNotAlive(region string, plan sendPlan, now time.Time) []fleet.GatewayStatus {
+func (c *Controller) selectNotAlive(region string, now time.Time) []fleet.GatewayStatus {
 	missing := c.Gateways.NotAlive(region, now)
 	if len(missing) <= notAlivePerRound {
 		return missing
 	}
-	from := plan.round * notAlivePerRound % len(missing)
+	from := c.nextProbe % len(missing)
+	c.nextProbe = from + notAlivePerRound
 	return append(missing[from:], missing[:from]...)[:notAlivePerRound]
 }
 
@@ -168,7 +169,7 @@
 		if region == self.Region {
 			continue
 		}
-		c.send(c.selectNotAlive(region, plan, now), Message{From: self})
+		c.send(c.selectNotAlive(region, now), Message{From: self})
 		if hubs := c.lookUp(c.Gateways.Hubs(region, now)); len(hubs) > 0 {
 			c.send(hubs[(hubIndex+plan.round/remoteRounds)%len(hubs):][:1], m)
 		}
@@ -249,9 +250,28 @@
 // are. Until the hubs know it, nobody else tells it.
 func (c *Controller) nameHubs(to fleet.GatewayStatus, now time.Time) {
 	hubs := slices.DeleteFunc(c.lookUp(c.Gateways.Hubs(to.Region, now)), func(s fleet.GatewayStatus) bool { return s.ID == to.ID })
-	if len(hubs) > 0 {
-		c.send([]fleet.GatewayStatus{to}, Message{From: c.ownStatus(), Known: hubs})
+	if len(hubs) == 0 {
+		return
+	}
+	m := Message{From: c.ownStatus(), Known: hubs}
+	for _, h := range hubs {
+		m.Hubs = append(m.Hubs, h.ID)
+	}
+	c.send([]fleet.GatewayStatus{to}, m)
+}
+
+// withNamedHubs adds the hubs that other gateways have named since the last round, to
+// which this gateway may be unknown.
+func (c *Controller) withNamedHubs(hubs []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.namedHubs {
+		if !slices.Contains(hubs, id) {
+			hubs = append(hubs, id)
+		}
 	}
+	c.namedHubs = nil
+	return hubs
 }
 
 // regionSummary returns the summary of this gateway's region, with the prefixes
