Keep the limit that an endpoint names over all gateways of its region

What callers saw: nothing at once; endpoints that asked for at most 1.0 to 8.8 requests a second got up to 72 in 4 s and answered all of them later.

Cause: no code read the header, so each gateway that was told went on as before. A limit kept by each gateway alone would still be exceeded by their number.

Change: a coordinator, chosen among all gateways of the region that may still run, gives out a permit for each request to such an endpoint; the others ask it by a datagram on the grants' socket. New and lifted limits go out with the heartbeats, and a gateway that joins is told all. A limited endpoint is no longer the home of a prompt prefix, and isn't asked for its health. Callers that find all endpoints at their limits are refused at once and told when the first takes requests again.

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -4,6 +4,9 @@
 // and therefore knows its queue without delay. Requests and responses are JSON
 // datagrams. They are never retransmitted: a gateway that gets no response asks
 // another coordinator or decides by itself.
+//
+// The gateways of a region of any size also ask coordinators for permits to send requests
+// to endpoints that name a limit. A gateway that gets no response sends none.
 package grants
 
 import (
@@ -36,7 +39,9 @@
 var (
 	requestsSent     = telemetry.NewCounter("grants_asked", "requests", "grant requests sent to endpoint coordinators at other gateways")
 	requestsAnswered = telemetry.NewCounter("grants_answered", "requests", "grant requests of other gateways answered")
-	requestsTimedOut = telemetry.NewCounter("grants_unanswered", "requests", "grant requests without a response in time")
+	permitsAsked     = telemetry.NewCounter("permits_asked", "requests", "requests for a permit sent to coordinators of endpoints that name a limit")
+	permitsAnswered  = telemetry.NewCounter("permits_answered", "requests", "requests of other gateways for a permit answered")
+	requestsTimedOut = telemetry.NewCounter("grants_unanswered", "requests", "grant and permit requests without a response in time")
 	sentBytes        = telemetry.NewCounter("grants_sent_bytes", "bytes", "size of the grant requests and responses sent")
 	malformed        = telemetry.NewCounter("grants_malformed", "datagrams", "datagrams that are neither a grant request nor an expected response")
 )
@@ -50,9 +55,10 @@
 	return fmt.Sprintf("no response from gateway %s", e.Gateway)
 }
 
-// Coordinator decides on the grant requests of other gateways.
+// Coordinator decides on the requests of other gateways.
 type Coordinator interface {
 	Grant(req Request, now time.Time) Response
+	Permit(req PermitRequest, now time.Time) PermitResponse
 }
 
 // Controller sends grant requests, and answers those of other gateways through
@@ -68,13 +74,13 @@
 	// pending holds the response channels of outstanding requests by request
 	// ID. unresponsive holds, by gateway, the time until which it gets no
 	// requests.
-	pending      map[uint64]chan Response
+	pending      map[uint64]chan message
 	unresponsive map[string]time.Time
 }
 
 // New returns a controller that communicates over conn. Run closes conn.
 func New(conn net.PacketConn, logger *log.Logger) *Controller {
-	return &Controller{conn: conn, logger: logger, pending: make(map[uint64]chan Response), unresponsive: make(map[string]time.Time)}
+	return &Controller{conn: conn, logger: logger, pending: make(map[uint64]chan message), unresponsive: make(map[string]time.Time)}
 }
 
 // SetCoordinator sets the Coordinator. It must be called before Run.
@@ -105,24 +111,32 @@
 	case m.Request != nil:
 		response := c.coordinator.Grant(*m.Request, time.Now())
 		requestsAnswered.Inc()
-		if err := c.send(message{RequestID: m.RequestID, Response: &response}, from); err != nil {
-			c.logger.Warn("cannot send grant response", "to", from, "err", err)
-		}
-	case m.Response != nil && c.deliver(m.RequestID, *m.Response):
+		c.respond(message{RequestID: m.RequestID, Response: &response}, from)
+	case m.PermitRequest != nil:
+		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
+		permitsAnswered.Inc()
+		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
+	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
 	default:
 		malformed.Inc()
 	}
 }
 
+func (c *Controller) respond(m message, to net.Addr) {
+	if err := c.send(m, to); err != nil {
+		c.logger.Warn("cannot send grant response", "to", to, "err", err)
+	}
+}
+
 // deliver passes a response to the goroutine that waits for it. It returns
 // false if there is none.
-func (c *Controller) deliver(requestID uint64, r Response) bool {
+func (c *Controller) deliver(m message) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ch, ok := c.pending[requestID]
+	ch, ok := c.pending[m.RequestID]
 	if ok {
-		ch <- r
-		delete(c.pending, requestID)
+		ch <- m
+		delete(c.pending, m.RequestID)
 	}
 	return ok
 }
@@ -131,18 +145,48 @@
 // address and waits for its response. The error is a *NoResponseError if the
 // gateway does not respond; the request may have been granted nevertheless.
 func (c *Controller) RequestGrant(ctx context.Context, gateway, address string, req Request) (Response, error) {
-	if c.isUnresponsive(gateway, time.Now()) {
+	m, err := c.exchange(ctx, gateway, address, message{Request: &req})
+	if err != nil {
+		return Response{}, err
+	}
+	if m.Response == nil {
 		return Response{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
+	return *m.Response, nil
+}
+
+// RequestPermit is RequestGrant for a permit.
+func (c *Controller) RequestPermit(ctx context.Context, gateway, address string, req PermitRequest) (PermitResponse, error) {
+	m, err := c.exchange(ctx, gateway, address, message{PermitRequest: &req})
+	if err != nil {
+		return PermitResponse{}, err
+	}
+	if m.PermitResponse == nil {
+		return PermitResponse{}, errors.WithStack(&NoResponseError{Gateway: gateway})
+	}
+	return *m.PermitResponse, nil
+}
+
+// exchange sends a request and returns the response. The error is a *NoResponseError if
+// there is none in time.
+func (c *Controller) exchange(ctx context.Context, gateway, address string, m message) (message, error) {
+	if c.isUnresponsive(gateway, time.Now()) {
+		return message{}, errors.WithStack(&NoResponseError{Gateway: gateway})
+	}
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
-		return Response{}, errors.Wrap(err, "resolve gateway address")
+		return message{}, errors.Wrap(err, "resolve gateway address")
 	}
-	requestID, ch := c.register()
-	defer c.unregister(requestID)
-	requestsSent.Inc()
-	if err := c.send(message{RequestID: requestID, Request: &req}, to); err != nil {
-		return Response{}, err
+	var ch chan message
+	m.RequestID, ch = c.register()
+	defer c.unregister(m.RequestID)
+	if m.Request != nil {
+		requestsSent.Inc()
+	} else {
+		permitsAsked.Inc()
+	}
+	if err := c.send(m, to); err != nil {
+		return message{}, err
 	}
 	timer := time.NewTimer(responseTimeout)
 	defer timer.Stop()
@@ -150,19 +194,19 @@
 	case response := <-ch:
 		return response, nil
 	case <-ctx.Done():
-		return Response{}, errors.WithStack(ctx.Err())
+		return message{}, errors.WithStack(ctx.Err())
 	case <-timer.C:
 		requestsTimedOut.Inc()
 		c.markUnresponsive(gateway, time.Now())
-		return Response{}, errors.WithStack(&NoResponseError{Gateway: gateway})
+		return message{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
 }
 
-func (c *Controller) register() (uint64, chan Response) {
+func (c *Controller) register() (uint64, chan message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastRequestID++
-	ch := make(chan Response, 1)
+	ch := make(chan message, 1)
 	c.pending[c.lastRequestID] = ch
 	return c.lastRequestID, ch
 }
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/endpointload"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 )
 
 // fakeCoordinator grants each request at an endpoint named after its rank key,
@@ -27,6 +28,11 @@
 	return Response{Endpoint: "at " + req.RankKey, EstimateMillis: req.EstimateLimitMillis, CachedTokens: req.Segments[0].Tokens}
 }
 
+// Permit permits requests to endpoints whose limit is at least 1 a second.
+func (c *fakeCoordinator) Permit(req PermitRequest, _ time.Time) PermitResponse {
+	return PermitResponse{Granted: req.Limit.PerSecond >= 1, HoldMillis: 300}
+}
+
 func listen(t *testing.T) net.PacketConn {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -95,10 +101,25 @@
 		require.NoError(t, err)
 	}
 	requestID, ch := requester.register()
-	require.True(t, requester.deliver(requestID, Response{Endpoint: "e"}))
-	require.False(t, requester.deliver(requestID, Response{Endpoint: "f"}))
-	require.Equal(t, "e", (<-ch).Endpoint)
+	require.True(t, requester.deliver(message{RequestID: requestID, Response: &Response{Endpoint: "e"}}))
+	require.False(t, requester.deliver(message{RequestID: requestID, Response: &Response{Endpoint: "f"}}))
+	require.Equal(t, "e", (<-ch).Response.Endpoint)
 	_, other := start(t, &fakeCoordinator{})
 	_, err = requester.RequestGrant(t.Context(), "g2", other, Request{})
 	require.NoError(t, err, "the controller still answers requests")
 }
+
+func TestRequestPermit(t *testing.T) {
+	requester, _ := start(t, &fakeCoordinator{})
+	_, address := start(t, &fakeCoordinator{})
+	for perSecond, granted := range map[float64]bool{2: true, 0.5: false} {
+		resp, err := requester.RequestPermit(t.Context(), "g2", address, PermitRequest{Limit: requestlimit.Limit{ID: "e", PerSecond: perSecond}})
+		require.NoError(t, err)
+		require.Equal(t, granted, resp.Granted)
+		require.Equal(t, 300*time.Millisecond, resp.Hold())
+	}
+	silent := listen(t).LocalAddr().String()
+	var noResponse *NoResponseError
+	_, err := requester.RequestPermit(t.Context(), "g3", silent, PermitRequest{})
+	require.ErrorAs(t, err, &noResponse)
+}
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/endpointload"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 )
 
 // Request asks a coordinator to admit a request to one of its endpoints. A
@@ -57,15 +58,35 @@
 	Reason string `json:"r,omitempty"`
 }
 
+// PermitRequest asks the coordinator of an endpoint that names a limit for the permit to
+// send it one request. The limit is what the asking gateway knows of it.
+type PermitRequest struct {
+	Limit requestlimit.Limit `json:"l"`
+}
+
+// PermitResponse gives the permit, or denies it.
+type PermitResponse struct {
+	Granted bool `json:"g,omitempty"`
+	// HoldMillis is how long the asking gateway should not ask again.
+	HoldMillis int64 `json:"h,omitempty"`
+	// Lifted is set if the endpoint names no limit any more, so that no permit is needed.
+	Lifted *requestlimit.Limit `json:"l,omitempty"`
+}
+
+// Hold returns how long the asking gateway should not ask again.
+func (r PermitResponse) Hold() time.Duration { return time.Duration(r.HoldMillis) * time.Millisecond }
+
 // Estimate returns the estimated time to the first output.
 func (r Response) Estimate() time.Duration { return time.Duration(r.EstimateMillis) * time.Millisecond }
 
 // message is one datagram: a request, or the response to the request with the
 // same ID.
 type message struct {
-	RequestID uint64    `json:"n"`
-	Request   *Request  `json:"q,omitempty"`
-	Response  *Response `json:"a,omitempty"`
+	RequestID      uint64          `json:"n"`
+	Request        *Request        `json:"q,omitempty"`
+	Response       *Response       `json:"a,omitempty"`
+	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
+	PermitResponse *PermitResponse `json:"pa,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -58,6 +59,7 @@
 	Loads       *endpointload.Tracker
 	StoreStatus *fleet.LatestStoreStatus
 	Quarantine  *quarantine.Tracker
+	Limits      *requestlimit.Tracker
 	// OwnStoreStatus returns what this gateway itself has read from the store. It
 	// is called while this gateway is the store reader.
 	OwnStoreStatus func(now time.Time) fleet.StoreStatus
@@ -210,6 +212,11 @@
 		if m.StoreStatus != nil {
 			c.StoreStatus.Set(m.From.ID, *m.StoreStatus, now)
 		}
+		for _, l := range m.RequestLimits {
+			if c.Limits.Apply(l, now) {
+				c.Logger.Info("endpoint request limit changed, as a peer says", "endpoint", l.ID, "named", !l.Lifted, "gateway", m.From.ID)
+			}
+		}
 	}
 	c.Loads.ApplyCachedPrefixes(m.CachedPrefixes, m.From.Region == own, now)
 	c.Gateways.AddKnown(m.Known)
--- a/internal/controller/heartbeat/heartbeat_test.go
+++ b/internal/controller/heartbeat/heartbeat_test.go
@@ -20,6 +20,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/settings"
 )
 
@@ -209,6 +210,7 @@
 	n.Controller = New(Config{
 		Board:          board,
 		Quarantine:     quarantine.New(),
+		Limits:         requestlimit.New(),
 		Registry:       fleet.NewRegistry(nil),
 		Gateways:       fleet.NewGateways(fleet.Gateway{ID: id, Incarnation: fmt.Sprint("inc", f.started, "-", id), Region: region, HeartbeatAddress: address, PeerAddress: address}, time.Now()),
 		Loads:          endpointload.New(),
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -4,6 +4,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 )
 
 // Message is the content of one heartbeat datagram.
@@ -36,13 +37,17 @@
 	LeavingEndpoints []fleet.LeavingEndpoint `json:"leaving_endpoints,omitempty"`
 	// RefusedEndpoints are endpoints of the receiver's region that refused a connection.
 	RefusedEndpoints []fleet.RefusedEndpoint `json:"refused_endpoints,omitempty"`
+	// RequestLimits are those that endpoints of the region have begun or ceased to name; in
+	// an introduction, all that they name.
+	RequestLimits []requestlimit.Limit `json:"request_limits,omitempty"`
 	// StoreStatus is set by the store reader of the sender's region.
 	StoreStatus *fleet.StoreStatus `json:"word,omitempty"`
 }
 
 // isNews reports whether the message holds what all gateways have to know at once.
 func (m Message) isNews() bool {
-	return m.StoreStatus != nil || m.Quarantine != nil || len(m.LeavingEndpoints) > 0 || len(m.RefusedEndpoints) > 0
+	return m.StoreStatus != nil || m.Quarantine != nil || len(m.LeavingEndpoints) > 0 || len(m.RefusedEndpoints) > 0 ||
+		len(m.RequestLimits) > 0
 }
 
 // RegionSummary describes the gateways and loads of a region.
--- a/internal/controller/heartbeat/send.go
+++ b/internal/controller/heartbeat/send.go
@@ -64,6 +64,7 @@
 	m := Message{
 		From: self, Loads: loads, Quarantine: c.Quarantine.Digest(now),
 		LeavingEndpoints: c.Registry.NewlyLeaving(now), RefusedEndpoints: c.Registry.NewlyRefused(now),
+		RequestLimits: c.Limits.News(now),
 	}
 	if c.Gateways.IsStoreReader(now) {
 		status := c.OwnStoreStatus(now)
@@ -114,6 +115,7 @@
 	news := Message{
 		From: m.From, StoreStatus: m.StoreStatus, Quarantine: m.Quarantine,
 		LeavingEndpoints: m.LeavingEndpoints, RefusedEndpoints: m.RefusedEndpoints,
+		RequestLimits: m.RequestLimits,
 	}
 	if news.isNews() {
 		c.send(c.Gateways.Known(own), news)
@@ -245,12 +247,16 @@
 		status := c.OwnStoreStatus(now)
 		m.StoreStatus = &status
 	}
+	if to.Region == self.Region {
+		m.RequestLimits = c.Limits.All(now)
+	}
 	if len(members) == 0 {
 		c.send([]fleet.GatewayStatus{to}, m)
 	}
 	for part := range slices.Chunk(members, maxIntroduced) {
 		m.Known = part
 		c.send([]fleet.GatewayStatus{to}, m)
+		m.RequestLimits = nil
 	}
 }
 
--- a/internal/controller/heartbeat/size_test.go
+++ b/internal/controller/heartbeat/size_test.go
@@ -14,6 +14,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 	c := New(Config{
 		Board:       blackboard.NewEdge(&settings.PlatformSettings{}),
 		Quarantine:  quarantine.New(),
+		Limits:      requestlimit.New(),
 		Registry:    fleet.NewRegistry(nil),
 		Gateways:    fleet.NewGateways(fleet.Gateway{ID: "gw-north-self", Incarnation: "1", Region: "north", MachineCapacity: 1}, time.Now()),
 		Loads:       endpointload.New(),
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -23,6 +23,8 @@
 	// is in this region.
 	gateway       *fleet.GatewayStatus
 	activeRequest *endpointload.ActiveRequest
+	// sentAt is when the request was sent.
+	sentAt time.Time
 }
 
 // attempt sends the request to the endpoint of the decision, or to a gateway of
@@ -71,6 +73,9 @@
 	if reason != "" {
 		return reason
 	}
+	if !s.takePermit(ctx, view) {
+		return "the endpoint takes no more requests now"
+	}
 	now := time.Now()
 	if !s.edge.Pauses.TryAdmit(view.ID, view.Incarnation, now) {
 		return pausedReason
@@ -162,16 +167,23 @@
 	a.log("endpoint_pause", "endpoint", a.endpoint.ID, "asked_ms", asked.Milliseconds(), "taken_ms", taken.Milliseconds())
 }
 
-// observeRequestLimit records the limit that the endpoint names in its response.
+// observeRequestLimit records the limit that the endpoint names in its response. Limits in
+// other regions are up to the gateways there.
 func (a *attempt) observeRequestLimit(meta httpmeta.Response) {
 	if meta.RequestLimitErr != nil {
 		a.log("request_limit_unreadable", "endpoint", a.endpoint.ID, "err", meta.RequestLimitErr)
+		return
+	}
+	if meta.RequestLimit != nil {
+		limitsNamed.Inc()
+		a.log("request_limit", "endpoint", a.endpoint.ID, "far", a.gateway != nil, "per_second", *meta.RequestLimit)
 	}
-	if meta.RequestLimit == nil {
+	if a.gateway != nil {
 		return
 	}
-	limitsNamed.Inc()
-	a.log("request_limit", "endpoint", a.endpoint.ID, "far", a.gateway != nil, "per_second", *meta.RequestLimit)
+	if a.edge.Limits.Record(a.endpoint.ID, a.endpoint.Incarnation, meta.RequestLimit, a.sentAt, time.Now()) {
+		a.edge.Logger.Info("endpoint request limit changed", "endpoint", a.endpoint.ID, "named", meta.RequestLimit != nil)
+	}
 }
 
 // relayResponse relays the response of an endpoint, or handles it as a failure.
@@ -226,6 +238,7 @@
 		Priority:    min(a.route.Priority, lowestPriority),
 		LastEventID: a.resumeEventID(),
 	})
+	a.sentAt = time.Now()
 	call.Address = a.endpoint.Address
 	call.DedicatedConnection = !a.route.IsIdempotent()
 	return a.edge.EndpointTransport.Do(ctx, call)
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -13,12 +13,15 @@
 	"github.com/hickorystage/hickorystage/internal/rendezvous"
 )
 
-// Grants asks other gateways of the region for grants. A grant admits one request
-// to one endpoint of which the asked gateway is the coordinator.
+// Grants asks other gateways of the region for grants and permits. A grant admits one
+// request to one endpoint of which the asked gateway is the coordinator.
 type Grants interface {
 	// RequestGrant asks the gateway with the given id at the given address (host:port).
 	// It returns an error if there is no response; a refused grant is not an error.
 	RequestGrant(ctx context.Context, gateway, address string, req grants.Request) (grants.Response, error)
+	// RequestPermit is RequestGrant for a permit, which allows one request to an endpoint
+	// that names a limit.
+	RequestPermit(ctx context.Context, gateway, address string, req grants.PermitRequest) (grants.PermitResponse, error)
 }
 
 // Grant decides on a request for a grant from another gateway of this region, by
@@ -76,7 +79,8 @@
 		c.Region = view.Region
 		c.Rank = rendezvous.Weight(req.RankKey, view.ID)
 		out = append(out, c)
-		if best < 0 || c.Rank > out[best].Rank {
+		_, c.Limited = e.Limits.Get(view.ID, view.Incarnation, now)
+		if best < 0 || c.IsBetterHome(&out[best]) {
 			best = len(out) - 1
 		}
 	}
@@ -196,7 +200,7 @@
 		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(),
 		ResponseStarted: req.ResponseStarted, Segments: s.segments,
 	}
-	grantReq.ExcludedEndpoints = slices.Clone(s.paused)
+	grantReq.ExcludedEndpoints = slices.Clone(s.heldBack)
 	for id := range s.tried {
 		grantReq.ExcludedEndpoints = append(grantReq.ExcludedEndpoints, id)
 	}
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -26,6 +26,10 @@
 	respond   func(gateway string, req grants.Request) (grants.Response, error)
 }
 
+func (f *fakeGrants) RequestPermit(_ context.Context, gateway, _ string, _ grants.PermitRequest) (grants.PermitResponse, error) {
+	return grants.PermitResponse{}, errors.WithStack(&grants.NoResponseError{Gateway: gateway})
+}
+
 func (f *fakeGrants) RequestGrant(_ context.Context, gateway, _ string, req grants.Request) (grants.Response, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/coordinators.go
+++ b/internal/edge/coordinators.go
@@ -48,7 +48,7 @@
 	if !e.Gateways.IsSettled(now) {
 		return false
 	}
-	coords := e.coldCoordinators.update(e.Gateways.Self().ID, e.Gateways.Remembered(e.Gateways.Self().Region, now))
+	coords := e.stableCoordinators.update(e.Gateways.Self().ID, e.Gateways.Remembered(e.Gateways.Self().Region, now))
 	return coords.coordinatorOf(endpoint) == coords.selfID
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
@@ -39,6 +40,8 @@
 	healthAsked      = telemetry.NewCounter("route_health_checks", "requests", "health checks of endpoints whose entries are out of date")
 	crashesSeen      = telemetry.NewCounter("route_endpoint_crashes", "requests", "model requests whose endpoint crashed while it ran them")
 	pausesAsked      = telemetry.NewCounter("route_pauses", "responses", "responses by which endpoints asked for a pause")
+	permitsTaken     = telemetry.NewCounter("route_permits", "requests", "route requests that got a permit for an endpoint that names a limit")
+	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
 	requestTime      = telemetry.NewHistogram("route_time")
@@ -55,14 +58,16 @@
 	ColdStarts  *budget.ColdStartLimiter
 	// Pauses are those that endpoints have asked this gateway for.
 	Pauses *backoff.Tracker[int64]
+	// Limits are those that endpoints of this region name.
+	Limits *requestlimit.Tracker
 	// Quarantine keeps prompts that crash endpoints away from them.
 	Quarantine *quarantine.Tracker
 	// EndpointTransport connects to endpoints of this region, GatewayTransport to
 	// gateways of other regions.
 	EndpointTransport *transport.Transport
 	GatewayTransport  *transport.Transport
-	// Grants asks endpoint coordinators for grants; it is used in large regions
-	// only and may be nil in others.
+	// Grants asks endpoint coordinators for grants, in large regions only, and for
+	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
 	Logger *log.Logger
 }
@@ -76,9 +81,10 @@
 	// nextGateway is the round-robin counter over the gateways of a remote region.
 	nextGateway atomic.Uint64
 
-	// grantCoordinators decide on grants, coldCoordinators send to cold endpoints.
-	grantCoordinators, coldCoordinators latestCoordinators
-	health                              healthChecks
+	// grantCoordinators decide on grants. stableCoordinators, chosen among all gateways
+	// that may still run, send to cold endpoints and give out permits.
+	grantCoordinators, stableCoordinators latestCoordinators
+	health                                healthChecks
 }
 
 // New returns an Edge that measures the round trips to other regions on the
@@ -221,6 +227,7 @@
 func (e *Edge) Forget(id, address string) {
 	e.EndpointTransport.Forget(address)
 	e.Loads.Forget(id)
+	e.Limits.Forget(id)
 }
 
 // IsReady reports whether this gateway accepts requests of callers.
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/placement"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/transport"
@@ -209,6 +210,7 @@
 		ColdStarts:        budget.NewColdStartLimiter(budget.ColdStartSettings{Overage: 1, Slack: 2, ConcurrentSenders: 1}),
 		Quarantine:        quarantine.New(),
 		Pauses:            backoff.New[int64](),
+		Limits:            requestlimit.New(),
 		EndpointTransport: transport.New(dial, time.Second),
 		GatewayTransport:  transport.New(dial, time.Second),
 		Logger:            log.New(io.Discard),
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -71,7 +71,8 @@
 	if cause != "" || s.service.ColdRequestsPerSecond <= 0 || s.service.HealthPath == "" || !s.edge.isOutOfDate(now) {
 		return cause, ""
 	}
-	if s.edge.health.isUnconfirmed(view, now) {
+	if _, limited := s.edge.Limits.Get(view.ID, view.Incarnation, now); limited || s.edge.health.isUnconfirmed(view, now) {
+		// A health check would be one more request to an endpoint that names a limit.
 		return fleet.ColdUnconfirmed, ""
 	}
 	return s.checkHealth(ctx, view)
--- /dev/null
+++ b/internal/edge/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package edge
+
+// raceDetector reports whether the race detector is enabled in this build.
+const raceDetector = false
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -137,7 +137,7 @@
 	reachable := make(map[string]bool)
 	var out []placement.Candidate
 	best := -1
-	s.paused, s.soonestReturn = nil, 0
+	s.heldBack, s.soonestReturn = nil, 0
 	for _, view := range e.Registry.Usable(s.service.Name, e.heartbeatInterval(), now) {
 		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.route.Permits(view.Region) {
 			continue
@@ -146,7 +146,7 @@
 		if remote && (s.forwarded != nil || !s.canReach(view.Region, reachable, now)) {
 			continue
 		}
-		if !remote && (s.isPaused(view, now) || !s.mayUseCold(view, now)) {
+		if !remote && (s.isHeldBack(view, now) || !s.mayUseCold(view, now)) {
 			continue
 		}
 		c, ok := e.Loads.Candidate(s.loadQuery(view, remote), now)
@@ -155,11 +155,12 @@
 		}
 		c.Region = view.Region
 		c.Rank = rendezvous.Weight(s.rankKey(), view.ID)
+		_, c.Limited = e.Limits.Get(view.ID, view.Incarnation, now)
 		if remote {
 			c.RoundTrip = e.roundTrips.get(view.Region)
 		}
 		out = append(out, c)
-		if best < 0 || c.Rank > out[best].Rank {
+		if best < 0 || c.IsBetterHome(&out[best]) {
 			best = len(out) - 1
 		}
 	}
@@ -169,13 +170,14 @@
 	return out
 }
 
-// isPaused reports whether the endpoint has asked for a pause, and records until when.
-func (s *session) isPaused(view fleet.EndpointView, now time.Time) bool {
-	remaining := s.edge.Pauses.Remaining(view.ID, view.Incarnation, now)
+// isHeldBack reports whether the endpoint gets no requests for a while, since it has asked
+// for a pause or named a limit, and records until when.
+func (s *session) isHeldBack(view fleet.EndpointView, now time.Time) bool {
+	remaining := max(s.edge.Pauses.Remaining(view.ID, view.Incarnation, now), s.edge.Limits.Remaining(view.ID, view.Incarnation, now))
 	if remaining == 0 {
 		return false
 	}
-	s.paused = append(s.paused, view.ID)
+	s.heldBack = append(s.heldBack, view.ID)
 	if s.soonestReturn == 0 || remaining < s.soonestReturn {
 		s.soonestReturn = remaining
 	}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -55,9 +55,10 @@
 	// tried holds the ids of endpoints and the keys of regions that this request
 	// must not be sent to again.
 	tried map[string]bool
-	// paused are the endpoints that the last search for candidates left out because they
-	// have asked for a pause, soonestReturn the time until the first of them is back.
-	paused        []string
+	// heldBack are the endpoints that the last search for candidates left out because they
+	// have asked for a pause or named a limit, soonestReturn the time until the first of
+	// them is back.
+	heldBack      []string
 	soonestReturn time.Duration
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -36,6 +36,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -117,7 +118,7 @@
 	}
 	sockets.add(grantConn)
 	grantController := grants.New(grantConn, logger)
-	quarantined := quarantine.New()
+	quarantined, limits := quarantine.New(), requestlimit.New()
 	s.edge = edge.New(edge.Config{
 		Board:             s.board,
 		Registry:          s.registry,
@@ -128,6 +129,7 @@
 		ColdStarts:        budget.NewColdStartLimiter(coldSettings(site)),
 		Quarantine:        quarantined,
 		Pauses:            backoff.New[int64](),
+		Limits:            limits,
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
@@ -149,7 +151,7 @@
 		grantController,
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
 		heartbeat.New(heartbeat.Config{
-			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, OwnStoreStatus: s.storeStatus,
+			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, Limits: limits, OwnStoreStatus: s.storeStatus,
 			Conn: heartbeatConn, Seeds: seedHeartbeatAddresses(site), Logger: logger,
 		}),
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -75,6 +75,8 @@
 	// IsPrefixHome marks the preferred endpoint of requests that share this
 	// prompt prefix.
 	IsPrefixHome bool
+	// Limited is set if the endpoint takes so many requests a second only.
+	Limited bool
 	// PrefillTimePerToken is the prefill time of one prompt token.
 	PrefillTimePerToken time.Duration
 	// ServiceTime is the service time of a plain request, or the fixed overhead
@@ -90,6 +92,15 @@
 	Rank uint64
 }
 
+// IsBetterHome reports whether c rather than other is the home of a prompt prefix. An
+// endpoint that limits its requests takes too few of those that share the prefix.
+func (c *Candidate) IsBetterHome(other *Candidate) bool {
+	if c.Limited != other.Limited {
+		return !c.Limited
+	}
+	return c.Rank > other.Rank
+}
+
 // Kind is the kind of a Decision.
 type Kind int
 
