Send long prompts to endpoints that limit the number of requests

Cause: placement priced a request at a limited endpoint by the prefill it causes there, as anywhere. But there every request takes the place of another one, whatever its length, so short ones used up the permits and long ones filled the endpoints without a limit.

Change: at a limited endpoint a request is priced by the mean prefill time of the service's requests.

Ruled out for now: a price that follows how scarce permits are; the mean needs nothing that isn't counted already.

--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -37,6 +37,7 @@
 		PrefillTimePerToken: t.serviceTimes.prefillPerToken(q.Service),
 		ServiceTime:         engineOverhead,
 		SlotTime:            t.serviceTimes.slotTime(q.Service),
+		MeanPrefill:         t.serviceTimes.meanPrefillTime(q.Service),
 	}
 	if q.KVCapacity == 0 {
 		c.ServiceTime = t.serviceTimes.plainServiceTime(q.Service)
--- a/internal/endpointload/servicetimes.go
+++ b/internal/endpointload/servicetimes.go
@@ -34,11 +34,12 @@
 
 // serviceTimes holds what was learned of the times of each service, by service:
 // for model services the prefill time of a prompt token, the time to generate an
-// output token and the time that a request holds a slot, for plain services the time
-// of a request.
+// output token, the time that a request holds a slot and the mean prefill time of a
+// request, for plain services the time of a request.
 type serviceTimes struct {
 	mu             sync.RWMutex
 	perToken       map[string]time.Duration
+	meanPrefill    map[string]time.Duration
 	perOutputToken map[string]time.Duration
 	slot           map[string]time.Duration
 	plain          map[string]time.Duration
@@ -47,6 +48,7 @@
 func newServiceTimes() *serviceTimes {
 	return &serviceTimes{
 		perToken:       make(map[string]time.Duration),
+		meanPrefill:    make(map[string]time.Duration),
 		perOutputToken: make(map[string]time.Duration),
 		slot:           make(map[string]time.Duration),
 		plain:          make(map[string]time.Duration),
@@ -85,6 +87,23 @@
 	s.slot[job.Service] = movingAverage(s.slot[job.Service], total, total)
 }
 
+// observeRequest learns the mean prefill time of requests from one that is sent.
+func (s *serviceTimes) observeRequest(job Job, prefill time.Duration) {
+	if job.PromptTokens == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meanPrefill[job.Service] = movingAverage(s.meanPrefill[job.Service], prefill, prefill)
+}
+
+// meanPrefillTime returns the mean prefill time of a request, 0 until one has been sent.
+func (s *serviceTimes) meanPrefillTime(service string) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.meanPrefill[service]
+}
+
 func (s *serviceTimes) prefillPerToken(service string) time.Duration {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -127,6 +127,7 @@
 func (t *Tracker) Begin(id string, incarnation int64, job Job, now time.Time) *ActiveRequest {
 	req := &ActiveRequest{tracker: t, endpointID: id, incarnation: incarnation, job: job, start: now}
 	req.prefill = time.Duration(max(job.PromptTokens-job.CachedTokens, 0)) * t.serviceTimes.prefillPerToken(job.Service)
+	t.serviceTimes.observeRequest(job, req.prefill)
 	peerLoad := t.peerLoads.sum(id, now)
 	t.withAccount(id, incarnation, func(a *account) {
 		req.uncontended = len(a.pending) == 0 && peerLoad.Waiting == 0
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -77,6 +77,8 @@
 	IsPrefixHome bool
 	// Limited is set if the endpoint takes so many requests a second only.
 	Limited bool
+	// MeanPrefill is the mean prefill time of the service's requests, 0 if unknown.
+	MeanPrefill time.Duration
 	// PrefillTimePerToken is the prefill time of one prompt token.
 	PrefillTimePerToken time.Duration
 	// ServiceTime is the service time of a plain request, or the fixed overhead
@@ -292,6 +294,11 @@
 		// Prefilling the shared prefix at its home benefits all later requests.
 		prefill -= time.Duration(req.SharedTokens-c.CachedTokens) * c.PrefillTimePerToken
 	}
+	if c.Limited && req.PromptTokens > 0 {
+		// Here a request takes the place of another one, whatever its length. Long ones
+		// gain more by it.
+		prefill = c.MeanPrefill
+	}
 	cost := waitCost(req, firstOutput) + time.Duration(prefillWeight*float64(prefill))
 	cost += time.Duration(c.Running+c.Waiting) * runningRequestCost
 	cost += time.Duration(max(c.FailureRate-medianFailures-failureTolerance, 0) * float64(failurePenalty))
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -136,3 +136,25 @@
 	b.Rank = 2
 	require.Equal(t, "b", decide(t, shortRequest(), a, b).Candidate.ID)
 }
+
+// TestLongRequestsGoWhereRequestsAreLimited guards against short requests that use up what
+// an endpoint takes, so that long ones fill the others.
+func TestLongRequestsGoWhereRequestsAreLimited(t *testing.T) {
+	limited, other := idleEngine("limited"), idleEngine("other")
+	limited.Limited = true
+	limited.MeanPrefill = 80 * time.Millisecond
+	require.Equal(t, "limited", decide(t, longRequest(), other, limited).Candidate.ID)
+	require.Equal(t, "other", decide(t, shortRequest(), other, limited).Candidate.ID)
+	other.QueuedPrefill = 400 * time.Millisecond
+	require.Equal(t, "limited", decide(t, shortRequest(), other, limited).Candidate.ID, "the other one is busy")
+}
+
+func TestLimitedEndpointIsNoPrefixHome(t *testing.T) {
+	limited, other := idleEngine("limited"), idleEngine("other")
+	limited.Limited, limited.Rank = true, 2
+	other.Rank = 1
+	require.True(t, other.IsBetterHome(&limited))
+	require.False(t, limited.IsBetterHome(&other))
+	other.Limited = true
+	require.True(t, limited.IsBetterHome(&other))
+}
