--- a/internal/edgeserver/harness_test.go
+++ b/internal/edgeserver/harness_test.go
@@ -36,6 +36,8 @@
 	version      int
 	// routeKind is the kind of the routes that setRoute writes.
 	routeKind string
+	// pause holds the gateways' calls to the store back while it is locked.
+	pause sync.RWMutex
 	// basePort is the first of the ports that each gateway uses.
 	basePort int
 }
@@ -161,7 +163,7 @@
 }
 
 func (s *system) newServer(site *settings.PlatformSettings) (*edgeserver.Server, error) {
-	client := platform.NewStore(s.storeAddress, platform.StoreOptions{})
+	client := &pausableStore{Store: platform.NewStore(s.storeAddress, platform.StoreOptions{}), pause: &s.pause}
 	return edgeserver.New(site, edgeserver.Platform{
 		Settings:       func() (*settings.PlatformSettings, error) { return site, nil },
 		Store:          client,
