Bind revisions and leases to the era of the store

Cause: the gateway went on watching from a revision that the restored store had given out again, so that the watch found nothing and got no 410. Leases were given out again as well.

A call that rests on another era, or whose response shows another, fails with a RestoredError; watchers read everything again, and the gateways' entries are written under new leases. An entry that the copy has of an endpoint that is gone doesn't bring it back.

--- a/internal/blackboard/edge.go
+++ b/internal/blackboard/edge.go
@@ -24,6 +24,8 @@
 	// from the store the entries of endpoints and the entries of operators.
 	EndpointsReadAt *Value[time.Time]
 	OperatorsReadAt *Value[time.Time]
+	// StoreEra is the newest era of the store that is known; 0 for none.
+	StoreEra *Value[uint64]
 	// StoreUnreachableSince is when the store stopped responding; zero while it
 	// responds.
 	StoreUnreachableSince *Value[time.Time]
@@ -40,6 +42,7 @@
 		EndpointsDiscovered:   NewValue(false),
 		EndpointsReadAt:       NewValue(time.Time{}),
 		OperatorsReadAt:       NewValue(time.Time{}),
+		StoreEra:              NewValue(uint64(0)),
 		StoreUnreachableSince: NewValue(time.Time{}),
 	}
 }
--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -44,11 +44,11 @@
 // Source reads the endpoints' entries from the store.
 type Source interface {
 	// Read returns all entries and the revision to watch from.
-	Read(ctx context.Context) ([]fleet.Entry, uint64, error)
+	Read(ctx context.Context) ([]fleet.Entry, store.Revision, error)
 	// Watch returns the entries changed since a revision and the revision to watch
 	// from next. It waits for at most wait if there are none. The error is a
 	// *store.CompactedError if the store no longer has the changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]fleet.Entry, uint64, error)
+	Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]fleet.Entry, store.Revision, error)
 }
 
 // Config holds what the controller uses.
@@ -71,8 +71,11 @@
 type Controller struct {
 	Config
 
-	// watchFrom is the revision to watch from; 0 requires a read of all entries.
-	watchFrom uint64
+	// watchFrom is the revision to watch from; zero requires a read of all entries.
+	watchFrom store.Revision
+	// era is the era of the store that this gateway knows of, here or by the store reader; 0
+	// for none.
+	era uint64
 	// lastAttempt is when this gateway last called the store. verifiedAt is when the
 	// store is known to have been read last, here or by the store reader.
 	lastAttempt time.Time
@@ -158,6 +161,7 @@
 // fetches the entries from it if they differ.
 func (c *Controller) followStoreReader(ctx context.Context, status fleet.StoreStatus, from string, readAt time.Time) {
 	c.recordVerified(readAt)
+	c.observeEra(status.Era)
 	if status.EndpointsFingerprint != c.Registry.Fingerprint() && !c.fetchFromPeer(ctx, from) {
 		return
 	}
@@ -165,7 +169,7 @@
 	// The entries now follow the store reader at a revision that is not known
 	// here. A watch from the own last revision may miss changes that the fetch
 	// brought, so the next read of the store has to read all entries.
-	c.watchFrom = 0
+	c.watchFrom = store.Revision{}
 }
 
 // fetchFromPeer replaces the entries by those of a peer, and reports whether that
@@ -223,7 +227,8 @@
 	c.Gateways.SetStoreUnreachable(false, now)
 	c.Board.EndpointsReadAt.Set(startedAt)
 	c.recordVerified(startedAt)
-	if c.watchFrom == 0 {
+	c.observeEra(revision.Era)
+	if c.watchFrom.IsZero() {
 		c.reportChanges(c.Registry.Replace(entries, now))
 	} else {
 		c.reportChanges(c.Registry.Apply(entries, now))
@@ -246,6 +251,19 @@
 	}
 }
 
+// observeEra records the era of the store; 0 for one that isn't known. After a restore,
+// entries that the older copy lacks are written again.
+func (c *Controller) observeEra(era uint64) {
+	if era <= c.era {
+		return
+	}
+	if c.era != 0 {
+		c.Registry.RecordStoreRecovery(time.Now())
+		c.Logger.Warn("store was restored from an older copy; entries may be missing", "era", era, "before", c.era)
+	}
+	c.era = era
+}
+
 // askPeer asks a gateway that serves, another one after each failed read, for what it
 // knows of the store's content. The store reader of a region that starts while the store
 // is away would otherwise learn that from nobody.
@@ -263,8 +281,8 @@
 	c.StoreStatus.Set(peer.ID, status, time.Now())
 }
 
-func (c *Controller) readOrWatch(ctx context.Context) ([]fleet.Entry, uint64, error) {
-	if c.watchFrom == 0 {
+func (c *Controller) readOrWatch(ctx context.Context) ([]fleet.Entry, store.Revision, error) {
+	if c.watchFrom.IsZero() {
 		return c.Source.Read(ctx)
 	}
 	return c.Source.Watch(ctx, c.watchFrom, watchWait)
@@ -277,9 +295,10 @@
 
 func (c *Controller) recordFailure(err error, now time.Time) {
 	var compacted *store.CompactedError
-	if errors.As(err, &compacted) {
-		c.Logger.Info("store has compacted endpoint changes; reading all entries")
-		c.watchFrom = 0
+	var restored *store.RestoredError
+	if errors.As(err, &compacted) || errors.As(err, &restored) {
+		c.Logger.Info("reading all endpoint entries", "err", err)
+		c.watchFrom = store.Revision{}
 		c.lastAttempt = time.Time{}
 		return
 	}
--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -26,6 +26,7 @@
 type fakeSource struct {
 	mu        sync.Mutex
 	entries   map[string]fleet.Endpoint
+	era       uint64
 	revision  uint64
 	changed   []fleet.Entry
 	down      bool
@@ -61,35 +62,35 @@
 	return s.calls
 }
 
-func (s *fakeSource) Read(context.Context) ([]fleet.Entry, uint64, error) {
+func (s *fakeSource) Read(context.Context) ([]fleet.Entry, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, &store.UnavailableError{Op: "read", Cause: io.EOF}
+		return nil, store.Revision{}, &store.UnavailableError{Op: "read", Cause: io.EOF}
 	}
 	var out []fleet.Entry
 	for id, e := range s.entries {
 		out = append(out, fleet.Entry{ID: id, Endpoint: &e})
 	}
 	s.changed = nil
-	return out, max(s.revision, 1), nil
+	return out, store.Revision{Era: s.era, Number: max(s.revision, 1)}, nil
 }
 
-func (s *fakeSource) Watch(_ context.Context, after uint64, _ time.Duration) ([]fleet.Entry, uint64, error) {
+func (s *fakeSource) Watch(_ context.Context, after store.Revision, _ time.Duration) ([]fleet.Entry, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	switch {
 	case s.down:
-		return nil, 0, &store.UnavailableError{Op: "watch", Cause: io.EOF}
+		return nil, store.Revision{}, &store.UnavailableError{Op: "watch", Cause: io.EOF}
 	case s.compacted:
 		s.compacted = false
-		return nil, 0, &store.CompactedError{After: after}
+		return nil, store.Revision{}, &store.CompactedError{After: after}
 	}
 	out := s.changed
 	s.changed = nil
-	return out, max(s.revision, 1), nil
+	return out, store.Revision{Era: s.era, Number: max(s.revision, 1)}, nil
 }
 
 func endpoint(id string) fleet.Endpoint {
@@ -342,3 +343,26 @@
 	require.Equal(t, "peer", from)
 	require.Equal(t, known.ConfigVersion, status.ConfigVersion, "for the configuration")
 }
+
+// TestEntriesMissingAfterRestoreAreKeptForAWhile has the store come back from a copy that
+// lacks an endpoint, without having been away for long.
+func TestEntriesMissingAfterRestoreAreKeptForAWhile(t *testing.T) {
+	run(t, func(d *testDiscovery) {
+		d.source.era = 1
+		d.source.set(endpoint("a"))
+		d.source.set(endpoint("b"))
+		time.Sleep(2 * readInterval)
+		d.source.mu.Lock()
+		d.source.era, d.source.compacted = 2, true
+		delete(d.source.entries, "b")
+		d.source.mu.Unlock()
+		time.Sleep(readInterval + pollInterval)
+		_, known := d.controller.Registry.Get("b")
+		require.True(t, known, "the endpoint has time to write its entry again")
+		time.Sleep(2 * fleet.ReregistrationGrace)
+		_, known = d.controller.Registry.Get("b")
+		require.False(t, known)
+		_, known = d.controller.Registry.Get("a")
+		require.True(t, known)
+	})
+}
--- a/internal/controller/peerlist/peerlist.go
+++ b/internal/controller/peerlist/peerlist.go
@@ -46,7 +46,7 @@
 	logger   *log.Logger
 
 	startedAt time.Time
-	// lease is the lease of the entry, 0 while there is no entry. renewedAt is
+	// lease is the lease of the entry, zero while there is no entry. renewedAt is
 	// when the lease was last renewed, listReadAt when the list was last read.
 	lease      store.LeaseID
 	renewedAt  time.Time
@@ -103,7 +103,7 @@
 // renew renews the lease, or writes the entry under a new lease if there is none or
 // it has expired.
 func (c *Controller) renew(ctx context.Context) error {
-	if c.lease != 0 {
+	if !c.lease.IsZero() {
 		err := c.store.KeepAlive(ctx, c.lease)
 		var ended *store.LeaseEndedError
 		if !errors.As(err, &ended) {
@@ -111,7 +111,7 @@
 			return err
 		}
 		c.logger.Warn("lease of the gateway entry expired")
-		c.lease = 0
+		c.lease = store.LeaseID{}
 	}
 	lease, _, err := c.store.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -127,7 +127,7 @@
 	}
 	c.lease = lease
 	c.recordRenewal(nil)
-	c.logger.Info("gateway entry written", "lease", lease)
+	c.logger.Info("gateway entry written", "lease", lease.Number)
 	return nil
 }
 
@@ -165,7 +165,7 @@
 	c.listReadAt = time.Now()
 	if shouldBeListed && !isListed {
 		// A stale read may lack a new entry; one more write does no harm.
-		c.lease = 0
+		c.lease = store.LeaseID{}
 		c.renewedAt = time.Time{}
 	}
 	return nil
@@ -173,7 +173,7 @@
 
 // revoke removes the entry of this gateway by revoking its lease.
 func (c *Controller) revoke() {
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
@@ -181,5 +181,5 @@
 	if err := c.store.Revoke(ctx, c.lease); err != nil {
 		c.logger.Warn("cannot remove gateway entry; its lease will expire", "err", err)
 	}
-	c.lease = 0
+	c.lease = store.LeaseID{}
 }
--- a/internal/controller/peerlist/peerlist_test.go
+++ b/internal/controller/peerlist/peerlist_test.go
@@ -47,7 +47,7 @@
 func (s *fakeStore) endLease(l store.LeaseID) {
 	delete(s.leases, l)
 	for key, i := range s.items {
-		if store.LeaseID(i.CreateRevision) == l {
+		if i.CreateRevision.Number == l.Number {
 			delete(s.items, key)
 		}
 	}
@@ -68,25 +68,25 @@
 	return p, nil
 }
 
-func (s *fakeStore) Commit(_ context.Context, t store.Txn) (uint64, error) {
+func (s *fakeStore) Commit(_ context.Context, t store.Txn) (store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.countCall(); err != nil {
-		return 0, err
+		return store.Revision{}, err
 	}
 	for _, w := range t.Writes {
-		s.items[w.Key] = store.Item{Key: w.Key, Value: w.Value, CreateRevision: uint64(w.Lease)}
+		s.items[w.Key] = store.Item{Key: w.Key, Value: w.Value, CreateRevision: store.Revision{Number: w.Lease.Number}}
 	}
-	return 1, nil
+	return store.Revision{Number: 1}, nil
 }
 
 func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.countCall(); err != nil {
-		return 0, 0, err
+		return store.LeaseID{}, 0, err
 	}
-	s.lastLease++
+	s.lastLease.Number++
 	s.leases[s.lastLease] = time.Now().Add(ttl)
 	return s.lastLease, ttl, nil
 }
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,9 @@
 	watchWait = time.Second
 	// retryWait is the delay after a failed call.
 	retryWait = 250 * time.Millisecond
+	// rewriteTime is how long after a restore of the store an evacuation that it no longer
+	// holds stays in force: operators write again what the older copy lacks.
+	rewriteTime = 3 * time.Second
 )
 
 var (
@@ -54,11 +58,11 @@
 type Source interface {
 	// Read returns the configuration and all evacuations in force, and the
 	// revision to watch from.
-	Read(ctx context.Context) ([]Change, uint64, error)
+	Read(ctx context.Context) ([]Change, store.Revision, error)
 	// Watch returns the changes since a revision and the revision to watch from
 	// next. It waits for at most wait if there are none. The error is a
 	// *store.CompactedError if the store no longer has the changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]Change, store.Revision, error)
 	// Decode decodes a configuration fetched from another gateway.
 	Decode(raw []byte) (*route.Table, error)
 }
@@ -79,8 +83,13 @@
 // Controller keeps the configuration and evacuations of the blackboard up to date.
 type Controller struct {
 	Config
-	// watchFrom is the revision to watch from; 0 requires a read of everything.
-	watchFrom uint64
+	// watchFrom is the revision to watch from; zero requires a read of everything.
+	watchFrom store.Revision
+	// era is the era of the store that this gateway knows of, here or by the store reader; 0
+	// for none. rewrittenAt is when operators have had time to write again what a restore
+	// lost; zero if everything was read after that.
+	era         uint64
+	rewrittenAt time.Time
 }
 
 // New returns the controller.
@@ -122,7 +131,7 @@
 		c.followStoreReader(ctx, status, from)
 		c.waitForStatus(ctx, changed)
 		return nil
-	case c.watchFrom == 0:
+	case c.watchFrom.IsZero(), !c.rewrittenAt.IsZero() && !now.Before(c.rewrittenAt):
 		return c.readAll(ctx)
 	default:
 		return c.watch(ctx)
@@ -135,7 +144,8 @@
 	// The state now follows the store reader at a revision that is not known here.
 	// A watch from the own last revision may miss changes that the status brought,
 	// so the next read of the store has to read everything.
-	c.watchFrom = 0
+	c.watchFrom = store.Revision{}
+	c.observeEra(status.Era)
 	c.applyEvacuations(status)
 	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from) {
 		return
@@ -209,9 +219,10 @@
 	changes, revision, err := c.Source.Watch(ctx, c.watchFrom, watchWait)
 	if err != nil {
 		// A read of everything includes whatever the watch missed.
-		c.watchFrom = 0
+		c.watchFrom = store.Revision{}
 		var compacted *store.CompactedError
-		if errors.As(err, &compacted) {
+		var restored *store.RestoredError
+		if errors.As(err, &compacted) || errors.As(err, &restored) {
 			return nil
 		}
 		return err
@@ -235,7 +246,13 @@
 	c.Board.OperatorsReadAt.Set(time.Now())
 	c.recordStoreReachable()
 	c.watchFrom = revision
+	c.observeEra(revision.Era)
 	evacuated := make(map[string]bool)
+	if startedAt.Before(c.rewrittenAt) {
+		maps.Copy(evacuated, c.Board.Evacuated.Get())
+	} else {
+		c.rewrittenAt = time.Time{}
+	}
 	for _, change := range changes {
 		if change.DataCentre != "" {
 			evacuated[change.DataCentre] = true
@@ -247,6 +264,19 @@
 	return nil
 }
 
+// observeEra records the era of the store; 0 for one that isn't known.
+func (c *Controller) observeEra(era uint64) {
+	if era <= c.era {
+		return
+	}
+	if c.era != 0 {
+		c.rewrittenAt = time.Now().Add(rewriteTime)
+		c.Logger.Warn("store was restored from an older copy", "era", era, "before", c.era)
+	}
+	c.era = era
+	c.Board.StoreEra.Update(func(old uint64) (uint64, bool) { return era, era > old })
+}
+
 func (c *Controller) apply(change Change) {
 	switch {
 	case change.Err != nil:
--- a/internal/controller/routesync/routesync_test.go
+++ b/internal/controller/routesync/routesync_test.go
@@ -31,7 +31,7 @@
 	mu              sync.Mutex
 	version         uint64
 	evacuated       map[string]bool
-	revision        uint64
+	era, revision   uint64
 	changes         []Change
 	compactedBefore uint64
 	changed         chan struct{}
@@ -78,12 +78,12 @@
 	return s.calls
 }
 
-func (s *fakeSource) Read(context.Context) ([]Change, uint64, error) {
+func (s *fakeSource) Read(context.Context) ([]Change, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, &store.UnavailableError{Op: "read", Cause: io.EOF}
+		return nil, store.Revision{}, &store.UnavailableError{Op: "read", Cause: io.EOF}
 	}
 	var out []Change
 	version := s.version
@@ -98,24 +98,24 @@
 			out = append(out, Change{DataCentre: dc, Evacuate: true})
 		}
 	}
-	return out, s.revision, nil
+	return out, store.Revision{Era: s.era, Number: s.revision}, nil
 }
 
-func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeSource) Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]Change, store.Revision, error) {
 	s.mu.Lock()
 	s.calls++
 	down, silent, changed := s.down, s.silent, s.changed
-	if !down && !silent && after < s.revision {
+	if !down && !silent && after.Number < s.revision {
 		defer s.mu.Unlock()
-		if after < s.compactedBefore {
-			return nil, 0, &store.CompactedError{After: after}
+		if after.Number < s.compactedBefore {
+			return nil, store.Revision{}, &store.CompactedError{After: after}
 		}
-		n := int(s.revision - after)
-		return s.changes[len(s.changes)-n:], s.revision, nil
+		n := int(s.revision - after.Number)
+		return s.changes[len(s.changes)-n:], store.Revision{Era: s.era, Number: s.revision}, nil
 	}
 	s.mu.Unlock()
 	if down {
-		return nil, 0, &store.UnavailableError{Op: "watch", Cause: io.EOF}
+		return nil, store.Revision{}, &store.UnavailableError{Op: "watch", Cause: io.EOF}
 	}
 	if silent {
 		changed = nil
@@ -125,11 +125,11 @@
 		return s.Watch(ctx, after, 0)
 	case <-time.After(wait):
 		if silent {
-			return nil, 0, &store.UnavailableError{Op: "watch", Cause: context.DeadlineExceeded}
+			return nil, store.Revision{}, &store.UnavailableError{Op: "watch", Cause: context.DeadlineExceeded}
 		}
 		return nil, after, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, store.Revision{}, ctx.Err()
 	}
 }
 
@@ -280,7 +280,7 @@
 			case 1:
 				s.staleVersion = uint64(rapid.IntRange(0, int(highest)).Draw(rt, "stale"))
 			case 2:
-				c.watchFrom = 0
+				c.watchFrom = store.Revision{}
 			case 3:
 				s.compactedBefore = s.revision
 			case 4:
@@ -289,7 +289,7 @@
 				s.down = !s.down
 			}
 			before := s.revision
-			if c.watchFrom == 0 || c.watchFrom < before {
+			if c.watchFrom.IsZero() || c.watchFrom.Number < before {
 				_ = c.refresh(context.Background(), time.Now())
 			}
 			require.GreaterOrEqual(rt, version(c), seen)
--- a/internal/edgeserver/restore_test.go
+++ b/internal/edgeserver/restore_test.go
@@ -34,7 +34,7 @@
 	return s.Store.KeepAlive(ctx, lease)
 }
 
-func (s *pausableStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+func (s *pausableStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	s.pause.RLock()
 	defer s.pause.RUnlock()
 	return s.Store.Watch(ctx, prefix, after, wait)
@@ -66,10 +66,10 @@
 	// The gateways read what was written since the copy.
 	time.Sleep(1500 * time.Millisecond)
 	s.pause.Lock()
+	defer s.pause.Unlock()
 	s.store.Restore(copied)
 	written()
 	s.writeHeartbeats(s.endpoints["i-1"], 100)
-	s.pause.Unlock()
 }
 
 // TestChangeIsInForceAfterUnnoticedRestore guards against a watch that goes on from a
@@ -110,7 +110,7 @@
 	s.store.StartEvacuation("north-a")
 	s.eventually(3*time.Second, "the evacuation is in force", func() bool { return g.call("/q/x") == http.StatusServiceUnavailable })
 	s.restoreUnnoticed(copied, func() {})
-	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
 		require.Equal(t, http.StatusServiceUnavailable, g.call("/q/x"))
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -174,7 +174,7 @@
 		for id := range 2 {
 			lease, _, err := other.Grant(t.Context(), time.Hour)
 			require.NoError(t, err)
-			require.EqualValues(t, 1+id, lease, "the leases are given out again")
+			require.EqualValues(t, 1+id, lease.Number, "the leases are given out again")
 		}
 	})
 	s.eventually(5*time.Second, "the entries are written again", listed)
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -219,6 +219,7 @@
 	status := fleet.StoreStatus{
 		EndpointsFingerprint: s.registry.Fingerprint(),
 		Evacuated:            routesync.SortedNames(s.board.Evacuated.Get()),
+		Era:                  s.board.StoreEra.Get(),
 		EndpointsAgeMillis:   ageMillis(s.board.EndpointsReadAt.Get(), now),
 		OperatorsAgeMillis:   ageMillis(s.board.OperatorsReadAt.Get(), now),
 	}
--- a/internal/fleet/marks.go
+++ b/internal/fleet/marks.go
@@ -20,6 +20,17 @@
 	inEntry bool
 }
 
+// goneMark holds the sequence number of an incarnation's last entry, and when that was
+// deleted.
+type goneMark struct {
+	sequence int64
+	at       time.Time
+}
+
+// goneRetention is how long a goneMark is kept: longer than the age of the copies that the
+// store is restored from.
+const goneRetention = 10 * time.Minute
+
 // leavingRetention is how long the mark of a leaving incarnation is kept. It is
 // longer than an entry of that incarnation can be delayed.
 const leavingRetention = 10 * time.Minute
@@ -182,6 +193,11 @@
 			delete(r.leaving, key)
 		}
 	}
+	for key, mark := range r.gone {
+		if now.Sub(mark.at) > goneRetention {
+			delete(r.gone, key)
+		}
+	}
 	for key, at := range r.refused {
 		if now.Sub(at) > refusedRetention {
 			delete(r.refused, key)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -47,6 +47,9 @@
 	// cold holds until when incarnations are cold by their own health responses. No later
 	// entry of the same incarnation lifts the mark: it may have been written before.
 	cold map[incarnationKey]time.Time
+	// gone holds the incarnations whose entries were deleted. An entry that was written
+	// before is no sign of them: a store that is restored from a copy has it again.
+	gone map[incarnationKey]goneMark
 	// currentAt is when the entries were last known to match the store.
 	currentAt time.Time
 	// storeRecoveredAt is when the last store outage ended.
@@ -84,6 +87,7 @@
 		leaving:         make(map[incarnationKey]leavingMark),
 		refused:         make(map[incarnationKey]time.Time),
 		cold:            make(map[incarnationKey]time.Time),
+		gone:            make(map[incarnationKey]goneMark),
 		evacuated:       make(map[string]bool),
 		evacuationEnded: make(map[string]time.Time),
 		usable:          make(map[string]usableList),
@@ -216,6 +220,7 @@
 		return []Change{{ID: id, Kind: ChangeMissing}}
 	}
 	delete(r.views, id)
+	r.gone[incarnationKey{v.ID, v.Incarnation}] = goneMark{sequence: v.Sequence, at: now}
 	return []Change{removal(v)}
 }
 
@@ -243,6 +248,9 @@
 	if ok && isOlder(e, old.Endpoint) {
 		return nil
 	}
+	if mark, isGone := r.gone[key]; !ok && isGone && e.Sequence <= mark.sequence {
+		return nil
+	}
 	next := EndpointView{Endpoint: e, Region: region, UpdatedAt: now}
 	if ok && isSameEntry(e, old.Endpoint) {
 		// What was observed since the entry was written still holds.
@@ -324,6 +332,7 @@
 	for id, v := range r.views {
 		if !v.MissingSince.IsZero() && now.Sub(v.MissingSince) >= ReregistrationGrace {
 			delete(r.views, id)
+			r.gone[incarnationKey{v.ID, v.Incarnation}] = goneMark{sequence: v.Sequence, at: now}
 			r.changes++
 			out = append(out, removal(v))
 		}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -257,3 +257,20 @@
 	r.SetRegions(map[string]string{})
 	require.Empty(t, usable(r, start))
 }
+
+// TestOldEntryDoesNotBringBackAGoneEndpoint covers a store that is restored from a copy in
+// which the entry of a gone endpoint still stands.
+func TestOldEntryDoesNotBringBackAGoneEndpoint(t *testing.T) {
+	r := NewRegistry(regionOf)
+	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 7)}}, start)
+	r.Apply([]Entry{{ID: "a", Deleted: true}}, start)
+	for _, sequence := range []int64{3, 7} {
+		require.Empty(t, r.Replace([]Entry{{ID: "a", Endpoint: ready("a", 1, sequence)}}, at(time.Second)))
+		require.Empty(t, usable(r, at(time.Second)))
+	}
+	require.Equal(t, []Change{{ID: "a", Kind: ChangeNew}}, r.Replace([]Entry{{ID: "a", Endpoint: ready("a", 1, 8)}}, at(2*time.Second)), "it has written again")
+	r.Apply([]Entry{{ID: "a", Deleted: true}}, at(3*time.Second))
+	require.Equal(t, []Change{{ID: "a", Kind: ChangeNew}}, r.Replace([]Entry{{ID: "a", Endpoint: ready("a", 2, 1)}}, at(4*time.Second)), "it has restarted")
+	r.RemoveExpired(at(3*time.Second + goneRetention + time.Second))
+	require.Empty(t, r.gone)
+}
--- a/internal/fleet/storestatus.go
+++ b/internal/fleet/storestatus.go
@@ -15,6 +15,8 @@
 	EndpointsFingerprint uint64   `json:"endpoints"`
 	ConfigVersion        uint64   `json:"routes"`
 	Evacuated            []string `json:"evacuated,omitempty"`
+	// Era is the store's era, 0 if it isn't known.
+	Era uint64 `json:"era,omitempty"`
 	// EndpointsAgeMillis and OperatorsAgeMillis are the times in milliseconds
 	// since the store last answered a read of the endpoints' entries and of what
 	// operators wrote.
