Keep the instance list usable when one of its entries is odd

Cause: the list was decoded as a whole.

Change: each entry is decoded by itself; those that can't be used are left out and counted (instance_list_odd).

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -324,3 +327,20 @@
 		require.Empty(t, registrations)
 	})
 }
+
+// TestOddInstanceKeepsNoOtherOut guards against a list that isn't followed any more because
+// of one entry of another writer.
+func TestOddInstanceKeepsNoOtherOut(t *testing.T) {
+	for _, odd := range []string{
+		`7`, `"x"`, `null`, `{"id":7}`, `{"id":""}`, `{"id":"odd","address":"10.0.0.1:70000"}`, `{"id":"odd","address":"10.0.0.1:0"}`,
+		`{"id":"odd","address":"10.0.0.1"}`, `{"id":"odd","incarnation":1e999}`, `{"id":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `[{"id":"e1","address":"10.0.0.1:80"},`+odd+`,{"id":"e2","address":"host:80"}]`)
+		}))
+		instances, err := platform.NewHTTPInstanceList(server.URL, platform.Options{}).Instances(t.Context(), "svealand")
+		server.Close()
+		require.NoError(t, err, "%.60s", odd)
+		require.Equal(t, []platform.Instance{{ID: "e1", Address: "10.0.0.1:80"}, {ID: "e2", Address: "host:80"}}, instances, "%.60s", odd)
+	}
+}
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -23,6 +23,7 @@
 var (
 	directoryCalls = telemetry.NewCounter("directory_calls", "calls", "calls to the directory for callers")
 	listCalls      = telemetry.NewCounter("instance_list_calls", "calls", "reads of the instance list")
+	oddInstances   = telemetry.NewCounter("instance_list_odd", "entries", "entries of the instance list that can't be used and were left out")
 )
 
 // HTTPDirectory is the HTTP client of the directory for callers.
@@ -131,10 +132,20 @@
 	if r.status == http.StatusNotModified && cached.etag != "" {
 		return cached.instances, nil
 	}
-	var out []Instance
-	if err := k.decode(r, &out); err != nil {
+	var entries []json.RawMessage
+	if err := k.decode(r, &entries); err != nil {
 		return nil, err
 	}
+	out := make([]Instance, 0, len(entries))
+	for _, entry := range entries {
+		var i Instance
+		// One odd entry must not keep the others out.
+		if json.Unmarshal(entry, &i) != nil || !i.isUsable() {
+			oddInstances.Inc()
+			continue
+		}
+		out = append(out, i)
+	}
 	l.setCached(region, cachedList{etag: r.etag, instances: out})
 	return out, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"net"
+	"strconv"
 	"time"
 )
 
@@ -89,6 +91,17 @@
 	State   InstanceState `json:"state"`
 }
 
+// isUsable reports whether the instance has an id, and its address, if it has one, a host
+// and a port.
+func (i Instance) isUsable() bool {
+	if i.Address == "" {
+		return i.ID != ""
+	}
+	host, port, err := net.SplitHostPort(i.Address)
+	n, portErr := strconv.ParseUint(port, 10, 16)
+	return i.ID != "" && err == nil && host != "" && portErr == nil && n > 0
+}
+
 // InstanceList is the platform's list of live and leaving instances, which lags
 // behind their actual state. An empty region means all regions.
 type InstanceList interface {
