Answer requests that a stopping gateway can't finish, and refuse late ones

Reported by other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them such that must not be repeated. It can happen here: a request whose body arrives 4 s after the stop began (none of ten got an answer), and one that simply runs longer than the grace.

Cause: a stop waits for requests that it has begun to read, however long they take to arrive, and closes the connections at the end of the grace.

Change: a request that is read to its end later than 2.5 s after the stop began, when all callers and gateways have learned of it, is refused as not run. Half a second before the end the requests in flight are interrupted: those whose response hasn't begun are answered 503 if they haven't run, else 502.

TestStopAnswersRequestsThatItCannotFinish failed before: no status for any of the eleven.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,7 @@
 	healthAsked      = telemetry.NewCounter("route_health_checks", "requests", "health checks of endpoints whose entries are out of date")
 	crashesSeen      = telemetry.NewCounter("route_endpoint_crashes", "requests", "model requests whose endpoint crashed while it ran them")
 	pausesAsked      = telemetry.NewCounter("route_pauses", "responses", "responses by which endpoints asked for a pause")
+	requestsLate     = telemetry.NewCounter("route_late", "requests", "route requests refused because they arrived too late while the gateway stops")
 	permitsTaken     = telemetry.NewCounter("route_permits", "requests", "route requests that got a permit for an endpoint that names a limit")
 	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
@@ -85,12 +86,13 @@
 	// that may still run, send to cold endpoints and give out permits.
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
+	stopping                              *stopping
 }
 
 // New returns an Edge that measures the round trips to other regions on the
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
-	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}}
+	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -119,7 +121,9 @@
 		e.refuse(s, failure.AsRefusal(err))
 		return
 	}
-	s.run(r.Context())
+	ctx, cancel := e.stopping.withInterrupt(r.Context())
+	defer cancel()
+	s.run(ctx)
 	requestTime.Observe(time.Since(arrived))
 }
 
@@ -140,7 +144,10 @@
 		return s, err
 	}
 	s.setDeadline()
-	return s, s.readBody(r)
+	if err := s.readBody(r); err != nil {
+		return s, err
+	}
+	return s, e.refusalOfLate()
 }
 
 // match sets the route and the service of the request. The error is a
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -104,7 +104,9 @@
 		e.refuse(s, failure.AsRefusal(err))
 		return
 	}
-	s.run(r.Context())
+	ctx, cancel := e.stopping.withInterrupt(r.Context())
+	defer cancel()
+	s.run(ctx)
 }
 
 // openForwardedSession is openSession for a request that another gateway forwarded.
@@ -132,5 +134,8 @@
 	if info.LastEventID != "" {
 		s.header.Set("Last-Event-Id", info.LastEventID)
 	}
-	return s, s.readBody(r)
+	if err := s.readBody(r); err != nil {
+		return s, err
+	}
+	return s, e.refusalOfLate()
 }
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hickorystage/hickorystage/internal/backoff"
 	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/endpointload"
@@ -188,7 +190,11 @@
 	if s.mayHaveRun && r.Outcome == failure.NotRun {
 		r = failure.New(failure.CodeEndpointFailed, failure.Unknown, "%s", r.Message)
 	}
-	if ctx.Err() != nil && r.Outcome != failure.NotRun {
+	isInterrupted := errors.Is(context.Cause(ctx), errInterrupted)
+	if isInterrupted && r.Outcome != failure.NotRun {
+		r = failure.New(failure.CodeEndpointFailed, r.Outcome, "the gateway stopped before the response")
+	}
+	if ctx.Err() != nil && !isInterrupted && r.Outcome != failure.NotRun {
 		r = failure.New(failure.CodeDeadlineExceeded, r.Outcome, "no response before the deadline")
 	}
 	s.edge.refuse(s, r)
--- a/internal/edgeserver/harness_test.go
+++ b/internal/edgeserver/harness_test.go
@@ -34,8 +34,9 @@
 	endpoints    map[string]*platformtest.FakeEndpoint
 	servers      map[string]*httptest.Server
 	version      int
-	// routeKind is the kind of the routes that setRoute writes.
-	routeKind string
+	// routeKind and routeTimeout are those of the routes that setRoute writes.
+	routeKind    string
+	routeTimeout time.Duration
 	// pause holds the gateways' calls to the store back while it is locked.
 	pause sync.RWMutex
 	// basePort is the first of the ports that each gateway uses.
@@ -54,7 +55,7 @@
 }
 
 func newSystem(t *testing.T) *system {
-	s := &system{t: t, store: platformtest.NewStore(), gateways: map[string]*gateway{}, endpoints: map[string]*platformtest.FakeEndpoint{}, servers: map[string]*httptest.Server{}, routeKind: "idempotent", basePort: 20000}
+	s := &system{t: t, store: platformtest.NewStore(), gateways: map[string]*gateway{}, endpoints: map[string]*platformtest.FakeEndpoint{}, servers: map[string]*httptest.Server{}, routeKind: "idempotent", routeTimeout: 3 * time.Second, basePort: 20000}
 	server := httptest.NewServer(s.store)
 	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(func() {
@@ -107,7 +108,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version": s.version,
 		"routes": []any{map[string]any{
-			"name": "r", "host": "a.example", "prefix": path, "kind": s.routeKind, "timeout-ms": 3000,
+			"name": "r", "host": "a.example", "prefix": path, "kind": s.routeKind, "timeout-ms": s.routeTimeout.Milliseconds(),
 			"target-latency-ms": 500, "service": service["name"], "max-attempts": 2, "home-regions": homes,
 		}},
 		"services": []any{service},
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -414,11 +414,13 @@
 	peerDrainTime = 2500 * time.Millisecond
 	// graceMargin is the part of the grace period kept in reserve at its end.
 	graceMargin = 500 * time.Millisecond
+	// interruptTime is how long requests that are interrupted at the end have to answer.
+	interruptTime = 300 * time.Millisecond
 )
 
 // drain announces that the gateway is leaving, keeps serving until callers and other
-// gateways have learned it, and waits for the requests in flight. It returns before
-// the grace period ends.
+// gateways have learned it, and waits for the requests in flight. At the end it
+// interrupts those that are left. It returns before the grace period ends.
 func (s *Server) drain() {
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.board.Settings.Get().Limits.ShutdownGrace-graceMargin))
@@ -428,6 +430,8 @@
 	s.callerServer.DisableKeepAlives()
 	_, n := s.edge.Idle()
 	s.logger.Info("stopping", "in_flight", n)
+	refuseNew := time.AfterFunc(peerDrainTime, s.edge.RefuseNew)
+	defer refuseNew.Stop()
 	sleep(ctx, callerDrainTime)
 	if err := s.callerServer.Shutdown(ctx); err != nil {
 		s.logger.Warn("caller requests unfinished at the end of the grace period", "err", err)
@@ -436,8 +440,24 @@
 	if err := s.peerServer.Shutdown(ctx); err != nil {
 		s.logger.Warn("forwarded requests unfinished at the end of the grace period", "err", err)
 	}
-	n = s.finishInFlight(ctx)
-	s.logger.Info("stopped", "cut_off", n, "took", time.Since(began))
+	if n = s.finishInFlight(ctx); n > 0 {
+		s.interruptInFlight()
+	}
+	s.logger.Info("stopped", "interrupted", n, "took", time.Since(began))
+}
+
+// interruptInFlight ends the requests in flight and gives them time to answer.
+func (s *Server) interruptInFlight() {
+	ctx, cancel := context.WithTimeout(context.Background(), interruptTime)
+	defer cancel()
+	s.edge.RefuseNew()
+	s.edge.Interrupt()
+	if n := s.finishInFlight(ctx); n > 0 {
+		s.logger.Warn("requests cut off without an answer", "requests", n)
+	}
+	for _, srv := range []*listeningServer{s.callerServer, s.peerServer} {
+		_ = srv.Shutdown(ctx)
+	}
 }
 
 // finishInFlight waits until no request is in flight, and returns 0, or the number
