--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -214,7 +214,7 @@
 		}
 		for _, l := range m.RequestLimits {
 			if c.Limits.Apply(l, now) {
-				c.Logger.Info("endpoint request limit changed, as a peer says", "endpoint", l.ID, "named", !l.Lifted, "gateway", m.From.ID)
+				c.Logger.Info("endpoint has a new request limit, as a peer says", "endpoint", l.ID, "per_second", l.PerSecond, "lifted", l.Lifted, "gateway", m.From.ID)
 			}
 		}
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -174,15 +174,13 @@
 		a.log("request_limit_unreadable", "endpoint", a.endpoint.ID, "err", meta.RequestLimitErr)
 		return
 	}
+	var perSecond float64
 	if meta.RequestLimit != nil {
 		limitsNamed.Inc()
-		a.log("request_limit", "endpoint", a.endpoint.ID, "far", a.gateway != nil, "per_second", *meta.RequestLimit)
+		perSecond = *meta.RequestLimit
 	}
-	if a.gateway != nil {
-		return
-	}
-	if a.edge.Limits.Record(a.endpoint.ID, a.endpoint.Incarnation, meta.RequestLimit, a.sentAt, time.Now()) {
-		a.edge.Logger.Info("endpoint request limit changed", "endpoint", a.endpoint.ID, "named", meta.RequestLimit != nil)
+	if a.gateway == nil && a.edge.Limits.Record(a.endpoint.ID, a.endpoint.Incarnation, meta.RequestLimit, a.sentAt, time.Now()) {
+		a.log("request_limit", "endpoint", a.endpoint.ID, "per_second", perSecond, "lifted", meta.RequestLimit == nil)
 	}
 }
 
