Show by a test that a lost claim is made again after a restore

After a restore from a copy that lacks the claim of a caller's key, the same call at another gateway claims the key again and runs the action a second time.

--- a/internal/action/manager_test.go
+++ b/internal/action/manager_test.go
@@ -255,3 +255,26 @@
 		}
 	})
 }
+
+// TestClaimOutlastsARestoreOfTheStore repeats a call at another gateway after the store was
+// restored from a copy that lacks its claim.
+func TestClaimOutlastsARestoreOfTheStore(t *testing.T) {
+	d := &countingDispatcher{}
+	s := newCountingStore()
+	call := action.Call{Customer: "c", Key: "mine", Service: "booking", Name: "confirm", Body: []byte("x")}
+	do := func(incarnation string) error {
+		m := action.New(action.Config{Incarnation: incarnation, Dispatcher: d, Store: s})
+		t.Cleanup(func() { require.NoError(t, m.Stop()) })
+		_, err := m.Do(t.Context(), call)
+		return err
+	}
+	copied := s.kv.Dump()
+	require.NoError(t, do("a"))
+	s.kv.Restore(copied)
+	_ = do("b")
+	total := 0
+	for _, runs := range d.runs {
+		total += runs
+	}
+	require.Equal(t, 1, total, "the action ran again")
+}
