--- a/internal/edge/permit.go
+++ b/internal/edge/permit.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// standInShare is the share of an endpoint's limit that is used while its coordinator
+	// substituteShare is the share of an endpoint's limit that is used while its coordinator
 	// isn't heard: it may be running and giving out permits to gateways that hear it.
-	standInShare = 0.25
+	substituteShare = 0.25
 	// unansweredHold is how long an endpoint gets no requests after its coordinator did
 	// not respond.
 	unansweredHold = 250 * time.Millisecond
@@ -21,9 +21,9 @@
 // endpoint that names a limit. If that is this gateway, share is the share of the limit
 // that it may use, 0 for none; otherwise share is 0.
 //
-// Gateways that can't hear each other give out at most 1 + standInShare of the limit
+// Gateways that can't hear each other give out at most 1 + substituteShare of the limit
 // together: one of them is the coordinator among all gateways that may still run, and
-// each group of others gets standInShare in proportion to its size.
+// each group of others gets substituteShare in proportion to its size.
 func (e *Edge) limitCoordinator(endpoint string, now time.Time) (gateway fleet.GatewayStatus, isSelf bool, share float64) {
 	self := e.Gateways.Self()
 	remembered := e.Gateways.Remembered(self.Region, now)
@@ -33,7 +33,7 @@
 	share = 1
 	if _, isAlive := alive.others[id]; id != self.ID && !isAlive {
 		coords, id = alive, alive.coordinatorOf(endpoint)
-		share = standInShare * float64(len(alive.ids)) / float64(len(remembered)+1)
+		share = substituteShare * float64(len(alive.ids)) / float64(len(remembered)+1)
 	}
 	switch {
 	case id != self.ID:
