--- a/internal/edgeserver/late_test.go
+++ b/internal/edgeserver/late_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/platform/platformtest"
 )
 
 // slowBody sends its content so long after the header of the request.
@@ -34,7 +36,7 @@
 		return 0
 	}
 	req.Host, req.ContentLength = "a.example", 1
-	req.Header.Set("Hickorystage-Attempt-Id", id)
+	platformtest.SetAttemptID(req.Header, id)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return 0
