--- a/review/_standin/lab/lab.go
+++ b/review/_standin/lab/lab.go
@@ -8,11 +8,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -77,9 +79,12 @@
 
 // freePorts returns the first of 20 ports that are free on all loopback addresses.
 func freePorts() (int, error) {
-	for base := 21000; base < 29000; base += 20 {
+	const first, last, step = 21000, 29000, 20
+	offset := mathrand.IntN((last - first) / step)
+	for i := range (last - first) / step {
+		base := first + (offset+i)%((last-first)/step)*step
 		free := true
-		for port := base; port < base+20 && free; port++ {
+		for port := base; port < base+step && free; port++ {
 			t, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
 			if err != nil {
 				free = false
@@ -241,6 +246,7 @@
 	entry       map[string]any
 	seq         int
 	stopped     chan struct{}
+	silent      sync.Once
 	listener    net.Listener
 }
 
@@ -345,7 +351,7 @@
 // temporary folder.
 func (l *Lab) Close() {
 	for _, w := range l.workers {
-		close(w.stopped)
+		w.Silence()
 	}
 	for _, g := range l.gateways {
 		_ = g.cmd.Process.Signal(syscall.SIGCONT)
@@ -362,3 +368,17 @@
 	}
 	_ = l.record.Close()
 }
+
+// ResidentBytes returns the memory that the process uses.
+func (g *Gateway) ResidentBytes() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", g.cmd.Process.Pid))
+	fields := strings.Fields(string(text))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// Silence ends the heartbeats of the worker.
+func (w *Worker) Silence() { w.silent.Do(func() { close(w.stopped) }) }
