--- a/review/_standin/case2/main.go
+++ b/review/_standin/case2/main.go
@@ -1,234 +1,259 @@
-// Command case2 checks that a gateway stays within its memory limit while more callers than
-// usual send long requests, each within the operators' limits.
+// Command case2 checks that an action runs once for a caller's own key although the store
+// is restored from an older copy between the call and its repeat. It plays the product's own
+// interface.
 package main
 
 import (
-	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
+	"os/exec"
+	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/hickorystage/hickorystage/internal/standin/kv"
 	"github.com/hickorystage/hickorystage/review/_standin/lab"
 )
 
 const (
-	// memoryLimit is memory-mb of the settings, at which the platform kills a process.
-	memoryLimit = 284 << 20
-	// burstFactor and burstTime are x and for_s of the burst of one kind of request in the
-	// site file.
-	burstFactor = 2.5
-	burstTime   = 10 * time.Second
-	calmTime    = 12 * time.Second
-	bursts      = 3
-	// bodyBytes is below max-body-bytes, 4,194,304.
-	bodyBytes    = 4_000_000
-	usualCallers = 22
-	// events and eventGap make a stream of the length that the sheet gives.
-	events   = 48
-	eventGap = 60 * time.Millisecond
-	// endsAllowed is the number of ends of a process from which on the rule is broken.
-	endsAllowed = 3
+	bookings = 10
+	// outage is for_s of the drill.
+	outage = 2 * time.Second
+	// apiKey and configFolder belong together.
+	apiKey       = "demo-key-svealand"
+	configFolder = "examples/luftvard"
 )
 
 func main() { os.Exit(play(os.Args[1])) }
 
+// deployment is the platform, one service and two gateways in one region.
+type deployment struct {
+	record    *os.File
+	began     time.Time
+	dir       string
+	store     *kv.Server
+	isAway    atomic.Bool
+	processes []*exec.Cmd
+	// addresses of the processes.
+	storeURL, directoryURL, serviceAdmin string
+	gateways                             []string
+}
+
+func (d *deployment) logf(format string, args ...any) {
+	fmt.Fprintf(d.record, "%8.3f %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
 func play(recordPath string) int {
-	l, err := lab.New(recordPath, map[string]string{"selenge-a": "selenge"})
+	record, err := os.Create(recordPath)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
 		return lab.NotRun
 	}
-	defer l.Close()
-	gateways, err := deploy(l)
+	defer record.Close()
+	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
-		l.Logf("cannot start: %v", err)
 		return lab.NotRun
 	}
-	var callers atomic.Int64
-	callers.Store(usualCallers)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	machines := make([]*machine, 0, len(gateways))
-	for i, g := range gateways {
-		m := &machine{gateway: g, lab: l}
-		machines = append(machines, m)
-		wg.Go(func() { m.watch(stop) })
-		for n := range int64(usualCallers * burstFactor) {
-			wg.Go(func() { m.call(i, n, &callers, stop) })
-		}
+	defer os.RemoveAll(dir)
+	d := &deployment{record: record, began: time.Now(), dir: dir, store: kv.New(kv.Limits{Reads: 2000, Writes: 400})}
+	defer d.end()
+	if err := d.start(); err != nil {
+		d.logf("cannot start: %v", err)
+		return lab.NotRun
 	}
-	for range bursts {
-		time.Sleep(calmTime)
-		if lab.Trouble() {
-			l.Logf("burst of %v begins", burstFactor)
-			callers.Store(int64(usualCallers * burstFactor))
+	return d.bookAndRepeat()
+}
+
+// bookAndRepeat makes the bookings at the first gateway, restores the store from a copy made
+// just before, and repeats each booking at the second gateway, as a caller does that is not
+// sure of the outcome.
+func (d *deployment) bookAndRepeat() int {
+	copied := d.store.Store.Dump()
+	copiedAt := time.Now()
+	var keys []string
+	for n := range bookings {
+		key := fmt.Sprintf("order-%d-%s", n, lab.NewID())
+		keys = append(keys, key)
+		if status := d.book(0, key); status != http.StatusOK {
+			d.logf("the first call failed")
+			return lab.NotRun
 		}
-		time.Sleep(burstTime)
-		callers.Store(usualCallers)
-		l.Logf("burst ended")
-	}
-	time.Sleep(calmTime / 2)
-	close(stop)
-	wg.Wait()
-	return judge(l, machines)
+	}
+	if lab.Trouble() {
+		d.logf("the store is away")
+		d.isAway.Store(true)
+		time.Sleep(outage)
+		d.store.Store.Restore(copied)
+		d.isAway.Store(false)
+		d.logf("the store is back, from a copy %v old", time.Since(copiedAt).Round(10*time.Millisecond))
+	}
+	time.Sleep(3 * time.Second)
+	for _, key := range keys {
+		d.book(1, key)
+	}
+	return d.judge(keys)
 }
 
-func deploy(l *lab.Lab) ([]*lab.Gateway, error) {
-	err := l.PutConfig(lab.Config{
-		Version: 4,
-		Routes: []map[string]any{{
-			"name": "season-plan", "host": "depots.example", "prefix": "/plan/", "kind": "streaming", "timeout-ms": 12000,
-			"target-latency-ms": 1200, "priority": 1, "service": "depot-planner", "max-attempts": 2, "sticky": true, "resumable": true, "gap-aim-ms": 600, "home-regions": []string{},
-		}},
-		Services: []map[string]any{{
-			"name": "depot-planner", "health-path": "/health", "max-connections": 370, "cold-start-s": 0, "cold-per-s": 0,
-			"engine": map[string]any{"slots": 64, "kv-capacity-tokens": 443746, "stride": 8},
-		}},
-	})
+func (d *deployment) start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for _, id := range []string{"i-planner1", "i-planner2", "i-planner3", "i-planner4"} {
-		if _, err := l.StartWorker(id, "depot-planner", "selenge-a", 64, func(w *lab.Worker) http.Handler { return planner(l, w) }); err != nil {
-			return nil, err
-		}
+	d.storeURL = "http://" + listener.Addr().String()
+	handler := d.store.Handler()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if d.isAway.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			handler.ServeHTTP(w, r)
+		}))
+	}()
+	directory, directoryAdmin, service := freeAddress(), freeAddress(), freeAddress()
+	d.serviceAdmin, d.directoryURL = freeAddress(), "http://"+directory
+	if err := d.run(nil, "target/review/standin", "directory", "--listen", directory, "--admin", directoryAdmin, "--lag", "500ms"); err != nil {
+		return err
 	}
-	var out []*lab.Gateway
-	for i, ip := range []string{"127.0.43.1", "127.0.43.2"} {
-		g, err := l.StartGateway(fmt.Sprintf("edge-selenge-a-%d", i+1), ip, "selenge-a", "127.0.43.1", "127.0.43.2")
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, g)
+	if err := d.run(nil, "target/review/standin", "service", "--id", "booking-svealand", "--region", "svealand", "--group", "booking",
+		"--listen", service, "--admin", d.serviceAdmin, "--register", d.directoryURL); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	env := []string{
+		"HICKORYSTAGE_STORE_URL=" + d.storeURL, "HICKORYSTAGE_DIRECTORY_URL=" + d.directoryURL,
+		"HICKORYSTAGE_PEER_SECRETS=review-secret-of-the-gateways", "HICKORYSTAGE_ADMIN_TOKEN=review-token-of-the-operators",
+	}
+	if err := d.apply(env); err != nil {
+		return err
 	}
-	for _, g := range out {
-		if err := g.WaitReady(20 * time.Second); err != nil {
-			return nil, err
+	for n := range 2 {
+		id, listen, peer := fmt.Sprintf("gw-svealand-%d", n+1), freeAddress(), freeAddress()
+		if err := d.run(nil, "target/review/standin", "register", "--register", d.directoryURL, "--id", id, "--region", "svealand", "--address", peer); err != nil {
+			return err
 		}
+		if err := d.run(env, "target/hickorystage", "gateway", "--id", id, "--region", "svealand", "--data-centre", "sve-1",
+			"--listen", listen, "--peer-listen", peer, "--admin-listen", freeAddress()); err != nil {
+			return err
+		}
+		d.gateways = append(d.gateways, listen)
 	}
-	return out, nil
+	return d.waitReady()
 }
 
-func planner(l *lab.Lab, w *lab.Worker) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		n, err := io.Copy(io.Discard, r.Body)
-		if err != nil || !w.Expects(rw, r) {
-			return
-		}
-		id := r.Header.Get("Hickorystage-Attempt-Id")
-		l.Logf("worker %s runs %s (%d bytes)", w.ID, id, n)
-		rw.Header().Set("Hickorystage-Response-Stamp", lab.Stamp())
-		rw.Header().Set("Content-Type", "text/event-stream")
-		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		for e := last + 1; e <= events; e++ {
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(eventGap):
-			}
-			if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", e, strings.Repeat("t", 50)); err != nil {
-				return
-			}
-			_ = http.NewResponseController(rw).Flush()
-		}
-	})
+// apply publishes the configuration from a copy of the example's folder.
+func (d *deployment) apply(env []string) error {
+	folder := filepath.Join(d.dir, "config")
+	if err := os.CopyFS(folder, os.DirFS(configFolder)); err != nil {
+		return err
+	}
+	cmd := exec.Command("target/hickorystage", "config", "apply", folder, "--author", "review")
+	cmd.Env = append(os.Environ(), env...)
+	out, err := cmd.CombinedOutput()
+	d.logf("config apply: %s", strings.TrimSpace(string(out)))
+	return err
 }
 
-// machine is the platform's side of one machine: it kills the gateway above its memory
-// limit and starts it again.
-type machine struct {
-	gateway *lab.Gateway
-	lab     *lab.Lab
-	ends    int
-	peak    int64
+// run starts a process with its output in a file.
+func (d *deployment) run(env []string, name string, args ...string) error {
+	out, err := os.CreateTemp(d.dir, "log")
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(name, args...)
+	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.processes = append(d.processes, cmd)
+	d.logf("started %s %s, pid %d", name, strings.Join(args, " "), cmd.Process.Pid)
+	return nil
 }
 
-func (m *machine) watch(stop chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-		used := m.gateway.ResidentBytes()
-		m.peak = max(m.peak, used)
-		if used <= memoryLimit {
-			continue
-		}
-		m.lab.Logf("gateway %s uses %d MB, more than %d", m.gateway.Name, used>>20, memoryLimit>>20)
-		m.ends++
-		m.gateway.Signal(syscall.SIGKILL)
-		<-m.gateway.Exited()
-		time.Sleep(300 * time.Millisecond)
-		if err := m.gateway.Start(); err != nil {
-			m.lab.Logf("cannot start again: %v", err)
-			return
-		}
-		_ = m.gateway.WaitReady(10 * time.Second)
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
 	}
+	defer listener.Close()
+	return listener.Addr().String()
 }
 
-// call lets caller n send one request after another as long as so many callers are there.
-func (m *machine) call(machineIndex int, n int64, callers *atomic.Int64, stop chan struct{}) {
-	client := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
-	body := bytes.Repeat([]byte("p"), bodyBytes)
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(100 * time.Millisecond):
+// waitReady waits until both gateways run a booking.
+func (d *deployment) waitReady() error {
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
+		ready := 0
+		for n := range d.gateways {
+			if d.book(n, "probe-"+lab.NewID()) == http.StatusOK {
+				ready++
+			}
 		}
-		if n >= callers.Load() {
-			continue
+		if ready == len(d.gateways) {
+			return nil
 		}
-		id := lab.NewID()
-		m.lab.Logf("client %d/%d sends %s (%d bytes)", machineIndex, n, id, len(body))
-		status, err := ask(client, m.gateway.Front, id, body)
-		m.lab.Logf("client %d/%d got %d for %s err=%v", machineIndex, n, status, id, err)
 	}
+	return fmt.Errorf("the gateways don't run bookings")
 }
 
-func ask(client *http.Client, address, id string, body []byte) (int, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/plan/1", bytes.NewReader(body))
+// book sends a booking under the caller's own key to a gateway and returns the status, 0
+// without an answer.
+func (d *deployment) book(gateway int, key string) int {
+	body := fmt.Sprintf(`{"key":%q,"address":"Storgatan 1"}`, key)
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.gateways[gateway]+"/v1/actions/booking/confirm", strings.NewReader(body))
 	if err != nil {
-		return 0, err
-	}
-	req.GetBody = nil
-	req.Host = "depots.example"
-	req.Header.Set("Hickorystage-Attempt-Id", id)
-	req.Header.Set("Hickorystage-Deadline-Ms", "12000")
-	req.Header.Set("Hickorystage-Model", "m")
-	req.Header.Set("Hickorystage-Token-Count", "6610,400")
-	req.Header.Set("Hickorystage-Prompt-Prefix", "5c1e07a2:512,91bd3f06:4870,"+id[:8]+":1228")
-	resp, err := client.Do(req)
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := (&http.Client{Timeout: 8 * time.Second}).Do(req)
 	if err != nil {
-		return 0, err
+		d.logf("gateway %d, key %s: %v", gateway+1, key, err)
+		return 0
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
+	answer, _ := io.ReadAll(resp.Body)
+	d.logf("gateway %d, key %s: %d %s", gateway+1, key, resp.StatusCode, strings.TrimSpace(string(answer)))
+	return resp.StatusCode
 }
 
-func judge(l *lab.Lab, machines []*machine) int {
-	broken := 0
-	for _, m := range machines {
-		result := fmt.Sprintf("%s: peak of %d MB, killed %d times", m.gateway.Name, m.peak>>20, m.ends)
-		l.Logf("result: %s", result)
-		fmt.Println(result)
-		if m.ends >= endsAllowed {
-			broken++
+func (d *deployment) judge(keys []string) int {
+	resp, err := http.Get("http://" + d.serviceAdmin + "/executions")
+	if err != nil {
+		return lab.NotRun
+	}
+	defer resp.Body.Close()
+	var counts struct {
+		ByKey map[string]int `json:"by_key"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		return lab.NotRun
+	}
+	twice := 0
+	for _, key := range keys {
+		d.logf("the service ran %s %d times", key, counts.ByKey[key])
+		if counts.ByKey[key] > 1 {
+			twice++
 		}
 	}
-	if broken >= 2 {
+	result := fmt.Sprintf("%d bookings, %d of them ran more than once", len(keys), twice)
+	d.logf("result: %s", result)
+	fmt.Println(result)
+	if twice > 0 {
 		return lab.Broken
 	}
 	return lab.Held
 }
+
+// end ends all processes that were started, the last first.
+func (d *deployment) end() {
+	for i := len(d.processes) - 1; i >= 0; i-- {
+		_ = d.processes[i].Process.Kill()
+		_ = d.processes[i].Wait()
+	}
+}
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,3 +7,4 @@
 for dir in review/_standin/case*/; do
   go build -o target/review/ "./${dir%/}"
 done
+go build -o target/review/ ./cmd/standin
