Keep in the request whether any of it was written

Transport.Do asked the pooled connection whether it had been refused or claimed. net/http pools a connection before RoundTrip returns a response without a body, so that another request may have claimed it by then. The first request took that claim for its own, discarded its response and was sent again: a forwarded booking ran twice.

Each use of a pooled connection is now a claim of its own. A request asks only its claim, and abandoning a claim bars the connection from writing, so that a request reported as not sent is not written later.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,10 +43,22 @@
 	mu sync.Mutex
 	// waiting is set while a read waits for bytes that have not arrived.
 	waiting bool
-	// claimed is set from the choice of the connection for a request until the
-	// request's first byte is written, refused if that was denied.
-	claimed, refused bool
-	closed           bool
+	// current is the claim of the request that the connection was last chosen for. It is
+	// nil once the request's first byte is written.
+	current *claim
+	// refused is set once nothing may be written any more.
+	refused bool
+	closed  bool
+}
+
+// claim is the use of a pooledConn by one request. Whether the request was written is a
+// property of the claim: net/http pools a connection before it returns a response without
+// a body, so that another request may have claimed the connection by then.
+type claim struct {
+	conn *pooledConn
+	// written is set once a byte of the request may have been written. The connection's
+	// lock guards it.
+	written bool
 }
 
 func newPooledConn(conn net.Conn) *pooledConn {
@@ -62,10 +74,11 @@
 // claim prepares the connection, which has carried requests before, for another one.
 // It lets net/http read what is left of earlier responses: with no request waiting,
 // net/http closes the connection on any byte.
-func (c *pooledConn) claim() {
+func (c *pooledConn) claim() *claim {
+	cl := &claim{conn: c}
 	for attempt := range settleYields + settleSleeps {
-		if c.settled() {
-			return
+		if c.settled(cl) {
+			return cl
 		}
 		if attempt < settleYields {
 			runtime.Gosched()
@@ -76,23 +89,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused = true
+	return cl
 }
 
-// settled claims the connection and returns true if a read is waiting or the
+// settled makes cl the current claim and returns true if a read is waiting or the
 // connection is closed.
-func (c *pooledConn) settled() bool {
+func (c *pooledConn) settled(cl *claim) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.claimed = true
+	c.current = cl
 	return c.waiting || c.closed
 }
 
-// wasRefused reports whether nothing of the request was written that claimed the
-// connection.
-func (c *pooledConn) wasRefused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refused || c.claimed
+// abandon reports whether nothing of the request was written. Nothing of it is written
+// afterwards in that case.
+func (cl *claim) abandon() bool {
+	cl.conn.mu.Lock()
+	defer cl.conn.mu.Unlock()
+	if cl.written {
+		return false
+	}
+	cl.conn.refused = true
+	return true
 }
 
 // Write implements net.Conn.
@@ -108,11 +126,17 @@
 func (c *pooledConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.claimed && (!c.waiting || c.hasUnread()) {
+	if c.current != nil && (!c.waiting || c.hasUnread()) {
 		c.refused = true
 	}
-	c.claimed = false
-	return !c.refused
+	if c.refused {
+		return false
+	}
+	if c.current != nil {
+		c.current.written = true
+		c.current = nil
+	}
+	return true
 }
 
 // Read implements net.Conn.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -230,18 +230,17 @@
 // connection taken from the pool could not be reused.
 func (r *Request) send(ctx context.Context, ht *http.Transport) (resp *http.Response, unusable bool, err error) {
 	var gotConn, reused atomic.Bool
-	var claimed atomic.Pointer[pooledConn]
+	var claimed atomic.Pointer[claim]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		reused.Store(info.Reused)
 		claimed.Store(nil)
 		if conn, ok := info.Conn.(*pooledConn); ok && info.Reused {
-			conn.claim()
-			claimed.Store(conn)
+			claimed.Store(conn.claim())
 		}
 	}})
 	resp, err = ht.RoundTrip(r.httpRequest(ctx))
-	if conn := claimed.Load(); conn != nil && conn.wasRefused() {
+	if cl := claimed.Load(); cl != nil && cl.abandon() {
 		if err == nil {
 			_ = resp.Body.Close()
 			err = &UnsolicitedBytesError{Address: r.Address}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -210,3 +212,54 @@
 	require.NoError(t, err)
 	require.Equal(t, int64(2), conns.Load())
 }
+
+// TestRequestIsNotSentAgainForTheNextOneOnItsConnection guards against a request that takes
+// the claim of the next request for its own, discards its response and is sent again.
+// net/http pools a connection before it returns a response without a body; the second
+// request claims it in between.
+func TestRequestIsNotSentAgainForTheNextOneOnItsConnection(t *testing.T) {
+	var received sync.Map
+	address, _, _ := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := received.LoadOrStore(r.Header.Get("X-Id"), new(atomic.Int64))
+		n.(*atomic.Int64).Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	tr := newTransport()
+	do := func(ctx context.Context, id string) error {
+		req := newRequest(address, http.MethodPost, "body")
+		req.Header.Set("X-Id", id)
+		resp, err := tr.Do(ctx, req)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		return err
+	}
+	require.NoError(t, do(context.Background(), "opens the connection"))
+	claimed, second := make(chan struct{}), make(chan error, 1)
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{PutIdleConn: func(error) {
+		once := sync.OnceFunc(func() { close(claimed) })
+		ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { once() }})
+		go func() { second <- do(ctx, "second") }()
+		<-claimed
+	}})
+	require.NoError(t, do(ctx, "first"))
+	require.NoError(t, <-second)
+	for _, id := range []string{"first", "second"} {
+		n, ok := received.Load(id)
+		require.True(t, ok, id)
+		require.Equal(t, int64(1), n.(*atomic.Int64).Load(), id)
+	}
+}
+
+// TestAbandonedClaimIsNeverWritten guards against a request that is written after it was
+// reported as not sent.
+func TestAbandonedClaimIsNeverWritten(t *testing.T) {
+	client, server := net.Pipe()
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	conn := newPooledConn(client)
+	conn.setWaiting(true)
+	require.True(t, conn.claim().abandon())
+	_, err := conn.Write([]byte("x"))
+	var unsolicited *UnsolicitedBytesError
+	require.ErrorAs(t, err, &unsolicited)
+}
