Count a request for the incarnation that it was sent to

withAccount returned the account of a newer incarnation also to requests of the older one. Their ends were subtracted from counts that never held them, so that running requests and KV tokens fell below 0 for good, and peers dropped every heartbeat that reported them.

A request keeps the account that it was added to. A request or grant for an incarnation that has ended doesn't touch the account of the next one.

TestRequestCountsForItsIncarnation and TestGrantForAnEndedIncarnationIsIgnored failed before the change and pass.

--- a/internal/endpointload/grants.go
+++ b/internal/endpointload/grants.go
@@ -121,11 +121,14 @@
 }
 
 // RecordGrant adds a request that this gateway, as the endpoint's coordinator,
-// admits to the endpoint now.
+// admits to the endpoint now. A grant for an incarnation that has ended is ignored.
 func (t *Tracker) RecordGrant(id string, incarnation int64, job Job, now time.Time) {
 	prefill := time.Duration(max(job.PromptTokens-job.CachedTokens, 0)) * t.serviceTimes.prefillPerToken(job.Service)
 	generation := t.serviceTimes.generationTime(job.Service, job.OutputTokens)
 	t.withAccount(id, incarnation, func(a *account) {
+		if a.incarnation > incarnation {
+			return
+		}
 		a.grantedLoad.add(job, prefill, generation, now)
 		a.prefixes.touch(job.Segments, now)
 	})
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -44,7 +44,7 @@
 
 // withAccount calls fn with the account of an endpoint while it holds the lock
 // of the account's shard. It creates a missing account and replaces that of an
-// earlier incarnation.
+// earlier incarnation. The account may be that of a later incarnation.
 func (t *Tracker) withAccount(id string, incarnation int64, fn func(*account)) {
 	sh := t.shard(id)
 	sh.mu.Lock()
@@ -106,11 +106,13 @@
 // ActiveRequest is one request in flight at an endpoint. It must not be used by
 // several goroutines at once.
 type ActiveRequest struct {
-	tracker     *Tracker
-	endpointID  string
-	incarnation int64
-	job         Job
-	start       time.Time
+	tracker    *Tracker
+	endpointID string
+	// account is that of the incarnation that the request was sent to. It is no longer in
+	// use once the endpoint has started again.
+	account *account
+	job     Job
+	start   time.Time
 	// prefill is the estimated prefill time of the prompt.
 	prefill time.Duration
 	// uncontended is set if no other request was waiting at the endpoint when
@@ -125,11 +127,16 @@
 // Begin accounts for a request that is sent to the endpoint now. The caller
 // must call End on the returned request.
 func (t *Tracker) Begin(id string, incarnation int64, job Job, now time.Time) *ActiveRequest {
-	req := &ActiveRequest{tracker: t, endpointID: id, incarnation: incarnation, job: job, start: now}
+	req := &ActiveRequest{tracker: t, endpointID: id, job: job, start: now}
 	req.prefill = time.Duration(max(job.PromptTokens-job.CachedTokens, 0)) * t.serviceTimes.prefillPerToken(job.Service)
 	t.serviceTimes.observeRequest(job, req.prefill)
 	peerLoad := t.peerLoads.sum(id, now)
 	t.withAccount(id, incarnation, func(a *account) {
+		if a.incarnation > incarnation {
+			// The endpoint has started again since it was chosen.
+			a = newAccount(incarnation)
+		}
+		req.account = a
 		req.uncontended = len(a.pending) == 0 && peerLoad.Waiting == 0
 		a.add(req, now)
 	})
@@ -139,6 +146,15 @@
 	return req
 }
 
+// withAccount calls fn with the account of the request while it holds the lock of the
+// endpoint's shard.
+func (req *ActiveRequest) withAccount(fn func(*account)) {
+	sh := req.tracker.shard(req.endpointID)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	fn(req.account)
+}
+
 // RecordFirstOutput records that the first part of the response has arrived.
 // Only the first call counts.
 func (req *ActiveRequest) RecordFirstOutput(now time.Time) {
@@ -146,7 +162,7 @@
 		return
 	}
 	req.responseStarted, req.firstOutputAt = true, now
-	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.startResponse(req, now) })
+	req.withAccount(func(a *account) { a.startResponse(req, now) })
 	if req.uncontended {
 		req.tracker.serviceTimes.observePrefill(req.job, now.Sub(req.start))
 	}
@@ -158,7 +174,7 @@
 		return
 	}
 	req.ended = true
-	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.finish(req, result, now) })
+	req.withAccount(func(a *account) { a.finish(req, result, now) })
 	switch {
 	case result != Succeeded:
 	case req.job.PromptTokens > 0 && req.responseStarted:
--- a/internal/endpointload/tracker_test.go
+++ b/internal/endpointload/tracker_test.go
@@ -270,3 +270,48 @@
 		_ = json.Unmarshal(data, &prefix)
 	})
 }
+
+// requireSameLoad requires that two candidates differ only in the times that are learned
+// from all requests of the service.
+func requireSameLoad(t *testing.T, want, got placement.Candidate) {
+	t.Helper()
+	got.MeanPrefill, got.SlotTime, got.PrefillTimePerToken = want.MeanPrefill, want.SlotTime, want.PrefillTimePerToken
+	require.Equal(t, want, got)
+}
+
+// TestRequestCountsForItsIncarnation guards against counts below 0: the end of a request to
+// an earlier incarnation was subtracted from those of the new one.
+func TestRequestCountsForItsIncarnation(t *testing.T) {
+	next := query(20, 21)
+	next.Incarnation = 2
+	for _, result := range []Result{Succeeded, Failed, Unreachable} {
+		for _, started := range []bool{true, false} {
+			l := New()
+			before := l.Begin("e", 1, job(10, 11), start)
+			if started {
+				before.RecordFirstOutput(at(time.Second))
+			}
+			l.Begin("e", 2, job(20, 21), at(2*time.Second)).RecordFirstOutput(at(2 * time.Second))
+			want := candidate(t, l, next, at(4*time.Second))
+			before.RecordFirstOutput(at(3 * time.Second))
+			before.End(result, at(4*time.Second))
+			late := l.Begin("e", 1, job(10, 12), at(4*time.Second))
+			requireSameLoad(t, want, candidate(t, l, next, at(4*time.Second)))
+			late.End(result, at(4*time.Second))
+			requireSameLoad(t, want, candidate(t, l, next, at(4*time.Second)))
+			require.Len(t, l.Loads(at(4*time.Second)), 1)
+			require.Equal(t, 1, l.Loads(at(4 * time.Second))[0].Running)
+		}
+	}
+}
+
+// TestGrantForAnEndedIncarnationIsIgnored guards against a grant that loads an incarnation
+// which the granted request is not sent to.
+func TestGrantForAnEndedIncarnationIsIgnored(t *testing.T) {
+	l := New()
+	next := query(20, 21)
+	next.Incarnation, next.Coordinated = 2, true
+	want := candidate(t, l, next, start)
+	l.RecordGrant("e", 1, job(10, 11), start)
+	require.Equal(t, want, candidate(t, l, next, start))
+}
