Let a bad field of a heartbeat or grant cost that field only

One negative count made EndpointLoad.UnmarshalJSON fail, the receiver dropped the whole heartbeat, and a running gateway counted as dead at all its peers. A grant request or response that could not be read made the other gateway count as silent for 1 s.

internal/lenient decodes a message that fails to decode field by field and row by row; fields that the rest is useless without are marked as required. The sender of a heartbeat that can't be read counts as alive, known by its id or by the address that it sends from; what can't be read of its status stays as last known, and loads that can't be read don't count as none. The receiver answers with a report, at most every 5 s, which the sender logs. An undecidable grant request is answered with a report instead of silence.

Seen to fail with the former receive: TestUnreadableHeartbeatsAreSignsOfLife, in all 12 kinds of damage ("sees 1 gateways of north alive, not 2", and 10 instead of 11 in large regions), and TestRestOfAnUnreadableHeartbeatCounts.

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -22,6 +22,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/datagram"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -76,6 +77,9 @@
 	// requests.
 	pending      map[uint64]chan message
 	unresponsive map[string]time.Time
+	// unreadableLog and refusedLog limit the log lines about messages that can't be read
+	// here, and by another gateway.
+	unreadableLog, refusedLog logLimit
 }
 
 // New returns a controller that communicates over conn. Run closes conn.
@@ -97,8 +101,8 @@
 	})
 	datagram.Receive(c.conn, maxDatagramBytes, c.logger, func(body []byte, from net.Addr) {
 		var m message
-		if err := json.Unmarshal(body, &m); err != nil {
-			malformed.Inc()
+		if problems := lenient.Decode(body, &m); len(problems) > 0 {
+			c.handleUnreadable(m, problems, from)
 			return
 		}
 		c.handle(m, from)
@@ -111,12 +115,12 @@
 	case m.Request != nil:
 		response := c.coordinator.Grant(*m.Request, time.Now())
 		requestsAnswered.Inc()
-		c.respond(message{RequestID: m.RequestID, Response: &response}, from)
+		c.respond(message{RequestID: m.RequestID, Response: &response, Unreadable: m.Unreadable}, from)
 	case m.PermitRequest != nil:
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
-		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
-	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
+		c.respond(message{RequestID: m.RequestID, PermitResponse: &response, Unreadable: m.Unreadable}, from)
+	case m.isResponse() && c.deliver(m):
 	default:
 		malformed.Inc()
 	}
@@ -149,6 +153,7 @@
 	if err != nil {
 		return Response{}, err
 	}
+	c.logRefused(gateway, m)
 	if m.Response == nil {
 		return Response{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
@@ -161,6 +166,7 @@
 	if err != nil {
 		return PermitResponse{}, err
 	}
+	c.logRefused(gateway, m)
 	if m.PermitResponse == nil {
 		return PermitResponse{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -5,45 +5,46 @@
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/endpointload"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 )
 
 // Request asks a coordinator to admit a request to one of its endpoints. A
 // granted request counts as load of that endpoint at once.
 type Request struct {
-	Service string `json:"s"`
+	Service string `json:"s" lenient:"required"`
 	// RankKey determines the ranking of the endpoints. Requests that share a
 	// prompt prefix have the same key.
-	RankKey string `json:"k"`
+	RankKey string `json:"k" lenient:"required"`
 	// PromptTokens is the length of the prompt, SharedTokens the length of its
 	// prefix that other requests have in common, OutputTokens the expected
 	// length of the response.
-	PromptTokens int `json:"t"`
+	PromptTokens int `json:"t" lenient:"required"`
 	SharedTokens int `json:"h,omitempty"`
-	OutputTokens int `json:"a,omitempty"`
+	OutputTokens int `json:"a,omitempty" lenient:"required"`
 	// Priority is the priority of the request; 0 is the highest.
-	Priority int `json:"u,omitempty"`
+	Priority int `json:"u,omitempty" lenient:"required"`
 	// TimeToObjectiveMillis is the time left until the latency objective is
 	// missed; it may be negative. EstimateLimitMillis limits the estimated time
 	// to the first output at an endpoint without a cached prefix of the prompt,
 	// HardLimitMillis at any endpoint.
-	TimeToObjectiveMillis int64 `json:"o"`
-	EstimateLimitMillis   int64 `json:"w"`
-	HardLimitMillis       int64 `json:"l"`
+	TimeToObjectiveMillis int64 `json:"o" lenient:"required"`
+	EstimateLimitMillis   int64 `json:"w" lenient:"required"`
+	HardLimitMillis       int64 `json:"l" lenient:"required"`
 	// ResponseStarted is set if the caller already has part of the response.
 	ResponseStarted bool `json:"b,omitempty"`
 	// Segments are the segments of the prompt in order.
 	Segments []endpointload.Segment `json:"p,omitempty"`
 	// OnlyEndpoint is the only endpoint that may be granted; empty for any.
-	OnlyEndpoint string `json:"i,omitempty"`
+	OnlyEndpoint string `json:"i,omitempty" lenient:"required"`
 	// ExcludedEndpoints are endpoints that must not be granted.
-	ExcludedEndpoints []string `json:"x,omitempty"`
+	ExcludedEndpoints []string `json:"x,omitempty" lenient:"required"`
 }
 
 // Response grants a request or gives the reason for refusing it.
 type Response struct {
 	// Endpoint is the granted endpoint, empty if the request is refused.
-	Endpoint string `json:"e,omitempty"`
+	Endpoint string `json:"e,omitempty" lenient:"required"`
 	// EstimateMillis is the estimated time to the first output. In a refusal it
 	// is the shortest estimate, or 0 if unknown.
 	EstimateMillis int64 `json:"w,omitempty"`
@@ -61,12 +62,12 @@
 // PermitRequest asks the coordinator of an endpoint that names a limit for the permit to
 // send it one request. The limit is what the asking gateway knows of it.
 type PermitRequest struct {
-	Limit requestlimit.Limit `json:"l"`
+	Limit requestlimit.Limit `json:"l" lenient:"required"`
 }
 
 // PermitResponse gives the permit, or denies it.
 type PermitResponse struct {
-	Granted bool `json:"g,omitempty"`
+	Granted bool `json:"g,omitempty" lenient:"required"`
 	// HoldMillis is how long the asking gateway should not ask again.
 	HoldMillis int64 `json:"h,omitempty"`
 	// Lifted is set if the endpoint names no limit any more, so that no permit is needed.
@@ -83,10 +84,20 @@
 // same ID.
 type message struct {
 	RequestID      uint64          `json:"n"`
-	Request        *Request        `json:"q,omitempty"`
-	Response       *Response       `json:"a,omitempty"`
-	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
-	PermitResponse *PermitResponse `json:"pa,omitempty"`
+	Request        *Request        `json:"q,omitempty" lenient:"parts"`
+	Response       *Response       `json:"a,omitempty" lenient:"parts"`
+	PermitRequest  *PermitRequest  `json:"pq,omitempty" lenient:"parts"`
+	PermitResponse *PermitResponse `json:"pa,omitempty" lenient:"parts"`
+	// Unreadable tells which parts of the request can't be read. Without a response the
+	// request is not decided.
+	Unreadable *lenient.Report `json:"bad,omitempty"`
+	// isDamaged is set at the receiver of a response of which nothing can be used.
+	isDamaged bool
+}
+
+// isResponse reports whether the message is the response to a request.
+func (m message) isResponse() bool {
+	return m.Response != nil || m.PermitResponse != nil || m.Unreadable != nil || m.isDamaged
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -9,7 +9,6 @@
 package heartbeat
 
 import (
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
@@ -48,7 +47,7 @@
 	sent      = telemetry.NewCounter("beats_sent", "beats", "heartbeats sent to other gateways")
 	sentBytes = telemetry.NewCounter("beats_sent_bytes", "bytes", "size of the heartbeats sent")
 	received  = telemetry.NewCounter("beats_heard", "beats", "heartbeats received from other gateways")
-	malformed = telemetry.NewCounter("beats_malformed", "beats", "datagrams that are not valid heartbeats")
+	malformed = telemetry.NewCounter("beats_malformed", "beats", "datagrams that are not heartbeats of a known gateway")
 )
 
 // Config holds what the controller uses.
@@ -101,6 +100,9 @@
 	nextProbe int
 	// lastRemoteHubs are the hubs of other regions that the last round went to.
 	lastRemoteHubs []string
+	// unreadable holds the gateways whose heartbeats this one can't read in full. Only the
+	// goroutine that receives uses it.
+	unreadable unreadableSenders
 	// broadcasts are the summaries that sendBroadcasts has yet to send.
 	broadcasts chan broadcast
 }
@@ -122,7 +124,7 @@
 func New(c Config) *Controller {
 	return &Controller{
 		Config: c, remoteSummaries: make(map[string]*receivedSummary),
-		aliveLists: make(aliveLists), localDescriber: newDescriber(), remoteDescriber: newDescriber(),
+		aliveLists: make(aliveLists), unreadable: make(unreadableSenders), localDescriber: newDescriber(), remoteDescriber: newDescriber(),
 		broadcasts: make(chan broadcast, maxQueuedBroadcasts),
 	}
 }
@@ -166,13 +168,8 @@
 }
 
 func (c *Controller) receive() error {
-	datagram.Receive(c.Conn, maxDatagramBytes, c.Logger, func(body []byte, _ net.Addr) {
-		var m Message
-		if err := json.Unmarshal(body, &m); err != nil {
-			malformed.Inc()
-			return
-		}
-		c.applyMessage(m, time.Now())
+	datagram.Receive(c.Conn, maxDatagramBytes, c.Logger, func(body []byte, from net.Addr) {
+		c.receiveDatagram(body, from, time.Now())
 	})
 	return nil
 }
@@ -197,6 +194,9 @@
 	if (becameAlive || m.RequestKnown) && c.mayIntroduce() {
 		c.introduce(m.From, now)
 	}
+	if m.Unreadable != nil {
+		c.logRefused(m.From, *m.Unreadable)
+	}
 	if m.From.Region == own {
 		c.recordNamedHubs(m.Hubs)
 		switch {
--- a/internal/controller/heartbeat/heartbeat_test.go
+++ b/internal/controller/heartbeat/heartbeat_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -38,6 +39,13 @@
 	rng         *rand.Rand
 	bytes       int
 	tooLong     int
+	// rewrite, if not nil, replaces what a gateway sends.
+	rewrite func(from string, body []byte) []byte
+}
+
+type fakeDatagram struct {
+	from net.Addr
+	body []byte
 }
 
 const datagramDelay = 2 * time.Millisecond
@@ -52,7 +60,7 @@
 }
 
 func (d *fakeNetwork) listen(address string) *packetConn {
-	c := &packetConn{net: d, address: address, in: make(chan []byte, 4096), closed: make(chan struct{})}
+	c := &packetConn{net: d, address: address, in: make(chan fakeDatagram, 4096), closed: make(chan struct{})}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[address] = c
@@ -119,6 +127,12 @@
 	return d.overflows
 }
 
+func (d *fakeNetwork) setRewrite(rewrite func(from string, body []byte) []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rewrite = rewrite
+}
+
 func (d *fakeNetwork) setLink(limit linkLimit) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -137,9 +151,16 @@
 		return
 	}
 	body = append([]byte(nil), body...)
+	if d.rewrite != nil {
+		body = d.rewrite(from, body)
+	}
+	sent := fakeDatagram{body: body}
+	if address, err := netip.ParseAddrPort(from); err == nil {
+		sent.from = net.UDPAddrFromAddrPort(address)
+	}
 	time.AfterFunc(datagramDelay, func() {
 		select {
-		case c.in <- body:
+		case c.in <- sent:
 		default:
 		}
 	})
@@ -149,15 +170,15 @@
 	net.PacketConn
 	net     *fakeNetwork
 	address string
-	in      chan []byte
+	in      chan fakeDatagram
 	once    sync.Once
 	closed  chan struct{}
 }
 
 func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
 	select {
-	case body := <-c.in:
-		return copy(p, body), nil, nil
+	case d := <-c.in:
+		return copy(p, d.body), d.from, nil
 	case <-c.closed:
 		return 0, nil, net.ErrClosed
 	}
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -3,13 +3,14 @@
 import (
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 )
 
 // Message is the content of one heartbeat datagram.
 type Message struct {
-	From fleet.GatewayStatus `json:"from"`
+	From fleet.GatewayStatus `json:"from" lenient:"parts"`
 	// Loads are the sender's requests in flight by endpoint, CachedPrefixes the
 	// prompt prefixes that its requests recently put into the endpoints' caches.
 	Loads          []endpointload.EndpointLoad `json:"rows,omitempty"`
@@ -18,7 +19,7 @@
 	// hubs of other regions and, in a large region, to all gateways of the region,
 	// and passes summaries of other regions on to its own. In a full mesh every
 	// gateway sends the members of the region when they have changed.
-	Summaries []RegionSummary `json:"digests,omitempty"`
+	Summaries []RegionSummary `json:"digests,omitempty" lenient:"parts"`
 	// ToHub is set if the sender takes the receiver for a hub of its region, or the
 	// region for a full mesh. Only then do Loads count.
 	ToHub bool `json:"to_hub,omitempty"`
@@ -31,7 +32,7 @@
 	Known        []fleet.GatewayStatus `json:"known,omitempty"`
 	// Quarantine is what the sender knows of prompt segments that crash endpoints. Every
 	// gateway passes on what is new to it, so that it reaches all regions.
-	Quarantine *quarantine.Digest `json:"quarantine,omitempty"`
+	Quarantine *quarantine.Digest `json:"quarantine,omitempty" lenient:"parts"`
 	// LeavingEndpoints are endpoints whose responses say that they are leaving, and whose
 	// entries don't. Every gateway passes them on.
 	LeavingEndpoints []fleet.LeavingEndpoint `json:"leaving_endpoints,omitempty"`
@@ -42,6 +43,8 @@
 	RequestLimits []requestlimit.Limit `json:"request_limits,omitempty"`
 	// StoreStatus is set by the store reader of the sender's region.
 	StoreStatus *fleet.StoreStatus `json:"word,omitempty"`
+	// Unreadable tells the receiver which parts of its heartbeats the sender can't read.
+	Unreadable *lenient.Report `json:"unreadable,omitempty"`
 }
 
 // isNews reports whether the message holds what all gateways have to know at once.
@@ -52,12 +55,12 @@
 
 // RegionSummary describes the gateways and loads of a region.
 type RegionSummary struct {
-	Region string `json:"region"`
+	Region string `json:"region" lenient:"required"`
 	// Hub is the id and incarnation of the gateway that created the summary. Seq
 	// orders the summaries of one Hub. AgeMillis is the time since the creation.
-	Hub       string `json:"hub"`
-	Seq       uint64 `json:"seq"`
-	AgeMillis int64  `json:"age_ms,omitempty"`
+	Hub       string `json:"hub" lenient:"required"`
+	Seq       uint64 `json:"seq" lenient:"required"`
+	AgeMillis int64  `json:"age_ms,omitempty" lenient:"required"`
 	// Alive lists the gateways of the region that are alive, AliveHash is a hash of
 	// that list. A summary may leave out a list that was sent before. Members
 	// describes some of them, and of those that recently left, in full.
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -10,16 +10,16 @@
 
 // Gateway identifies one gateway process and its addresses, each as host:port.
 type Gateway struct {
-	ID string `json:"id"`
+	ID string `json:"id" lenient:"required"`
 	// Incarnation changes with each start of the process.
-	Incarnation string `json:"inc"`
-	Region      string `json:"region"`
+	Incarnation string `json:"inc" lenient:"required"`
+	Region      string `json:"region" lenient:"required"`
 	DataCentre  string `json:"dc"`
 	// CallerAddress accepts requests of callers, PeerAddress requests that peers
 	// forward, HeartbeatAddress the heartbeats of peers.
 	CallerAddress    string `json:"caller"`
 	PeerAddress      string `json:"peer"`
-	HeartbeatAddress string `json:"beat"`
+	HeartbeatAddress string `json:"beat" lenient:"required"`
 	// GrantAddress accepts the requests of peers for admission to endpoints.
 	GrantAddress string `json:"grant,omitempty"`
 	// MachineCapacity orders gateways by the network and CPU capacity of their
@@ -179,6 +179,27 @@
 	return becameAlive
 }
 
+// RecordContact records that a known gateway has sent something, whatever it says. It
+// reports whether the gateway had not counted as alive.
+func (g *Gateways) RecordContact(id string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.known[id]
+	if !ok || now.Before(m.lastSeen) {
+		return false
+	}
+	if m.lastSeen.IsZero() {
+		g.foundAt = now
+	}
+	becameAlive := !g.isAlive(m, now)
+	if becameAlive {
+		g.changes++
+	}
+	g.contactAt = now
+	m.lastSeen, m.viaSummary = now, false
+	return becameAlive
+}
+
 // isAlive reports whether a gateway counts as alive. A gateway known from region
 // summaries is held for summaryHoldTime if no summary has come that left it out
 // for as long as SilenceTimeout.
@@ -476,6 +497,16 @@
 	return list[0], true
 }
 
+// ByHeartbeatAddress returns the gateway that sends its heartbeats from the given address,
+// and whether one is known.
+func (g *Gateways) ByHeartbeatAddress(address string) (GatewayStatus, bool) {
+	list := g.filter(func(m *member) bool { return m.status.HeartbeatAddress == address })
+	if len(list) == 0 {
+		return GatewayStatus{}, false
+	}
+	return list[0], true
+}
+
 // CountRemembered returns the number of gateways of all regions that are remembered, this
 // one included.
 func (g *Gateways) CountRemembered() int {
