Let a bad field of an exchange cost that field only

The chat half dropped a gossip exchange for one field that it could not read and answered 400. The sender then suspected the receiver, and told all others.

Exchanges are decoded by internal/lenient, load reports row by row. The sender of one that can't be read in full counts as alive, by its signature or by the address that answered, and is told in the next exchange. Load reports with negative figures are left out. Announcements and lists of endpoints lose only the rows that can't be read.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -93,16 +93,16 @@
 
 // RegionSummary is the summary of its state that a region sends to the others.
 type RegionSummary struct {
-	Region string `json:"region"`
+	Region string `json:"region" lenient:"required"`
 	// From is the gateway that built the summary, as id/incarnation. Seq orders
 	// the summaries of one From.
-	From string `json:"from"`
-	Seq  uint64 `json:"seq"`
+	From string `json:"from" lenient:"required"`
+	Seq  uint64 `json:"seq" lenient:"required"`
 	// AsOf is when the summary was built, by this gateway's clock: the time of
 	// receipt less the age at that time.
 	AsOf time.Time `json:"-"`
 	// AgeMillis is the summary's age when it was sent.
-	AgeMillis int64                   `json:"age_ms,omitempty"`
+	AgeMillis int64                   `json:"age_ms,omitempty" lenient:"required"`
 	Groups    map[string]GroupSummary `json:"groups"`
 	// Gateways lists some of the gateways that accept callers' and forwarded
 	// requests.
--- a/internal/controller/gossip/gossip.go
+++ b/internal/controller/gossip/gossip.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +72,11 @@
 	// rotation selects the region summaries of the next exchange.
 	rotation atomic.Uint64
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// unreadableLoggedAt and refusedLoggedAt are when exchanges that can't be read in full,
+	// here and at a peer, were last logged.
+	unreadableLoggedAt, refusedLoggedAt time.Time
+
 	nextReconcile time.Time
 	// pendingPeers holds the ids of the peers that the current pass has not
 	// reached yet.
@@ -164,10 +167,16 @@
 	now := time.Now()
 	old, known := c.board.Peers.Get(msg.From.ID)
 	c.applyExchange(msg, now)
+	if msg.From.Region == "" {
+		msg.From.Region = old.Region
+	}
 	if msg.From.Region != c.board.Self.Region {
-		return c.buildRegionExchange(now)
+		response := c.buildRegionExchange(now)
+		response.Unreadable = c.reportOf(msg)
+		return response
 	}
 	response := c.buildExchange(now)
+	response.Unreadable = c.reportOf(msg)
 	if known && old.Suspected {
 		response.Suspicions = append(response.Suspicions, membership.NewSuspicion(old))
 	}
@@ -186,6 +195,9 @@
 // applyExchange merges an exchange. It requests a notification of all peers if
 // the exchange brought a newly retired incarnation or a suspicion of this gateway.
 func (c *Controller) applyExchange(msg peer.Exchange, now time.Time) {
+	if msg.Unreadable != nil {
+		c.logRefused(msg.From.ID, msg.Unreadable)
+	}
 	before := c.board.Retired.Len()
 	suspicion := c.view.ApplyExchange(msg, now)
 	if len(msg.Usage) > 0 {
@@ -278,15 +290,6 @@
 	return true
 }
 
-func (c *Controller) send(ctx context.Context, address string, msg peer.Exchange) (peer.Exchange, bool) {
-	exchanges.Inc()
-	response, err := c.client.Exchange(ctx, address, msg)
-	if err != nil {
-		exchangeErrors.Inc()
-	}
-	return response, err == nil
-}
-
 // probe exchanges with a peer. A peer that fails to respond probeAttempts times,
 // the last time on a new connection, is marked as suspected, and all peers are
 // notified.
@@ -303,46 +306,3 @@
 		c.NotifyPeers()
 	}
 }
-
-// nextPeer returns the next peer of the region. Each pass covers every peer once,
-// in random order.
-func (c *Controller) nextPeer(now time.Time) (blackboard.PeerState, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for refilled := false; ; refilled = true {
-		for len(c.pendingPeers) > 0 {
-			id := c.pendingPeers[0]
-			c.pendingPeers = c.pendingPeers[1:]
-			if p, ok := c.board.Peers.Get(id); ok {
-				return p, true
-			}
-		}
-		if refilled {
-			return blackboard.PeerState{}, false
-		}
-		c.pendingPeers = c.shuffledPeers(now)
-	}
-}
-
-func (c *Controller) shuffledPeers(now time.Time) []string {
-	var ids []string
-	c.board.Peers.Range(func(id string, p blackboard.PeerState) bool {
-		if p.Region == c.board.Self.Region && now.Sub(p.LastSeen) < membership.PeerRetention {
-			ids = append(ids, id)
-		}
-		return true
-	})
-	slices.Sort(ids)
-	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids
-}
-
-// pickSeed returns a random seed.
-func (c *Controller) pickSeed() (blackboard.PeerState, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.seeds) == 0 {
-		return blackboard.PeerState{}, false
-	}
-	return blackboard.PeerState{Address: c.seeds[c.rng.IntN(len(c.seeds))]}, true
-}
--- a/internal/lenient/lenient.go
+++ b/internal/lenient/lenient.go
@@ -6,6 +6,8 @@
 // to decode:
 //
 //	parts     the struct, or each struct of the list, is decoded field by field
+//	columns   the lists of the struct are the columns of one table, and a row with an entry
+//	          that can't be read is dropped from all of them
 //	required  a struct of which this field can't be read, or is missing and not marked
 //	          omitempty, is dropped as a whole
 //
@@ -70,17 +72,21 @@
 	}
 	isUsable = err == nil
 	for _, f := range reflect.VisibleFields(v.Type()) {
-		name, options, _ := strings.Cut(f.Tag.Get("json"), ",")
-		if f.Anonymous || !f.IsExported() || name == "" || name == "-" {
+		name, tag := jsonName(f), f.Tag.Get("lenient")
+		if name == "" {
 			continue
 		}
-		tag := f.Tag.Get("lenient")
 		raw, ok := members[name]
 		if !ok {
-			isUsable = isUsable && (tag != "required" || options == "omitempty")
+			isUsable = isUsable && (tag != "required" || strings.HasSuffix(f.Tag.Get("json"), ",omitempty"))
 			continue
 		}
-		found, _ := decodeField(raw, v.FieldByIndex(f.Index), join(path, name), tag == "parts")
+		var found []Problem
+		if field := v.FieldByIndex(f.Index); tag == "columns" {
+			found = decodeColumns(raw, field, join(path, name))
+		} else {
+			found, _ = decodeField(raw, field, join(path, name), tag == "parts")
+		}
 		problems = append(problems, found...)
 		if len(found) > 0 && tag == "required" {
 			isUsable = false
@@ -89,6 +95,15 @@
 	return problems, isUsable
 }
 
+// jsonName returns the name of a field in JSON, or "" if it isn't there.
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	if f.Anonymous || !f.IsExported() || name == "-" {
+		return ""
+	}
+	return name
+}
+
 // readObject returns the members of an object, and those before the first error.
 func readObject(data []byte) (map[string]json.RawMessage, error) {
 	members := make(map[string]json.RawMessage)
--- a/internal/lenient/lenient_test.go
+++ b/internal/lenient/lenient_test.go
@@ -39,6 +39,11 @@
 	Names []string `json:"names"`
 }
 
+type table struct {
+	IDs    []string `json:"i,omitempty"`
+	Counts []count  `json:"c,omitempty"`
+}
+
 type message struct {
 	From   row              `json:"from" lenient:"parts"`
 	Rows   []row            `json:"rows,omitempty"`
@@ -46,6 +51,7 @@
 	Digest *digest          `json:"digest" lenient:"parts"`
 	Whole  *digest          `json:"whole"`
 	Sizes  map[string]count `json:"sizes"`
+	Table  table            `json:"table" lenient:"columns"`
 	Last   bool             `json:"last"`
 }
 
@@ -77,6 +83,9 @@
 		{"empty pointer", `{"digest":{},"last":7}`, message{Digest: &digest{}}, []string{"last"}},
 		{"null", `{"rows":null,"digest":null,"from":null,"sizes":null,"last":7}`, message{}, []string{"from", "last"}},
 		{"map entry", `{"sizes":{"a":1,"b":-1}}`, message{Sizes: map[string]count{"a": 1}}, []string{"sizes.b"}},
+		{"row of columns", `{"table":{"i":["a","b","c"],"c":[1,-1,3]}}`, message{Table: table{[]string{"a", "c"}, []count{1, 3}}}, []string{"table.c"}},
+		{"short column", `{"table":{"i":["a","b"],"c":[1]},"last":7}`, message{Table: table{[]string{"a"}, []count{1}}}, []string{"table", "last"}},
+		{"no columns", `{"table":7,"last":true}`, message{Last: true}, []string{"table"}},
 		{"cut off", `{"from":{"id":"a","n":1},"rows":[{"id":"a"`, message{From: good}, []string{""}},
 		{"cut off between fields", `{"from":{"id":"a","n":1}`, message{From: good}, []string{""}},
 		{"no object", `[1]`, message{}, []string{""}},
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -4,15 +4,14 @@
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/peer"
 )
 
 // ApplyExchange merges a received exchange into the blackboard. It returns the
 // sender's suspicion of this gateway's own incarnation, or nil if there is none.
 func (v *View) ApplyExchange(msg peer.Exchange, now time.Time) (selfSuspicion *peer.Suspicion) {
-	from := peerFromStatus(msg.From, now)
-	from.LastSeen = now
-	v.ApplyPeer(from, true)
+	v.applySender(msg, now)
 	for _, r := range msg.Retired {
 		v.Retire(r.ID, r.Incarnation, now.Add(-millis(r.AgeMillis)))
 	}
@@ -35,6 +34,36 @@
 	return selfSuspicion
 }
 
+// applySender merges the status of the sender of an exchange. Of a status that can't be
+// read in full, the former one is kept.
+func (v *View) applySender(msg peer.Exchange, now time.Time) {
+	from := peerFromStatus(msg.From, now)
+	if old, known := v.board.Peers.Get(from.ID); !msg.IsFromComplete() && known && (from.Incarnation == "" || from.Incarnation == old.Incarnation) {
+		old.Leaving = old.Leaving || from.Leaving
+		old.HeartbeatSeq, old.Suspected = old.HeartbeatSeq+1, false
+		from = old
+	}
+	if from.Incarnation == "" {
+		return
+	}
+	from.LastSeen = now
+	v.ApplyPeer(from, true)
+}
+
+// RecordResponse records that the peer at the given address has responded, whatever it says.
+func (v *View) RecordResponse(address string, now time.Time) {
+	var ids []string
+	v.board.Peers.Range(func(id string, p blackboard.PeerState) bool {
+		if p.Address == address {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	for _, id := range ids {
+		v.applySender(peer.Exchange{From: peer.GatewayStatus{ID: id}, Problems: []lenient.Problem{{Path: "from"}}}, now)
+	}
+}
+
 // MarkSuspected marks a peer as unresponsive and reports whether the mark is
 // new. It ignores suspicions of unknown or leaving peers, of other incarnations
 // and of earlier epochs.
@@ -84,7 +113,7 @@
 		len(rows.QueuedPrefill), len(rows.PrefillRate), len(rows.DecodeRate), len(rows.MaxBatch), len(rows.KVPercent))
 	for i := range n {
 		e, known := v.board.Endpoints.Get(rows.EndpointIDs[i])
-		if !known || peer.IncarnationHash(e.Incarnation) != rows.IncarnationHashes[i] {
+		if !known || min(rows.Running[i], rows.Waiting[i], rows.QueuedPrefill[i], rows.PrefillRate[i], rows.DecodeRate[i], rows.MaxBatch[i], rows.KVPercent[i]) < 0 || peer.IncarnationHash(e.Incarnation) != rows.IncarnationHashes[i] {
 			continue
 		}
 		v.ApplyLoadReport(e.ID, e.Incarnation, blackboard.LoadReport{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
@@ -105,12 +106,14 @@
 func (c *Client) Exchange(ctx context.Context, address string, msg Exchange) (Exchange, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	var response Exchange
-	err := c.postJSON(ctx, address, PathExchange, msg, &response, MaxExchangeBytes)
+	body, err := c.post(ctx, address, PathExchange, msg, MaxExchangeBytes)
 	if ctx.Err() != nil {
 		c.CloseIdleConnections()
 	}
-	return response, err
+	if err != nil {
+		return Exchange{}, err
+	}
+	return decodeExchange(body), nil
 }
 
 // FetchSnapshot returns the peer's configuration if its revision is at least
@@ -143,16 +146,23 @@
 func (c *Client) AnnouncePrefills(ctx context.Context, address string, list []datastore.PrefillAnnouncement) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	return c.postJSON(ctx, address, PathAnnounce, list, nil, MaxExchangeBytes)
+	_, err := c.post(ctx, address, PathAnnounce, list, MaxExchangeBytes)
+	return err
 }
 
 // FetchEndpoints returns the endpoints of the peer's region that the peer knows.
 func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]Endpoint, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	body, err := c.post(ctx, address, PathEndpoints, struct{}{}, MaxEndpointsBytes)
+	if err != nil {
+		return nil, err
+	}
 	var out []Endpoint
-	err := c.postJSON(ctx, address, PathEndpoints, struct{}{}, &out, MaxEndpointsBytes)
-	return out, err
+	if problems := lenient.DecodeList(body, &out); len(problems) > 0 && len(out) == 0 {
+		return nil, &ResponseLostError{Cause: problems[0].Err}
+	}
+	return out, nil
 }
 
 // Forward forwards a caller's request to the peer at address and returns the
@@ -191,15 +201,7 @@
 }
 
 func (c *Client) postJSON(ctx context.Context, address, path string, in, out any, limit int64) error {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return &NotSentError{Cause: err}
-	}
-	req, err := c.newRequest(ctx, http.MethodPost, address, path, nil, body)
-	if err != nil {
-		return err
-	}
-	response, err := c.roundTrip(c.pooled, req, limit)
+	response, err := c.post(ctx, address, path, in, limit)
 	if err != nil || out == nil {
 		return err
 	}
@@ -209,6 +211,19 @@
 	return nil
 }
 
+// post sends a message in JSON and returns the body of the response.
+func (c *Client) post(ctx context.Context, address, path string, in any, limit int64) ([]byte, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	req, err := c.newRequest(ctx, http.MethodPost, address, path, nil, body)
+	if err != nil {
+		return nil, err
+	}
+	return c.roundTrip(c.pooled, req, limit)
+}
+
 func (c *Client) newRequest(ctx context.Context, method, address, path string, header http.Header, body []byte) (*http.Request, error) {
 	target, err := url.Parse("http://" + address + path)
 	if err != nil {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -3,12 +3,15 @@
 package peer
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 )
 
 // Paths of the peer listener.
@@ -27,10 +30,10 @@
 
 // GatewayStatus is the status of a gateway, sent by itself or relayed by a peer.
 type GatewayStatus struct {
-	ID            string `json:"id"`
-	Incarnation   string `json:"inc"`
-	Region        string `json:"region"`
-	Address       string `json:"addr"`
+	ID            string `json:"id" lenient:"required"`
+	Incarnation   string `json:"inc" lenient:"required"`
+	Region        string `json:"region" lenient:"required"`
+	Address       string `json:"addr" lenient:"required"`
 	CallerAddress string `json:"caller"`
 	Leaving       bool   `json:"leaving,omitempty"`
 	Ready         bool   `json:"ready,omitempty"`
@@ -97,17 +100,34 @@
 // Exchange is the gossip message with which two gateways synchronize their soft
 // state. Its size is limited, and none of its contents are subject to consensus.
 type Exchange struct {
-	From GatewayStatus `json:"from"`
+	From GatewayStatus `json:"from" lenient:"parts"`
 	// MembershipDigest is a hash of the region's gateways that the sender knows.
 	// If it differs from the receiver's, they send each other their Gateways.
 	MembershipDigest uint64                     `json:"digest"`
 	Gateways         []GatewayStatus            `json:"members,omitempty"`
 	Suspicions       []Suspicion                `json:"suspects,omitempty"`
-	LoadReports      LoadReports                `json:"loads"`
+	LoadReports      LoadReports                `json:"loads" lenient:"columns"`
 	Retired          []RetiredIncarnation       `json:"retired,omitempty"`
-	Regions          []blackboard.RegionSummary `json:"regions,omitempty"`
+	Regions          []blackboard.RegionSummary `json:"regions,omitempty" lenient:"parts"`
 	// Usage is the usage, at the sender, of the customers with the most of it.
 	Usage []admit.CustomerUsage `json:"usage,omitempty"`
+	// Unreadable tells the receiver which parts of its last exchange the sender can't read.
+	Unreadable *lenient.Report `json:"unreadable,omitempty"`
+	// Problems are set by the receiver: the parts of this exchange that can't be read.
+	Problems []lenient.Problem `json:"-"`
+}
+
+// decodeExchange decodes what can be read of an exchange.
+func decodeExchange(body []byte) Exchange {
+	var e Exchange
+	problems := lenient.Decode(body, &e)
+	e.Problems = problems
+	return e
+}
+
+// IsFromComplete reports whether all of From could be read.
+func (e Exchange) IsFromComplete() bool {
+	return e.From.ID != "" && e.From.Incarnation != "" && !slices.ContainsFunc(e.Problems, func(p lenient.Problem) bool { return strings.HasPrefix(p.Path, "from") })
 }
 
 // Estimated sizes of the parts of an encoded exchange, in bytes, and the traffic
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"goji.io/pat"
 
 	"github.com/hickorystage/hickorystage/internal/intent/revision"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
@@ -86,8 +87,12 @@
 	if !ok {
 		return
 	}
-	var msg Exchange
-	if err := json.Unmarshal(body, &msg); err != nil || msg.From.ID != sender {
+	msg := decodeExchange(body)
+	if msg.From.ID == "" {
+		// The sender's status can't be read. The signature says who it is.
+		msg.From = GatewayStatus{ID: sender}
+	}
+	if msg.From.ID != sender {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -130,7 +135,7 @@
 		return
 	}
 	var list []datastore.PrefillAnnouncement
-	if err := json.Unmarshal(body, &list); err != nil {
+	if problems := lenient.DecodeList(body, &list); len(problems) > 0 && len(list) == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
