Answer half-closed callers, charge remote retries, keep targets and closes

Four smaller faults of requests on routes, and what was like them elsewhere:

- A caller that closed its sending direction after its request got an empty 200 from net/http, since session.fail wrote nothing once the request context was cancelled, and a part of a stream ended like a whole one.
It gets 502, or 503 if nothing was sent, and a begun response is cut off.
The chat half answered the same way; it sends its typed refusal or the error event now.
- A request that a gateway of another region refused was tried in a third one without a charge, also if an endpoint had received it.
The refusal says so (X-Gateway-Reached-Endpoint), and such a try counts against the route's attempts and the retry budget.
One of an earlier build counts as well.
- The server's Connection: close was removed from relayed responses.
- net/http sent the target "//x" as "http://x".
Targets that begin with "//" go out unchanged; one that a URL can't hold is refused with 400.
- A forward header that can't be read was answered without an outcome, so that the forwarding gateway took the request for one that may have run.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -121,6 +121,7 @@
 		return a.handleSendError(ctx, err)
 	}
 	defer resp.Body.Close()
+	a.reachedEndpoint = true
 	if a.gateway != nil && resp.Header.Get(headerOutcome) != "" {
 		return a.handleRemoteRefusal(resp)
 	}
@@ -288,7 +289,7 @@
 
 // handleFailure handles a request that may have run and whose response is lost.
 func (a *attempt) handleFailure(ctx context.Context, err error) (outcome, endpointload.Result) {
-	a.mayHaveRun = true
+	a.mayHaveRun, a.reachedEndpoint = true, true
 	refusal := failure.New(failure.CodeEndpointFailed, failure.Unknown, "no complete response from the endpoint").WithCause(err)
 	if ctx.Err() != nil {
 		a.log("abandoned", "endpoint", a.endpoint.ID, "cause", ctx.Err())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,6 +162,9 @@
 	if s.route == nil {
 		return failure.Refuse(failure.CodeNotFound, "no route matches the request")
 	}
+	if !transport.IsTargetSendable(s.target) {
+		return failure.Refuse(failure.CodeBadRequest, "the request target is invalid")
+	}
 	if s.req.AttemptID == "" {
 		return failure.Refuse(failure.CodeBadRequest, "the request has no attempt id")
 	}
@@ -253,13 +256,19 @@
 	} else {
 		requestsFailed.Inc()
 	}
+	s.log("refused", "code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
+	e.writeRefusal(s, r)
+}
+
+// writeRefusal sends the response to a request that is refused or has failed.
+func (e *Edge) writeRefusal(s *session, r *failure.Refusal) {
 	h := s.writer.Header()
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	if s.forwarded != nil {
 		h.Set(headerOutcome, string(r.Outcome))
+		h.Set(headerReachedEndpoint, strconv.FormatBool(s.reachedEndpoint))
 	}
-	s.log("refused", "code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
 	s.writer.WriteHeader(r.Status())
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +50,65 @@
 
 // TestRefusalStatuses checks the statuses of refusals. A gateway without
 // configuration has to answer 503: it can't know that a route doesn't exist.
+// TestTargetsThatBeginWithTwoSlashesPassUnchanged guards against a target of which net/http
+// takes the beginning for a host.
+func TestTargetsThatBeginWithTwoSlashesPassUnchanged(t *testing.T) {
+	c := newCluster(t, "north", "south")
+	c.addRoute(route.Route{Prefix: "/", Kind: route.Idempotent})
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		e := c.startEndpoint("e-"+dataCentre, dataCentre)
+		for _, target := range []string{"//x/y?z=1", "//", "//?", "//a%2Fb//c?q=%20&r=//", "///", "//a:80/@b;c,d=e!*'()[]?"} {
+			before := requestCount(e)
+			require.Contains(t, c.regions["north"].sendTarget(target), "200 OK", target)
+			require.Equal(t, before+1, requestCount(e))
+			require.Equal(t, target, e.requests()[before].target)
+		}
+		before := requestCount(e)
+		require.Contains(t, c.regions["north"].sendTarget(`//a"b`), "400 Bad Request", "it can't be sent unchanged")
+		require.Equal(t, before, requestCount(e))
+		c.setEntry(fleet.Endpoint{ID: e.id, Service: "s", DataCentre: dataCentre, Slots: 8, State: fleet.Draining, Sequence: 1, Address: e.server.Listener.Addr().String()})
+	}
+}
+
+// sendTarget sends a request with the target as it is and returns the response.
+func (r *region) sendTarget(target string) string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.callerServer.URL, "http://"))
+	require.NoError(r.t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET "+target+" HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"+headerID+": id-1\r\n\r\n")
+	require.NoError(r.t, err)
+	got, err := io.ReadAll(conn)
+	require.NoError(r.t, err)
+	return string(got)
+}
+
+// TestResponsesOfAStoppingServerCloseTheirConnection guards against relayed responses that
+// take the place of the server's Connection header.
+func TestResponsesOfAStoppingServerCloseTheirConnection(t *testing.T) {
+	c := newCluster(t, "north")
+	c.addRoute(route.Route{Prefix: "/s/", Kind: route.Streaming})
+	c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent})
+	e := c.startEndpoint("e1", "north-a")
+	e.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "keep-alive")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	})
+	for _, path := range []string{"/s/", "/q/"} {
+		for _, closing := range []bool{true, false} {
+			recorder := httptest.NewRecorder()
+			req := httptest.NewRequest(http.MethodGet, path, nil)
+			req.Host = "a.example"
+			req.Header.Set(headerID, "id-1")
+			if closing {
+				recorder.Header().Set("Connection", "close")
+			}
+			c.regions["north"].edge.CallerHandler().ServeHTTP(recorder, req)
+			require.Equal(t, http.StatusOK, recorder.Code)
+			require.Equal(t, closing, recorder.Header().Get("Connection") == "close")
+		}
+	}
+}
+
 func TestRefusalStatuses(t *testing.T) {
 	c := newCluster(t, "north")
 	north := c.regions["north"]
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -17,6 +17,9 @@
 	// headerOutcome marks a response as made by the gateway itself, not by an
 	// endpoint; its value is the failure.Outcome of the request.
 	headerOutcome = "X-Gateway-Outcome"
+	// headerReachedEndpoint says whether an endpoint may have received a request that the
+	// gateway refuses: "true" or "false".
+	headerReachedEndpoint = "X-Gateway-Reached-Endpoint"
 )
 
 // forwardInfo is what a gateway tells the gateway of another region about a request
@@ -57,16 +60,21 @@
 
 // handleRemoteRefusal handles a response that the other gateway made itself. Its
 // region is not tried again; the request is, unless it may have run and must not
-// run twice.
+// run twice. An attempt counts unless the other gateway says that it reached no endpoint;
+// one of an earlier build doesn't say.
 func (a *attempt) handleRemoteRefusal(resp *http.Response) (outcome, endpointload.Result) {
 	reported := failure.Outcome(resp.Header.Get(headerOutcome))
-	a.log("refused_there", "gateway", a.gateway.ID, "region", a.endpoint.Region, "outcome", reported, "status", resp.StatusCode)
+	reached := resp.Header.Get(headerReachedEndpoint) != "false"
+	a.log("refused_there", "gateway", a.gateway.ID, "region", a.endpoint.Region, "outcome", reported, "reached", reached, "status", resp.StatusCode)
 	a.tried[regionKey(a.endpoint.Region)] = true
 	if reported == failure.NotRun {
 		retryAfter, _ := httpmeta.RetryAfter(resp.Header)
 		refusal := failure.Refuse(failure.CodeOverloaded, "refused by a gateway of another region").
 			WithRetryAfter(max(retryAfter, shortRetryDelay))
-		return outcome{mayRetry: true, refusal: refusal}, endpointload.Shed
+		if reached {
+			a.attempts++
+		}
+		return outcome{mayRetry: true, countsAsRetry: reached, refusal: refusal}, endpointload.Shed
 	}
 	a.attempts++
 	a.mayHaveRun = true
@@ -93,6 +101,10 @@
 	arrived := time.Now()
 	var info forwardInfo
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &info); err != nil {
+		// Without the outcome the forwarding gateway would take the request for one that
+		// may have run.
+		w.Header().Set(headerOutcome, string(failure.NotRun))
+		w.Header().Set(headerReachedEndpoint, "false")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -72,6 +73,30 @@
 	require.Equal(t, 2, requestCount(s))
 }
 
+// TestRetriesAfterRemoteRefusalsAreCharged guards against retries in other regions that
+// nobody counts. A refusal is charged only if an endpoint has received the request.
+func TestRetriesAfterRemoteRefusalsAreCharged(t *testing.T) {
+	c := newCluster(t, "north", "south", "west")
+	c.addRoute(route.Route{Prefix: "/q/", Kind: route.NonIdempotent, MaxAttempts: 3})
+	for _, r := range c.regions {
+		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"})
+	}
+	s, w := c.startEndpoint("s", "south-a"), c.startEndpoint("w", "west-a")
+	north := c.regions["north"].edge
+	s.setHandler(respondNotRun)
+	w.setHandler(respondNotRun)
+	north.RetryBudget = budget.NewRetryBudget(budget.RetrySettings{Window: 10 * time.Second})
+	require.Equal(t, http.StatusServiceUnavailable, c.regions["north"].call(http.MethodPost, "/q/", "", nil).status)
+	require.Equal(t, 1, requestCount(s)+requestCount(w), "no retry is left in the budget")
+	c.regions["south"].edge.Board.Routes.Set(nil)
+	for range 3 {
+		before := requestCount(w)
+		require.Equal(t, http.StatusServiceUnavailable, c.regions["north"].call(http.MethodPost, "/q/", "", nil).status)
+		require.Equal(t, before+1, requestCount(w), "a region whose gateway sent it to no endpoint is not charged")
+	}
+	require.LessOrEqual(t, requestCount(s), 1)
+}
+
 // TestForwardedRequestsAreNotForwardedAgain guards against loops between gateways
 // whose views of an endpoint's region differ.
 func TestForwardedRequestsAreNotForwardedAgain(t *testing.T) {
@@ -98,6 +123,7 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	require.Equal(t, "not_run", resp.Header.Get(headerOutcome), "the forwarding gateway must not take it for an endpoint's response")
 	require.Equal(t, 1, requestCount(e))
 }
 
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -64,6 +64,9 @@
 	soonestReturn time.Duration
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
+	// reachedEndpoint is set once an endpoint may have received the request, whether it ran
+	// it or not.
+	reachedEndpoint bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// stream is the part of the response that the caller has been sent.
@@ -78,7 +81,7 @@
 	mayRetry bool
 	// countsAsRetry is set if another attempt counts against the route's maximum
 	// and the retry budget. Attempts that reached no endpoint don't count, nor do
-	// those that a gateway of another region refused without running them.
+	// those that a gateway of another region refused before they reached one.
 	countsAsRetry bool
 	// refusal is what the caller is answered if no other attempt follows.
 	refusal *failure.Refusal
@@ -175,21 +178,28 @@
 }
 
 // fail answers a request that failed. If part of the response has been sent, it
-// aborts the connection, so that the caller can't take that part for all of it. A
-// caller that has disconnected is not answered.
+// aborts the connection, so that the caller can't take that part for all of it.
 func (s *session) fail(ctx context.Context, r *failure.Refusal) {
-	if context.Cause(ctx) == context.Canceled {
+	isCallerGone := context.Cause(ctx) == context.Canceled
+	if isCallerGone {
 		s.log("caller_gone")
-		return
 	}
 	if s.stream.started {
-		s.log("broken_off", "err", r)
-		responsesAborted.Inc()
+		if !isCallerGone {
+			s.log("broken_off", "err", r)
+			responsesAborted.Inc()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if s.mayHaveRun && r.Outcome == failure.NotRun {
 		r = failure.New(failure.CodeEndpointFailed, failure.Unknown, "%s", r.Message)
 	}
+	if isCallerGone {
+		// A caller that has only closed its sending direction still reads. Without an
+		// answer net/http would send it an empty 200.
+		s.edge.writeRefusal(s, r)
+		return
+	}
 	isInterrupted := errors.Is(context.Cause(ctx), errInterrupted)
 	if isInterrupted && r.Outcome != failure.NotRun {
 		r = failure.New(failure.CodeEndpointFailed, r.Outcome, "the gateway stopped before the response")
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -199,12 +200,13 @@
 }
 
 func (a *attempt) copyHeader(resp *http.Response) {
+	// The server's own Connection header, by which a gateway that stops ends its
+	// connections, stays.
+	header := resp.Header.Clone()
+	httpmeta.StripHopByHop(header)
+	a.edge.Codec.StripResponseHeader(header)
 	h := a.writer.Header()
-	for name, values := range resp.Header {
-		h[name] = values
-	}
-	httpmeta.StripHopByHop(h)
-	a.edge.Codec.StripResponseHeader(h)
+	maps.Copy(h, header)
 	if _, ok := h["Content-Type"]; !ok {
 		// Keeps net/http from sniffing a content type.
 		h["Content-Type"] = nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -163,7 +163,7 @@
 			err = action.WithUnknownOutcome(err)
 		}
 		if err != nil {
-			g.respondRefusal(w, id, r.Context(), c, err)
+			g.respondRefusal(w, id, c, err)
 			return
 		}
 		requests.Inc()
@@ -182,7 +182,7 @@
 		}
 		c, err := g.accept(fwd, body, false)
 		if err != nil {
-			g.respondRefusal(w, fwd.RequestID, r.Context(), nil, err)
+			g.respondRefusal(w, fwd.RequestID, nil, err)
 			return
 		}
 		g.serve(w, r, c, next)
@@ -204,7 +204,7 @@
 	requestTime.Observe(time.Since(start))
 	if err != nil {
 		span.RecordError(err)
-		g.respondRefusal(w, c.id, ctx, c, err)
+		g.respondRefusal(w, c.id, c, err)
 	}
 }
 
@@ -221,13 +221,11 @@
 		))
 }
 
-// respondRefusal sends err as a typed refusal, unless the caller has
-// disconnected. If this gateway is draining or its region is not permitted, the
+// respondRefusal sends err as a typed refusal, also to a caller that seems to have
+// disconnected: it may only have closed its sending direction, and would get an empty 200
+// otherwise. If this gateway is draining or its region is not permitted, the
 // response names the gateways to use instead.
-func (g *Gateway) respondRefusal(w http.ResponseWriter, id string, ctx context.Context, c *call, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
+func (g *Gateway) respondRefusal(w http.ResponseWriter, id string, c *call, err error) {
 	refusal := failure.AsRefusal(err)
 	var entries []EntryGateway
 	if refusal.Code == failure.CodeDraining || refusal.Code == failure.CodeResidencyNotPermitted {
--- a/internal/relay/caller_test.go
+++ b/internal/relay/caller_test.go
@@ -38,9 +38,11 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var left time.Time
 		time.AfterFunc(time.Second, func() { left = time.Now(); cancel() })
-		_, _, err := w.chat(ctx)
+		stream, _, err := w.chat(ctx)
 		var gone *CallerGoneError
 		require.ErrorAs(t, err, &gone)
+		require.False(t, stream.done)
+		require.NotEmpty(t, stream.errorCode, "a caller that has only closed its sending direction learns that the stream is incomplete")
 		time.Sleep(time.Second)
 		synctest.Wait()
 		require.Less(t, ended.Sub(left), time.Second)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -101,11 +101,11 @@
 // event.
 func (s *requestState) fail(ctx context.Context, cause error) error {
 	refusal := s.refusalFor(ctx, cause)
-	if s.isCallerGone(ctx) {
-		return refusal
-	}
 	if s.sink.Started() {
-		responsesIncomplete.Inc()
+		// A caller that is gone may only have closed its sending direction and still reads.
+		if !s.isCallerGone(ctx) {
+			responsesIncomplete.Inc()
+		}
 		if err := s.sink.Fail(refusal); err != nil {
 			return refusal.WithCause(&CallerGoneError{Cause: err})
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -260,7 +261,7 @@
 func (r *Request) httpRequest(ctx context.Context) *http.Request {
 	req := &http.Request{
 		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Target},
+		URL:           r.url(),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -276,6 +277,27 @@
 	return req.WithContext(ctx)
 }
 
+// url returns the URL for which net/http sends the target unchanged.
+func (r *Request) url() *url.URL {
+	u := &url.URL{Scheme: "http", Host: r.Address}
+	if path, query, hasQuery := strings.Cut(r.Target, "?"); strings.HasPrefix(path, "//") {
+		// net/http takes what follows "//" in an opaque target for a host.
+		u.RawPath, u.RawQuery, u.ForceQuery = path, query, hasQuery
+		if unescaped, err := url.PathUnescape(path); err == nil {
+			u.Path = unescaped
+			return u
+		}
+	}
+	u.RawPath, u.RawQuery, u.ForceQuery, u.Opaque = "", "", false, r.Target
+	return u
+}
+
+// IsTargetSendable reports whether a request target can be sent unchanged. Only targets
+// that begin with "//" and hold characters that a path must not hold can't.
+func IsTargetSendable(target string) bool {
+	return (&Request{Target: target}).url().RequestURI() == target
+}
+
 // body returns the body as a reader that net/http can't rewind, which keeps
 // net/http from resending the request when a reused connection breaks. It would
 // do so for safe methods and for requests with an idempotency key.
