--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -88,20 +88,21 @@
 	return h
 }
 
-// reserve adds n bytes to h and returns the holders that it has evicted for them. The
-// error is an *ExhaustedError.
-func (a *Account) reserve(h *Holder, n int64) ([]*Holder, error) {
-	var evicted []*Holder
+// reserve adds n bytes to h and returns the functions to call for those that it has evicted
+// for them. The error is an *ExhaustedError.
+func (a *Account) reserve(h *Holder, n int64) (callbacks []func(), err error) {
 	want := h.held + n
 	for !a.fits(h, n) {
 		if len(a.incomplete) == 0 || a.incomplete[0].held <= want {
 			refusals[h.class].Inc()
-			return evicted, &ExhaustedError{Class: h.class, Bytes: want, InUse: a.inUse, Limit: a.limit}
+			return callbacks, &ExhaustedError{Class: h.class, Bytes: want, InUse: a.inUse, Limit: a.limit}
+		}
+		if call := a.evictLargest(); call != nil {
+			callbacks = append(callbacks, call)
 		}
-		evicted = append(evicted, a.evictLargest())
 	}
 	a.add(h, n)
-	return evicted, nil
+	return callbacks, nil
 }
 
 // fits reports whether h may hold n bytes more.
@@ -118,13 +119,13 @@
 	return want <= SmallBytes || otherLarge == 0 || otherLarge+want <= a.limit-a.limit/smallShare
 }
 
-// evictLargest evicts the largest incomplete holder, and returns it.
-func (a *Account) evictLargest() *Holder {
+// evictLargest evicts the largest incomplete holder, and returns its function to call.
+func (a *Account) evictLargest() func() {
 	victim := a.incomplete[0]
 	victim.evicted = &EvictedError{Class: victim.class, Bytes: victim.held, InUse: a.inUse, Limit: a.limit}
 	evictions[victim.class].Inc()
 	a.close(victim)
-	return victim
+	return victim.onEvict
 }
 
 // close gives back all bytes of h and ends it.
--- a/internal/memory/holder.go
+++ b/internal/memory/holder.go
@@ -60,13 +60,7 @@
 		defer a.mu.Unlock()
 		return h.closedError()
 	}
-	evicted, err := a.reserve(h, n)
-	callbacks := make([]func(), 0, len(evicted))
-	for _, victim := range evicted {
-		if victim.onEvict != nil {
-			callbacks = append(callbacks, victim.onEvict)
-		}
-	}
+	callbacks, err := a.reserve(h, n)
 	a.mu.Unlock()
 	for _, call := range callbacks {
 		call()
@@ -74,6 +68,17 @@
 	return err
 }
 
+// Charge adds n bytes that can't be refused, such as those of a response that is there
+// already. The account may exceed its limit by them, so that later reservations fail. A
+// closed holder gets none.
+func (h *Holder) Charge(n int64) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if !h.closed && n > 0 {
+		h.account.add(h, n)
+	}
+}
+
 // closedError returns why nothing can be reserved, nil if the holder is open.
 func (h *Holder) closedError() error {
 	switch {
