edge: charge bodies, responses and events to the memory account

limits.memory-mb was read and used nowhere: each body was read whole by io.ReadAll, which doubles its buffer, and kept until the end of its response, with no bound on the sum. Bodies are now admitted by bytes before they are read (503 with Retry-After if there is no room), evicted while incomplete when smaller requests need their bytes, and given back when no resend can need them. Forwards are charged at both gateways. A response that can't be held back is relayed as it arrives; a large event without memory breaks its stream off. The account's limit and debug.SetMemoryLimit follow memory-mb, also after a reload.

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -35,9 +35,16 @@
 	level, _ := log.ParseLevel(edgeSettings.LogLevel)
 	logger := telemetry.NewLogger(out, level).With("instance", platformSettings.Instance)
 	setGCPercent()
+	setMemoryLimit(platformSettings.MemoryBytes)
 	store := platform.NewStore(platformSettings.StoreAddress, platform.StoreOptions{})
 	server, err := edgeserver.New(platformSettings, edgeserver.Platform{
-		Settings:        func() (*settings.PlatformSettings, error) { return platform.ReadSettings(path) },
+		Settings: func() (*settings.PlatformSettings, error) {
+			changed, err := platform.ReadSettings(path)
+			if err == nil {
+				setMemoryLimit(changed.MemoryBytes)
+			}
+			return changed, err
+		},
 		SettingsChanged: hangupSignals(),
 		Store:           store,
 		OperatorSource:  platform.OperatorSource{Store: store},
--- a/cmd/hickorystage/gateway.go
+++ b/cmd/hickorystage/gateway.go
@@ -41,6 +41,10 @@
 	}
 	defer flush()
 	setGCPercent()
+	if s.MemoryLimit == 0 {
+		s.MemoryLimit = machineMemory()
+	}
+	setMemoryLimit(s.MemoryLimit)
 	ctx, forceStop := shutdownSignals()
 	if err := app.New(s, app.TCP{}, logger).Run(ctx, forceStop); err != nil {
 		var cut *app.CutOffError
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -186,9 +186,13 @@
 
 // relayResponse relays the response of an endpoint, or handles it as a failure.
 func (a *attempt) relayResponse(ctx context.Context, resp *http.Response, meta httpmeta.Response) (outcome, endpointload.Result) {
-	switch {
-	case meta.NotExecuted:
+	if meta.NotExecuted {
 		return a.handleShed(resp)
+	}
+	if !a.mayRetry() {
+		a.releaseBody()
+	}
+	switch {
 	case meta.AttemptID != a.req.AttemptID || resp.Header.Get("Content-Encoding") != "":
 		return a.handleFailure(ctx, &ResponseMismatchError{Want: a.req.AttemptID, Got: meta.AttemptID})
 	case resp.StatusCode >= http.StatusInternalServerError && a.mayRetry():
@@ -224,7 +228,7 @@
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	header := a.header.Clone()
 	httpmeta.StripHopByHop(header)
-	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header, Body: a.body}
+	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header, Body: a.body.bytes}
 	if a.gateway != nil {
 		a.writeForwardHeader(header)
 		call.Address = a.gateway.PeerAddress
--- /dev/null
+++ b/internal/edge/body.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/bodyread"
+	"github.com/hickorystage/hickorystage/internal/endpointload"
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/memory"
+)
+
+const (
+	// bodyTimeout limits the time that a caller may take to send the request body.
+	bodyTimeout = 10 * time.Second
+	// defaultMaxBodyBytes is the largest request body where the configuration sets no
+	// limit.
+	defaultMaxBodyBytes = 1 << 20
+	// maxBufferedBytes is the size up to which a response that is not a stream is held
+	// back until it is complete. Until then a failed request can be retried.
+	maxBufferedBytes = 1 << 20
+	// memoryRetryDelay is the Retry-After of requests for which there is no memory. Within
+	// about that time some of the requests that hold it have ended.
+	memoryRetryDelay = time.Second
+)
+
+// interruptedRead is a read deadline in the past.
+var interruptedRead = time.Unix(1, 0)
+
+// requestBody is the body of a request with the memory that it holds.
+type requestBody struct {
+	bytes []byte
+	// hold is nil for a request without a body.
+	hold *memory.Holder
+	// released is set once the body has been given back. The request must not be sent
+	// again then.
+	released bool
+}
+
+// releaseBody gives back the request body. It may be called repeatedly.
+func (s *session) releaseBody() {
+	if s.body.hold == nil {
+		return
+	}
+	s.body.hold.Close()
+	s.body = requestBody{released: true}
+}
+
+// readBody reads the whole request body into memory that is reserved first. The error is a
+// *failure.Refusal.
+func (s *session) readBody(r *http.Request) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	limit := s.table.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	rc := http.NewResponseController(s.writer)
+	if err := setReadDeadline(rc, time.Now().Add(bodyTimeout)); err != nil {
+		return err
+	}
+	if r.ContentLength > limit {
+		return bodyTooLarge(limit)
+	}
+	class := memory.Body
+	if s.forwarded != nil {
+		class = memory.Forward
+	}
+	s.body.hold = s.edge.Memory.Open(class)
+	s.body.hold.OnEvict(func() { _ = rc.SetReadDeadline(interruptedRead) })
+	body, err := bodyread.Read(s.body.hold, http.MaxBytesReader(s.writer, r.Body, limit), r.ContentLength)
+	if err != nil {
+		s.releaseBody()
+		return s.bodyRefusal(err, limit)
+	}
+	s.body.bytes = body
+	return setReadDeadline(rc, time.Time{})
+}
+
+// setReadDeadline sets the read deadline of a caller's connection. The error is a
+// *failure.Refusal.
+func setReadDeadline(rc *http.ResponseController, t time.Time) error {
+	if err := rc.SetReadDeadline(t); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
+	}
+	return nil
+}
+
+func bodyTooLarge(limit int64) *failure.Refusal {
+	return failure.Refuse(failure.CodeBodyTooLarge, "the request body exceeds %d bytes", limit)
+}
+
+// bodyRefusal returns the refusal of a request whose body was not read.
+func (s *session) bodyRefusal(err error, limit int64) *failure.Refusal {
+	var tooLarge *http.MaxBytesError
+	var exhausted *memory.ExhaustedError
+	var evicted *memory.EvictedError
+	switch {
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge(limit)
+	case errors.As(err, &exhausted):
+		s.logMemory(err)
+		return failure.Refuse(failure.CodeOverloaded, "no memory for the request body").WithRetryAfter(memoryRetryDelay)
+	case errors.As(err, &evicted):
+		s.logMemory(err)
+		// The connection can't carry another request: its read deadline has passed, or
+		// will when the function that OnEvict was given runs.
+		s.writer.Header().Set("Connection", "close")
+		return failure.Refuse(failure.CodeOverloaded, "the memory of the incomplete request body was needed").WithRetryAfter(memoryRetryDelay)
+	default:
+		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
+	}
+}
+
+// logMemory writes the line of a refused reservation or an eviction, if err is one.
+func (s *session) logMemory(err error) {
+	var exhausted *memory.ExhaustedError
+	var evicted *memory.EvictedError
+	switch {
+	case errors.As(err, &exhausted):
+		s.log("memory_refused", "bytes", exhausted.Bytes, "class", exhausted.Class, "in_use", exhausted.InUse, "limit", exhausted.Limit)
+	case errors.As(err, &evicted):
+		s.log("memory_evicted", "bytes", evicted.Bytes, "class", evicted.Class, "in_use", evicted.InUse, "limit", evicted.Limit)
+	}
+}
+
+// relayBuffered relays a response once it is complete, or, if it is larger than
+// maxBufferedBytes or than the memory that is left, as it arrives.
+func (a *attempt) relayBuffered(ctx context.Context, resp *http.Response) (outcome, endpointload.Result) {
+	a.mayHaveRun = true
+	hold := a.edge.Memory.Open(memory.Response)
+	defer hold.Close()
+	body, err := bodyread.Read(hold, io.LimitReader(resp.Body, maxBufferedBytes), min(resp.ContentLength, maxBufferedBytes))
+	var exhausted *memory.ExhaustedError
+	isCut := errors.As(err, &exhausted)
+	if err != nil && !isCut {
+		return a.handleFailure(ctx, err)
+	}
+	a.logMemory(err)
+	a.activeRequest.RecordFirstOutput(time.Now())
+	// The response is whole, or so much of it goes to the caller now that no other can follow.
+	a.releaseBody()
+	a.startResponse(resp)
+	if _, err := a.writer.Write(body); err != nil {
+		a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
+		return outcome{done: true}, endpointload.Abandoned
+	}
+	if isCut || len(body) == maxBufferedBytes {
+		if _, err := io.Copy(a.writer, resp.Body); err != nil {
+			return outcome{refusal: failure.New(failure.CodeIncompleteResponse, failure.Unknown, "the response was truncated").WithCause(err)}, endpointload.Failed
+		}
+	}
+	a.log("done", "endpoint", a.endpoint.ID, "status", resp.StatusCode, "bytes", len(body))
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return outcome{done: true}, endpointload.Failed
+	}
+	a.recordCompletion(resp)
+	return outcome{done: true}, endpointload.Succeeded
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,14 +5,12 @@
 package edge
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/backoff"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
@@ -22,6 +20,7 @@
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
@@ -70,6 +69,9 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
+	// Memory is the account of the bodies and responses that requests hold. If it is
+	// nil, nothing is refused for them.
+	Memory *memory.Account
 	Logger *log.Logger
 }
 
@@ -93,6 +95,9 @@
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
 	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
+	if e.Memory == nil {
+		e.Memory = memory.NewAccount(0)
+	}
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -105,9 +110,6 @@
 	}
 }
 
-// bodyTimeout limits the time that a caller may take to send the request body.
-const bodyTimeout = 10 * time.Second
-
 // CallerHandler returns the handler of the callers' listener.
 func (e *Edge) CallerHandler() http.Handler { return http.HandlerFunc(e.serveCaller) }
 
@@ -117,6 +119,7 @@
 	defer e.inFlight.End()
 	requestsReceived.Inc()
 	s, err := e.openSession(w, r, arrived)
+	defer s.releaseBody()
 	if err != nil {
 		e.refuse(s, failure.AsRefusal(err))
 		return
@@ -198,37 +201,6 @@
 // sets a timeout.
 const defaultTimeout = 60 * time.Second
 
-func (s *session) readBody(r *http.Request) error {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	rc := http.NewResponseController(s.writer)
-	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	limit := s.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(s.writer, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return failure.Refuse(failure.CodeBodyTooLarge, "the request body exceeds %d bytes", limit)
-		}
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	s.body = body
-	if err := rc.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	return nil
-}
-
-// defaultMaxBodyBytes is the largest request body where the configuration sets no
-// limit.
-const defaultMaxBodyBytes = 1 << 20
-
 // Forget closes the idle connections to a removed endpoint and drops what is recorded
 // of its load.
 func (e *Edge) Forget(id, address string) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -100,6 +100,7 @@
 	defer e.inFlight.End()
 	forwardsReceived.Inc()
 	s, err := e.openForwardedSession(w, r, &info, arrived)
+	defer s.releaseBody()
 	if err != nil {
 		e.refuse(s, failure.AsRefusal(err))
 		return
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -27,7 +27,7 @@
 	host   string
 	path   string
 	header http.Header
-	body   []byte
+	body   requestBody
 	// arrived is when the caller's request arrived. For a forwarded request it is
 	// computed from the time left until the latency objective.
 	arrived time.Time
@@ -135,7 +135,7 @@
 // mayContinue reports whether another attempt may follow one that failed. A
 // permitted retry is charged to the service's retry budget.
 func (s *session) mayContinue(ctx context.Context, out outcome) bool {
-	if !out.mayRetry || ctx.Err() != nil || s.forwarded != nil && out.countsAsRetry {
+	if !out.mayRetry || s.body.released || ctx.Err() != nil || s.forwarded != nil && out.countsAsRetry {
 		return false
 	}
 	if out.countsAsRetry {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/endpointload"
-	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -25,9 +25,6 @@
 	maxEventBytes = 1 << 20
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
-	// maxBufferedBytes is the size up to which a response that is not a stream is
-	// held back until it is complete. Until then a failed request can be retried.
-	maxBufferedBytes = 1 << 20
 )
 
 // streamState is the progress of the response to the caller.
@@ -39,11 +36,18 @@
 }
 
 // StreamError reports a stream that is not an unbroken series of events.
-type StreamError struct{ Reason string }
+type StreamError struct {
+	Reason string
+	// Cause is set if the gateway could not read on.
+	Cause error
+}
 
 // Error implements error.
 func (e *StreamError) Error() string { return "invalid event stream: " + e.Reason }
 
+// Unwrap returns the cause, if any.
+func (e *StreamError) Unwrap() error { return e.Cause }
+
 // isStream reports whether the response is relayed event by event.
 func (a *attempt) isStream(resp *http.Response) bool {
 	return a.route.Kind == route.Streaming && resp.StatusCode < http.StatusMultipleChoices
@@ -63,11 +67,14 @@
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) (outcome, endpointload.Result) {
 	a.mayHaveRun = true
 	reader := bufio.NewReaderSize(resp.Body, streamBufferBytes)
+	hold := a.edge.Memory.Open(memory.Response)
+	defer hold.Close()
+	hold.Charge(2 * streamBufferBytes)
 	var event []byte
 	var provenAt time.Time
 	for {
 		var err error
-		event, err = readEvent(reader, event[:0])
+		event, err = readEvent(reader, event[:0], hold)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			a.startResponse(resp)
 			a.recordCompletion(resp)
@@ -75,6 +82,7 @@
 			return outcome{done: true}, endpointload.Succeeded
 		}
 		if err != nil {
+			a.logMemory(err)
 			return a.handleFailure(ctx, err)
 		}
 		now := time.Now()
@@ -130,10 +138,15 @@
 
 // readEvent appends the next event to buf, including the empty line that ends it.
 // At the end of the stream it returns an empty event and io.EOF; if the stream ends
-// within an event, the error is io.ErrUnexpectedEOF. buf has to be empty.
-func readEvent(r *bufio.Reader, buf []byte) ([]byte, error) {
+// within an event, the error is io.ErrUnexpectedEOF. buf has to be empty. Its growth is
+// reserved in hold.
+func readEvent(r *bufio.Reader, buf []byte, hold *memory.Holder) ([]byte, error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		var growErr error
+		if buf, growErr = growEvent(buf, len(line), hold); growErr != nil {
+			return buf, growErr
+		}
 		buf = append(buf, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -150,6 +163,30 @@
 	}
 }
 
+// growEvent returns buf with room for n bytes more. What exceeds the read buffer's size, up
+// to which relayStream charges an event in advance, is reserved.
+func growEvent(buf []byte, n int, hold *memory.Holder) ([]byte, error) {
+	if cap(buf) > memory.SmallBytes && len(buf) == 0 {
+		// One large event doesn't hold its memory until the end of the stream.
+		hold.Release(int64(cap(buf)))
+		buf = nil
+	}
+	if len(buf)+n <= cap(buf) {
+		return buf, nil
+	}
+	size := max(2*cap(buf), len(buf)+n)
+	if size > streamBufferBytes {
+		if err := hold.Reserve(int64(size)); err != nil {
+			return buf, errors.WithStack(&StreamError{Reason: "no memory for an event", Cause: err})
+		}
+	}
+	grown := append(make([]byte, 0, size), buf...)
+	if cap(buf) > streamBufferBytes {
+		hold.Release(int64(cap(buf)))
+	}
+	return grown, nil
+}
+
 // startsLine reports whether line, the last bytes of buf, is the start of a line. It
 // is not if the line is longer than the read buffer and arrives in pieces.
 func startsLine(buf, line []byte) bool {
@@ -210,30 +247,3 @@
 		h["Content-Type"] = nil
 	}
 }
-
-// relayBuffered relays a response once it is complete, or, if it is larger than
-// maxBufferedBytes, as it arrives.
-func (a *attempt) relayBuffered(ctx context.Context, resp *http.Response) (outcome, endpointload.Result) {
-	a.mayHaveRun = true
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
-		return a.handleFailure(ctx, err)
-	}
-	a.activeRequest.RecordFirstOutput(time.Now())
-	a.startResponse(resp)
-	if _, err := a.writer.Write(body); err != nil {
-		a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
-		return outcome{done: true}, endpointload.Abandoned
-	}
-	if len(body) == maxBufferedBytes {
-		if _, err := io.Copy(a.writer, resp.Body); err != nil {
-			return outcome{refusal: failure.New(failure.CodeIncompleteResponse, failure.Unknown, "the response was truncated").WithCause(err)}, endpointload.Failed
-		}
-	}
-	a.log("done", "endpoint", a.endpoint.ID, "status", resp.StatusCode, "bytes", len(body))
-	if resp.StatusCode >= http.StatusInternalServerError {
-		return outcome{done: true}, endpointload.Failed
-	}
-	a.recordCompletion(resp)
-	return outcome{done: true}, endpointload.Succeeded
-}
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -200,17 +201,18 @@
 }
 
 func TestReadEvent(t *testing.T) {
+	hold := memory.NewAccount(0).Open(memory.Response)
 	r := bufio.NewReaderSize(strings.NewReader("id: 1\ndata: "+strings.Repeat("x", 100)+"\n\nid: 2\r\ndata: y\r\n\r\ndata: z\n"), 16)
-	event, err := readEvent(r, nil)
+	event, err := readEvent(r, nil, hold)
 	require.NoError(t, err)
 	require.Len(t, event, 6+6+100+2)
-	event, err = readEvent(r, event[:0])
+	event, err = readEvent(r, event[:0], hold)
 	require.NoError(t, err)
 	require.Equal(t, "id: 2\r\ndata: y\r\n\r\n", string(event))
 	id, ok := eventID(event)
 	require.True(t, ok)
 	require.Equal(t, int64(2), id)
-	_, err = readEvent(r, nil)
+	_, err = readEvent(r, nil, hold)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	_, ok = eventID([]byte("data: id: 3\n\n"))
 	require.False(t, ok)
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -34,6 +34,7 @@
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
@@ -72,6 +73,8 @@
 	edge     *edge.Edge
 	registry *fleet.Registry
 	gateways *fleet.Gateways
+	// memory is the account of what requests hold.
+	memory *memory.Account
 
 	controllers  []controller.Controller
 	servers      []*listeningServer
@@ -89,7 +92,7 @@
 // New assembles a gateway and opens its listeners. Nothing is served before Run. The
 // error is a ListenError if a listener can't be opened.
 func New(site *settings.PlatformSettings, p Platform, logger *log.Logger) (*Server, error) {
-	s := &Server{platform: p, logger: logger, board: blackboard.NewEdge(site)}
+	s := &Server{platform: p, logger: logger, board: blackboard.NewEdge(site), memory: memory.NewAccount(memory.Limit(site.MemoryBytes))}
 	heartbeatAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort))
 	grantAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort+1))
 	s.gateways = fleet.NewGateways(fleet.Gateway{
@@ -133,6 +136,7 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Memory:            s.memory,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
@@ -284,6 +288,7 @@
 		s.edge.RetryBudget.Configure(retrySettings(site))
 		s.edge.ColdStarts.Configure(coldSettings(site))
 		s.registry.SetRegions(site.Regions)
+		s.memory.SetLimit(memory.Limit(site.MemoryBytes))
 		select {
 		case <-s.tomb.Dying():
 			return nil
