gateway, relay, peer: charge the chat half's bodies and responses

Bodies of callers were read by io.ReadAll up to max-body each, and those of forwards up to 4 MB each, with no bound on the sum. Callers' bodies, forwarded requests and actions are now reserved before they are read; a chat's two copies of its body before it is parsed. The text kept for resuming a stream, collected documents and responses of services and actions are charged. A stream without memory for its text goes on but can't be resumed; a service's response without memory fails its attempt with an unknown outcome.

An evicted body is answered although net/http has ended the request's context: without that, its caller would get an empty 200.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,7 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/endpoints"
 	"github.com/hickorystage/hickorystage/internal/controller/gossip"
 	"github.com/hickorystage/hickorystage/internal/controller/loadpoll"
-	"github.com/hickorystage/hickorystage/internal/controller/memory"
+	memorycontroller "github.com/hickorystage/hickorystage/internal/controller/memory"
 	"github.com/hickorystage/hickorystage/internal/controller/reaper"
 	"github.com/hickorystage/hickorystage/internal/controller/register"
 	"github.com/hickorystage/hickorystage/internal/controller/schedsync"
@@ -30,6 +30,7 @@
 	"github.com/hickorystage/hickorystage/internal/gateway"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/platform"
 	"github.com/hickorystage/hickorystage/internal/relay"
@@ -50,6 +51,8 @@
 	actions  *action.Manager
 	relay    *relay.Relay
 	peers    *peer.Client
+	// memory is the account of what requests hold.
+	memory *memory.Account
 	// signals acts on what endpoints say of themselves in their responses.
 	signals *gateway.EndpointSignals
 
@@ -85,6 +88,7 @@
 // New assembles a gateway. Run starts it.
 func New(s *settings.Gateway, network Network, logger *log.Logger) *App {
 	a := &App{settings: s, network: network, logger: logger, drainRequested: make(chan struct{}, 1)}
+	a.memory = memory.NewAccount(memory.Limit(s.MemoryLimit))
 	a.board = blackboard.New(blackboard.Self{
 		ID:            s.ID,
 		Incarnation:   gateway.NewIncarnation(s.Region, s.ID, uuid.NewString()[:13]),
@@ -118,6 +122,7 @@
 		Pauses:        a.signals.Pauses,
 		Relay:         a.relay,
 		Peers:         a.peers,
+		Memory:        a.memory,
 		Logger:        logger,
 		AdminToken:    s.AdminToken,
 		MaxBodyBytes:  s.MaxBodyBytes,
@@ -138,7 +143,7 @@
 		announce.New(a.board, data, a.peers),
 		&reaper.Controller{Actions: a.actions, Board: a.board, Log: logger},
 		dispatcher,
-		memory.New(a.board),
+		memorycontroller.New(a.board),
 	}
 	a.newServers(signer)
 	return a
--- a/internal/app/deployment_test.go
+++ b/internal/app/deployment_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -330,6 +331,16 @@
 	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 }
 
+// closeAndCheckMemory is close. Whatever the test did, no request may leave bytes in the
+// memory account of its gateway.
+func (d *testDeployment) closeAndCheckMemory() {
+	d.close()
+	synctest.Wait()
+	for id, gw := range d.gateways {
+		require.Zero(d.t, gw.app.memory.Usage().InUse, id)
+	}
+}
+
 // publish publishes the sample configuration with the extra files, and returns the
 // new revision.
 func (d *testDeployment) publish(extra ...intent.File) uint64 {
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -23,15 +23,16 @@
 type listeners struct{ callers, peers, admin net.Listener }
 
 func (a *App) newServers(signer *peer.Signer) {
-	peers := peer.NewServer(signer, a.settings.PeerAdvertise, peer.Handlers{
+	peers := peer.NewServer(signer, a.settings.PeerAdvertise, a.memory, peer.Handlers{
 		Exchange:  a.gossip.HandleExchange,
 		Snapshot:  a.snapshot,
 		Endpoints: func() []peer.Endpoint { return a.gateway.Membership.Endpoints(time.Now()) },
 		Announce: func(list []datastore.PrefillAnnouncement) {
 			a.gateway.SchedulerData.ApplyAnnouncements(list, time.Now())
 		},
-		Owner:   a.gateway.OwnerHandlers(),
-		Forward: a.gateway.ForwardHandler(),
+		Owner:         a.gateway.OwnerHandlers(),
+		RefuseForward: a.gateway.RefuseForward,
+		Forward:       a.gateway.ForwardHandler(),
 	})
 	a.callerServer = httpserver.New(a.gateway.CallerHandler(), limits(a.settings.HeaderTimeout, 0))
 	a.peerServer = httpserver.New(peers.Handler(), limits(peerReadTimeout, peerReadTimeout))
--- a/internal/app/system_test.go
+++ b/internal/app/system_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		d := startStandardDeployment(t)
-		defer d.close()
+		defer d.closeAndCheckMemory()
 		test(t, d)
 	})
 }
--- a/internal/bodyread/bodyread.go
+++ b/internal/bodyread/bodyread.go
@@ -3,9 +3,13 @@
 
 import (
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorystage/hickorystage/internal/failure"
+
 	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
@@ -17,6 +21,55 @@
 	doublingLimit = 256 << 10
 )
 
+// retryDelay is the Retry-After of requests for which there is no memory. Within about that
+// time some of the requests that hold it have ended.
+const retryDelay = time.Second
+
+// interrupted is a read deadline in the past.
+var interrupted = time.Unix(1, 0)
+
+// InterruptOnEvict ends the reading of the request that w answers when h is evicted.
+func InterruptOnEvict(h *memory.Holder, w http.ResponseWriter) {
+	rc := http.NewResponseController(w)
+	h.OnEvict(func() { _ = rc.SetReadDeadline(interrupted) })
+}
+
+// IsEvicted reports whether err is that of a holder that was evicted. The connection can't
+// carry another request then: its read deadline has passed, or will shortly.
+func IsEvicted(err error) bool {
+	var evicted *memory.EvictedError
+	return errors.As(err, &evicted)
+}
+
+// Refusal returns the refusal of a request for whose body there was no memory, or whose body
+// was evicted; nil for other errors.
+func Refusal(err error) *failure.Refusal {
+	var exhausted *memory.ExhaustedError
+	switch {
+	case errors.As(err, &exhausted):
+		return failure.Refuse(failure.CodeOverloaded, "no memory for the request body").WithRetryAfter(retryDelay).WithCause(err)
+	case IsEvicted(err):
+		return failure.Refuse(failure.CodeOverloaded, "the memory of the incomplete request body was needed").WithRetryAfter(retryDelay).WithCause(err)
+	default:
+		return nil
+	}
+}
+
+// LogFields returns the message and the fields of the log line of a reservation that was
+// refused or a holder that was evicted; ok is false for other errors.
+func LogFields(err error) (msg string, keyvals []any, ok bool) {
+	var exhausted *memory.ExhaustedError
+	var evicted *memory.EvictedError
+	switch {
+	case errors.As(err, &exhausted):
+		return "memory_refused", []any{"bytes", exhausted.Bytes, "class", exhausted.Class, "in_use", exhausted.InUse, "limit", exhausted.Limit}, true
+	case errors.As(err, &evicted):
+		return "memory_evicted", []any{"bytes", evicted.Bytes, "class", evicted.Class, "in_use", evicted.InUse, "limit", evicted.Limit}, true
+	default:
+		return "", nil, false
+	}
+}
+
 // Read reads r to its end. length is the number of bytes that r has, below 0 if that is not
 // known: a known length is reserved at once, an unknown one step by step. The holder is
 // complete afterwards. If the error is a *memory.ExhaustedError, the bytes that have been read
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -23,14 +23,8 @@
 	// maxBufferedBytes is the size up to which a response that is not a stream is held
 	// back until it is complete. Until then a failed request can be retried.
 	maxBufferedBytes = 1 << 20
-	// memoryRetryDelay is the Retry-After of requests for which there is no memory. Within
-	// about that time some of the requests that hold it have ended.
-	memoryRetryDelay = time.Second
 )
 
-// interruptedRead is a read deadline in the past.
-var interruptedRead = time.Unix(1, 0)
-
 // requestBody is the body of a request with the memory that it holds.
 type requestBody struct {
 	bytes []byte
@@ -72,7 +66,7 @@
 		class = memory.Forward
 	}
 	s.body.hold = s.edge.Memory.Open(class)
-	s.body.hold.OnEvict(func() { _ = rc.SetReadDeadline(interruptedRead) })
+	bodyread.InterruptOnEvict(s.body.hold, s.writer)
 	body, err := bodyread.Read(s.body.hold, http.MaxBytesReader(s.writer, r.Body, limit), r.ContentLength)
 	if err != nil {
 		s.releaseBody()
@@ -98,34 +92,23 @@
 // bodyRefusal returns the refusal of a request whose body was not read.
 func (s *session) bodyRefusal(err error, limit int64) *failure.Refusal {
 	var tooLarge *http.MaxBytesError
-	var exhausted *memory.ExhaustedError
-	var evicted *memory.EvictedError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return bodyTooLarge(limit)
-	case errors.As(err, &exhausted):
-		s.logMemory(err)
-		return failure.Refuse(failure.CodeOverloaded, "no memory for the request body").WithRetryAfter(memoryRetryDelay)
-	case errors.As(err, &evicted):
+	}
+	if refusal := bodyread.Refusal(err); refusal != nil {
 		s.logMemory(err)
-		// The connection can't carry another request: its read deadline has passed, or
-		// will when the function that OnEvict was given runs.
-		s.writer.Header().Set("Connection", "close")
-		return failure.Refuse(failure.CodeOverloaded, "the memory of the incomplete request body was needed").WithRetryAfter(memoryRetryDelay)
-	default:
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
+		if bodyread.IsEvicted(err) {
+			s.writer.Header().Set("Connection", "close")
+		}
+		return refusal
 	}
+	return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
 }
 
 // logMemory writes the line of a refused reservation or an eviction, if err is one.
 func (s *session) logMemory(err error) {
-	var exhausted *memory.ExhaustedError
-	var evicted *memory.EvictedError
-	switch {
-	case errors.As(err, &exhausted):
-		s.log("memory_refused", "bytes", exhausted.Bytes, "class", exhausted.Class, "in_use", exhausted.InUse, "limit", exhausted.Limit)
-	case errors.As(err, &evicted):
-		s.log("memory_evicted", "bytes", evicted.Bytes, "class", evicted.Class, "in_use", evicted.InUse, "limit", evicted.Limit)
+	if msg, keyvals, ok := bodyread.LogFields(err); ok {
+		s.log(msg, keyvals...)
 	}
 }
 
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -8,6 +8,7 @@
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
 // ActionResponse is the JSON response for an action that ran. Body is the body
@@ -55,6 +56,11 @@
 	if err != nil {
 		return err
 	}
+	c.releaseBody()
+	hold := g.Memory.Open(memory.Response)
+	defer hold.Close()
+	// The response is held as it came, and as a string and as JSON while it is written.
+	hold.Charge(3 * int64(len(resp.Body)))
 	writeJSON(w, http.StatusOK, ActionResponse{
 		Outcome:     resp.Outcome,
 		Status:      resp.Status,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,8 +16,10 @@
 
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
+	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -69,6 +70,9 @@
 	priority  int
 	deadline  time.Time
 	body      []byte
+	// hold is the memory that the body of a caller's request holds; nil if it has none or
+	// if the request was forwarded, whose memory the peer listener holds.
+	hold *memory.Holder
 	// fwd describes a request that another gateway forwarded; nil if a caller
 	// sent it.
 	fwd *peer.Forward
@@ -159,11 +163,17 @@
 		defer g.inFlight.End()
 		id := requestID(r)
 		c, err := g.authenticate(w, r, id)
+		defer c.releaseBody()
+		ctx := r.Context()
+		if bodyread.IsEvicted(err) {
+			// net/http takes the interrupted read for the caller's leaving.
+			ctx = context.WithoutCancel(ctx)
+		}
 		if err != nil && isActionRequest(r) {
 			err = action.WithUnknownOutcome(err)
 		}
 		if err != nil {
-			g.respondRefusal(w, id, r.Context(), c, err)
+			g.respondRefusal(w, id, ctx, c, err)
 			return
 		}
 		requests.Inc()
@@ -268,8 +278,7 @@
 	if !c.permitted[g.Board.Self.Region] && r.URL.Path != entriesPath {
 		return c, failure.Refuse(failure.CodeResidencyNotPermitted, "this region may not process the customer's data")
 	}
-	c.body, err = g.readBody(w, r)
-	return c, err
+	return c, g.readBody(c, w, r)
 }
 
 // isActionRequest returns whether a request is about an action.
@@ -315,22 +324,6 @@
 	return nil
 }
 
-// readBody reads the request body, at most MaxBodyBytes within BodyTimeout.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBodyBytes))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, failure.Refuse(failure.CodeBodyTooLarge, "the body is larger than %d bytes", g.MaxBodyBytes)
-	}
-	return nil, failure.Refuse(failure.CodeBadRequest, "the body could not be read").WithCause(err)
-}
-
 // accept validates a request that another gateway forwarded. Each gateway
 // checks residency by its own configuration; only the regions that both permit
 // remain permitted.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -11,6 +11,7 @@
 	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched"
 )
@@ -23,6 +24,11 @@
 
 // chat serves POST /v1/chat/completions.
 func (g *Gateway) chat(w http.ResponseWriter, r *http.Request, c *call) error {
+	copies := g.openCopies(c)
+	defer copies.Close()
+	if err := g.reserveCopies(copies, c); err != nil {
+		return err
+	}
 	parsed, err := relay.ParseChat(c.body)
 	if err != nil {
 		return err
@@ -91,6 +97,8 @@
 		return g.afterPauses(err, req.ID, req.Groups...)
 	}
 	picker := &chatPicker{g: g, call: c, req: req, admission: admission, pendingDecision: &decision}
+	hold := g.Memory.Open(memory.Response)
+	defer hold.Close()
 	var summary relay.Summary
 	defer func() {
 		g.Dispatcher.Release(admission, summary.Usage.TotalTokens-admission.EstimatedTokens)
@@ -103,7 +111,8 @@
 		Body:      c.body,
 		Priority:  c.priority,
 		Resume:    parsed.Resume,
-	}, picker.pick, g.newSink(w, r, c, parsed))
+		Hold:      hold,
+	}, picker.pick, g.newSink(w, r, c, parsed, hold))
 	g.recordChat(ctx, summary, err)
 	if err != nil && !summary.ResponseStarted {
 		return err
@@ -113,14 +122,16 @@
 
 // newSink returns the sink of the response: a stream of events for other
 // gateways and for callers that asked for a stream, else one JSON document.
-func (g *Gateway) newSink(w http.ResponseWriter, r *http.Request, c *call, parsed relay.ParsedChat) relay.Sink {
+func (g *Gateway) newSink(w http.ResponseWriter, r *http.Request, c *call, parsed relay.ParsedChat, hold *memory.Holder) relay.Sink {
 	if c.fwd != nil {
 		return relay.NewSSESink(w, relay.SSEOptions{ChunkID: r.Header.Get(relay.HeaderAttemptID), RequestID: c.id})
 	}
 	if parsed.Stream {
 		return relay.NewSSESink(w, relay.SSEOptions{ChunkID: c.id, RequestID: c.id})
 	}
-	return relay.NewJSONSink(w, c.id, parsed.Model, time.Now())
+	sink := relay.NewJSONSink(w, c.id, parsed.Model, time.Now())
+	sink.ChargeTo(hold)
+	return sink
 }
 
 func (g *Gateway) recordChat(ctx context.Context, s relay.Summary, err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/hickorystage/hickorystage/internal/dispatch"
 	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/membership"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
@@ -44,7 +45,10 @@
 	Relay   *relay.Relay
 	Actions *action.Manager
 	Peers   *peer.Client
-	Logger  *log.Logger
+	// Memory is the account of the bodies and responses that requests hold. If it is
+	// nil, nothing is refused for them.
+	Memory *memory.Account
+	Logger *log.Logger
 	// AdminToken is the bearer token that operators authenticate with.
 	AdminToken string
 	// MaxBodyBytes is the maximum size of a caller's request body.
@@ -65,6 +69,9 @@
 
 // New returns a gateway with the dependencies and limits of cfg.
 func New(cfg Config) *Gateway {
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewAccount(0)
+	}
 	return &Gateway{Config: cfg, inFlight: inflight.New()}
 }
 
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"strings"
 	"time"
 
@@ -87,6 +88,12 @@
 	}
 	req.Owner = incarnation
 	req.Forward = fwd
+	hold := o.g.openCopies(c)
+	defer hold.Close()
+	if req.Call != nil {
+		// The body is sent as base64 in JSON.
+		hold.Charge(int64(base64.StdEncoding.EncodedLen(len(req.Call.Body))))
+	}
 	resp, err := o.g.Peers.SendOwnerRequest(ctx, address, path, req)
 	if err != nil {
 		return peer.OwnerResponse{}, unreachableError(incarnation, err)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -12,6 +12,7 @@
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/relay"
 )
 
@@ -40,6 +41,8 @@
 	if ct := r.Header.Get("Content-Type"); ct != "" {
 		header.Set("Content-Type", ct)
 	}
+	hold := g.Memory.Open(memory.Response)
+	defer hold.Close()
 	resp, _, err := g.Relay.Call(r.Context(), relay.ServiceRequest{
 		RequestID: c.id,
 		Customer:  c.customerName,
@@ -47,10 +50,12 @@
 		Path:      path,
 		Header:    header,
 		Body:      c.body,
+		Hold:      hold,
 	}, (&servicePicker{g: g, call: c, service: name, group: spec.Group}).pick)
 	if err != nil {
 		return err
 	}
+	c.releaseBody()
 	if ct := resp.Header.Get("Content-Type"); ct != "" {
 		w.Header().Set("Content-Type", ct)
 	}
--- a/internal/peer/owners.go
+++ b/internal/peer/owners.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hickorystage/hickorystage/internal/action"
+	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/failure"
 )
 
@@ -148,7 +149,11 @@
 
 func (s *Server) serveOwnerRequest(serve func(context.Context, OwnerRequest) OwnerResponse) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		body, _, ok := s.readVerified(w, r, MaxForwardBytes)
+		hold, body, _, ok := s.readCharged(w, r, func(err error) {
+			refusal := action.WithUnknownOutcome(bodyread.Refusal(err))
+			writeJSON(w, OwnerResponse{Refusal: NewRefusalMessage(refusal)})
+		})
+		defer hold.Close()
 		if !ok {
 			return
 		}
@@ -183,7 +188,8 @@
 }
 
 func (s *Server) serveHandover(w http.ResponseWriter, r *http.Request) {
-	body, _, ok := s.readVerified(w, r, MaxForwardBytes)
+	hold, body, _, ok := s.readCharged(w, r, func(error) { w.WriteHeader(http.StatusServiceUnavailable) })
+	defer hold.Close()
 	if !ok {
 		return
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
 const testSecret = "a-secret-of-gateways"
@@ -18,7 +20,7 @@
 	var forwarded []Forward
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
-	server.Config.Handler = NewServer(NewSigner("server", secrets), address, Handlers{
+	server.Config.Handler = NewServer(NewSigner("server", secrets), address, memory.NewAccount(0), Handlers{
 		Exchange: func(m Exchange) Exchange {
 			return Exchange{From: GatewayStatus{ID: "server", HeartbeatSeq: m.From.HeartbeatSeq + 1}}
 		},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,7 +9,9 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/intent/revision"
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
@@ -30,6 +32,9 @@
 	Announce func([]datastore.PrefillAnnouncement)
 	// Owner handles requests about actions.
 	Owner OwnerHandlers
+	// RefuseForward answers a forwarded request for whose body there was no memory, by a
+	// refusal that the forwarding gateway understands. err is the error of bodyread.Read.
+	RefuseForward func(w http.ResponseWriter, r *http.Request, err error)
 	// Forward handles a forwarded request. r has the path of the caller's
 	// request, and its body has been read into body.
 	Forward func(w http.ResponseWriter, r *http.Request, fwd Forward, sender string, body []byte)
@@ -40,13 +45,14 @@
 type Server struct {
 	signer   *Signer
 	address  string
+	memory   *memory.Account
 	handlers Handlers
 }
 
 // NewServer returns a server that accepts only requests whose signed target is
-// address.
-func NewServer(signer *Signer, address string, handlers Handlers) *Server {
-	return &Server{signer: signer, address: address, handlers: handlers}
+// address. Forwarded requests and actions are charged to account.
+func NewServer(signer *Signer, address string, account *memory.Account, handlers Handlers) *Server {
+	return &Server{signer: signer, address: address, memory: account, handlers: handlers}
 }
 
 // Handler returns the HTTP handler of the peer listener.
@@ -72,13 +78,43 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return nil, "", false
 	}
-	sender, err = s.signer.Verify(r, body)
+	sender, ok = s.verify(w, r, body)
+	return body, sender, ok
+}
+
+// readCharged is readVerified for bodies of up to MaxForwardBytes, which are charged to the
+// memory account. The caller must close the holder, also if false is returned. refuse
+// answers requests for whose body there is no memory.
+func (s *Server) readCharged(w http.ResponseWriter, r *http.Request, refuse func(err error)) (hold *memory.Holder, body []byte, sender string, ok bool) {
+	hold = s.memory.Open(memory.Forward)
+	bodyread.InterruptOnEvict(hold, w)
+	length := min(r.ContentLength, MaxForwardBytes)
+	body, err := bodyread.Read(hold, http.MaxBytesReader(w, r.Body, MaxForwardBytes), length)
+	if bodyread.Refusal(err) != nil {
+		if bodyread.IsEvicted(err) {
+			w.Header().Set("Connection", "close")
+		}
+		refuse(err)
+		return hold, nil, "", false
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return hold, nil, "", false
+	}
+	sender, ok = s.verify(w, r, body)
+	return hold, body, sender, ok
+}
+
+// verify checks the signature and the target of a request. If it returns false, it has sent
+// the response itself.
+func (s *Server) verify(w http.ResponseWriter, r *http.Request, body []byte) (sender string, ok bool) {
+	sender, err := s.signer.Verify(r, body)
 	if err != nil || r.Header.Get(HeaderTarget) != s.address {
 		authRefused.Inc()
 		w.WriteHeader(http.StatusUnauthorized)
-		return nil, "", false
+		return "", false
 	}
-	return body, sender, true
+	return sender, true
 }
 
 func (s *Server) serveExchange(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +175,8 @@
 }
 
 func (s *Server) serveForward(w http.ResponseWriter, r *http.Request) {
-	body, sender, ok := s.readVerified(w, r, MaxForwardBytes)
+	hold, body, sender, ok := s.readCharged(w, r, func(err error) { s.handlers.RefuseForward(w, r, err) })
+	defer hold.Close()
 	if !ok {
 		return
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
 // ServiceRequest is one idempotent call of an HTTP service that is not a model.
@@ -19,6 +22,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Hold is charged for the response; nil if nothing is to be charged.
+	Hold *memory.Holder
 }
 
 // ServiceResponse is the complete response of a service.
@@ -84,7 +89,7 @@
 	}
 	x.watchdog.arm(PhaseBody, c.relay.settings.ServiceBodyTimeout)
 	limit := c.relay.settings.MaxServiceBodyBytes
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := c.readResponse(resp, limit+1)
 	if err != nil {
 		return nil, &TruncatedError{Cause: err}
 	}
@@ -94,6 +99,21 @@
 	return &ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// readResponse reads at most limit bytes of a response's body. An attempt for whose response
+// there is no memory fails, since the caller can't be sent a part of it.
+func (c *serviceCall) readResponse(resp *http.Response, limit int64) ([]byte, error) {
+	r := io.LimitReader(resp.Body, limit)
+	if c.req.Hold == nil {
+		return io.ReadAll(r)
+	}
+	c.req.Hold.Release(math.MaxInt64) // What an earlier attempt has left.
+	body, err := bodyread.Read(c.req.Hold, r, min(resp.ContentLength, limit))
+	if msg, keyvals, ok := bodyread.LogFields(err); ok {
+		c.relay.settings.Logger.Info(msg, append([]any{"request", c.req.RequestID}, keyvals...)...)
+	}
+	return body, err
+}
+
 // nopSink is the sink of service calls, whose responses are returned to the
 // caller of Call rather than streamed.
 type nopSink struct{}
--- a/internal/relay/chatstream.go
+++ b/internal/relay/chatstream.go
@@ -161,9 +161,32 @@
 		s.notResumable = &NotResumableError{Reason: "it is longer than the resume limit"}
 	default:
 		s.sentText = append(s.sentText, c.Content...)
+		s.chargeText()
 	}
 	if s.notResumable != nil {
 		s.sentText = nil
+		s.releaseText()
+	}
+}
+
+// chargeText charges what sentText has grown by. Without the memory for it the response
+// can't be resumed.
+func (s *requestState) chargeText() {
+	grown := cap(s.sentText) - s.chargedText
+	if s.req.Hold == nil || grown <= 0 {
+		return
+	}
+	if err := s.req.Hold.Reserve(int64(grown)); err != nil {
+		s.notResumable = &NotResumableError{Reason: "there is no memory to keep it"}
+		return
+	}
+	s.chargedText += grown
+}
+
+func (s *requestState) releaseText() {
+	if s.chargedText > 0 {
+		s.req.Hold.Release(int64(s.chargedText))
+		s.chargedText = 0
 	}
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -26,6 +26,8 @@
 	// sentText is the text that the caller has received, kept for resuming the
 	// response.
 	sentText []byte
+	// chargedText is the number of bytes that sentText has been charged for.
+	chargedText int
 	// lastChunk is the JSON of the last chunk, held back until the end marker
 	// has arrived.
 	lastChunk []byte
--- a/internal/relay/sink.go
+++ b/internal/relay/sink.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
 // Sink writes a response to the caller. Its methods are called on the request's
@@ -166,6 +167,10 @@
 	content      bytes.Buffer
 	finishReason string
 	started      bool
+	// hold is charged for content and the document, nil if nothing is charged; charged
+	// is what content has been charged for.
+	hold    *memory.Holder
+	charged int
 }
 
 // NewJSONSink returns a sink that writes to w. The document states requestID as
@@ -174,12 +179,24 @@
 	return &JSONSink{w: w, requestID: requestID, model: model, created: created}
 }
 
+// ChargeTo sets the holder that is charged for the response.
+func (s *JSONSink) ChargeTo(hold *memory.Holder) { s.hold = hold }
+
+// charge charges n bytes of the response, which is delivered also if the memory is short.
+func (s *JSONSink) charge(n int) {
+	if s.hold != nil && n > 0 {
+		s.hold.Charge(int64(n))
+	}
+}
+
 // Start implements Sink.
 func (s *JSONSink) Start() error { return nil }
 
 // Chunk implements Sink.
 func (s *JSONSink) Chunk(c *Chunk, _ bool) error {
 	s.content.WriteString(c.Content)
+	s.charge(s.content.Cap() - s.charged)
+	s.charged = s.content.Cap()
 	if c.FinishReason != "" {
 		s.finishReason = c.FinishReason
 	}
@@ -202,6 +219,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode chat completion")
 	}
+	s.charge(len(body))
 	s.started = true
 	err = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(DefaultWriteTimeout))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
 // Headers of each request to an endpoint. The response must carry the
@@ -64,6 +65,8 @@
 	// Resume is set if a gateway of another region requests the rest of a
 	// response whose beginning has already reached the caller.
 	Resume *Resume
+	// Hold is charged for what is kept of the response; nil if nothing is to be charged.
+	Hold *memory.Holder
 }
 
 // Resume requests the rest of a response, from the token with the number
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// optionalSizeOption is sizeOption for a setting that may be empty, which is stored as 0.
+func optionalSizeOption(dst *int64) func(string) string {
+	return func(s string) string {
+		if s == "" {
+			return ""
+		}
+		return sizeOption(dst)(s)
+	}
+}
+
 func gatewayOptions(g *Gateway) []option {
 	return []option{
 		{"id", "", "name of this instance, unique in the fleet", stringOption(&g.ID)},
@@ -98,6 +108,7 @@
 		{"log-level", "info", "debug, info, warn or error", stringOption(&g.LogLevel)},
 		{"trace-file", "", "file that trace spans are written to, as JSON lines", stringOption(&g.TraceFile)},
 		{"max-body", "1048576", "maximum size of a request body, in bytes", sizeOption(&g.MaxBodyBytes)},
+		{"memory-limit", "", "memory that the process may use, in bytes; default: that of the machine", optionalSizeOption(&g.MemoryLimit)},
 		{"header-timeout", "5s", "maximum time to read a request's headers", durationOption(&g.HeaderTimeout)},
 		{"body-timeout", "15s", "maximum time to read a request's body", durationOption(&g.BodyTimeout)},
 		{"drain-timeout", "60s", "maximum duration of a graceful shutdown", durationOption(&g.DrainTimeout)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,9 @@
 
 	// MaxBodyBytes is the maximum size of a caller's request body.
 	MaxBodyBytes int64
+	// MemoryLimit is the memory in bytes that the process may use. 0 stands for that of
+	// the machine.
+	MemoryLimit int64
 	// HeaderTimeout is the maximum time to read a request's headers,
 	// BodyTimeout to read its body.
 	HeaderTimeout time.Duration
