Accounts in the configuration of routes

Routes had no client accounts: keys were passed to endpoints and nobody checked them. Nothing uses the accounts yet; the session has a field for one.

--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hickorystage/hickorystage/internal/account"
 	"github.com/hickorystage/hickorystage/internal/backoff"
 	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/endpointload"
@@ -32,9 +33,12 @@
 	// computed from the time left until the latency objective.
 	arrived time.Time
 
-	table    *route.Table
-	route    *route.Route
-	service  *route.Service
+	table   *route.Table
+	route   *route.Route
+	service *route.Service
+	// account is the owner of the request's key; nil if the configuration has no accounts,
+	// and for requests without a known key on public routes.
+	account  *account.Account
 	req      httpmeta.Request
 	deadline time.Time
 	// forwarded is set if a gateway of another region forwarded the request, nil
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorystage/hickorystage/internal/account"
 )
 
 // RequestKind classifies requests by whether they may be executed more than
@@ -77,6 +79,8 @@
 	// HomeRegions lists the regions that may process the requests. If it is
 	// empty, all regions may.
 	HomeRegions []string
+	// Public reports whether requests need no key where the table has accounts.
+	Public bool
 }
 
 // IsIdempotent reports whether a request may be executed more than once.
@@ -151,13 +155,16 @@
 	// Services maps names to services.
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts are the client accounts; nil if there are none, in which case no request
+	// needs a key.
+	Accounts *account.Index
 	// Raw is the configuration as operators wrote it.
 	Raw []byte
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost map[string][]*Route
 }
 
-// NewTable returns a table. It leaves Raw unset.
+// NewTable returns a table. It leaves Accounts and Raw unset.
 func NewTable(version uint64, routes []*Route, services []*Service, limits Limits) *Table {
 	t := &Table{
 		Version:  version,
