Check client accounts on routes

Keys were passed to endpoints and nobody checked them. Where the configuration has accounts, a request now needs a known key unless its route is public, and gets 401 otherwise. The key is removed from the request before anything else sees it; endpoints get the account's name instead. The account's priority takes precedence over the route's, and the homes of both bind: at the gateway that places a request, at the receiver of a forward and in the directory's choice of a region. A forward carries the account's name and the digest of the key, which a receiver with the same or a newer configuration checks.

Callers' values of the headers between gateways are removed. An endpoint's X-Gateway-Outcome header is dropped: a forwarding gateway took it for a refusal by the other gateway.

The chat half finds customers through the same index.

Counters by account are bounded at 64 accounts. internal/freshness decides whether the configuration is proved recent enough; nothing feeds it yet, and the settings that ask for it are not read yet.

--- a/internal/account/index.go
+++ b/internal/account/index.go
@@ -69,6 +69,20 @@
 	return len(x.byName)
 }
 
+// CountPermitted returns the number of accounts whose requests the region may process.
+func (x *Index) CountPermitted(region string) int {
+	if x == nil {
+		return 0
+	}
+	n := 0
+	for _, a := range x.byName {
+		if a.Permits(region) {
+			n++
+		}
+	}
+	return n
+}
+
 // ByKey returns the account that a key belongs to. ok is false for an unknown key.
 func (x *Index) ByKey(key string) (a *Account, ok bool) {
 	if x == nil || key == "" || len(key) > MaxKeyBytes {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -103,7 +103,7 @@
 
 func (a *attempt) loadJob(d placement.Decision) endpointload.Job {
 	j := endpointload.Job{
-		Service: a.service.Name, CachedTokens: d.Candidate.CachedTokens, Priority: a.route.Priority,
+		Service: a.service.Name, CachedTokens: d.Candidate.CachedTokens, Priority: a.priority(),
 		Segments: a.segments, SharedPrefix: a.sharedPrefix, Forwarded: a.gateway != nil,
 	}
 	if p := a.req.Prompt; p != nil {
@@ -233,7 +233,8 @@
 	a.edge.Codec.WriteAttempt(header, httpmeta.Attempt{
 		EndpointID:  a.endpoint.ID,
 		Remaining:   time.Until(a.deadline),
-		Priority:    min(a.route.Priority, lowestPriority),
+		Priority:    min(a.priority(), lowestPriority),
+		Account:     a.accountName(),
 		LastEventID: a.resumeEventID(),
 	})
 	a.sentAt = time.Now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,7 +70,9 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
-	Logger *log.Logger
+	// Freshness is used only where the settings ask for strict revocation.
+	Freshness Freshness
+	Logger    *log.Logger
 }
 
 // Edge serves the requests of callers and those forwarded by other gateways. It
@@ -139,6 +141,9 @@
 // the whole body. The session is valid for refusing the request even when the
 // error is not nil.
 func (e *Edge) openSession(w http.ResponseWriter, r *http.Request, arrived time.Time) (*session, error) {
+	// Callers can't set what gateways tell each other.
+	r.Header.Del(headerForward)
+	r.Header.Del(headerOutcome)
 	s := e.newSession(w, r, arrived)
 	if err := s.match(r); err != nil {
 		return s, err
@@ -153,6 +158,9 @@
 // match sets the route and the service of the request. The error is a
 // *failure.Refusal.
 func (s *session) match(r *http.Request) error {
+	// The proof is read before the configuration, which may become newer in between but
+	// not older.
+	isCurrent := s.edge.isProvedCurrent()
 	table := s.edge.Board.Routes.Get()
 	if table == nil {
 		return failure.Refuse(failure.CodeNotReady, "the gateway has no configuration yet").WithRetryAfter(notReadyRetryDelay)
@@ -162,6 +170,9 @@
 	if s.route == nil {
 		return failure.Refuse(failure.CodeNotFound, "no route matches the request")
 	}
+	if err := s.identify(isCurrent); err != nil {
+		return err
+	}
 	if s.req.AttemptID == "" {
 		return failure.Refuse(failure.CodeBadRequest, "the request has no attempt id")
 	}
@@ -257,9 +268,13 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if r.Code == failure.CodeUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if s.forwarded != nil {
 		h.Set(headerOutcome, string(r.Outcome))
 	}
-	s.log("refused", "code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
+	s.countAccountRefusal()
+	s.log("refused", "code", r.Code, "outcome", r.Outcome, "account", s.accountName(), "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
 	s.writer.WriteHeader(r.Status())
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -34,6 +34,10 @@
 	ObjectiveMillis int64 `json:"objective_ms"`
 	// LastEventID is the event after which a broken stream resumes; empty otherwise.
 	LastEventID string `json:"last_event,omitempty"`
+	// Account is the name of the caller's account and KeyDigest the hex digest of its
+	// key. They are empty if the request has no account.
+	Account   string `json:"account,omitempty"`
+	KeyDigest string `json:"key,omitempty"`
 }
 
 // writeForwardHeader marks the request as forwarded.
@@ -47,6 +51,9 @@
 		ObjectiveMillis: a.arrived.Add(a.route.Objective).Sub(now).Milliseconds(),
 		LastEventID:     a.resumeEventID(),
 	}
+	if info.Account = a.accountName(); info.Account != "" {
+		info.KeyDigest = a.keyDigest.String()
+	}
 	value, err := json.Marshal(info)
 	if err != nil {
 		a.edge.Logger.Error("cannot encode the forward header", "err", err)
@@ -62,6 +69,9 @@
 	reported := failure.Outcome(resp.Header.Get(headerOutcome))
 	a.log("refused_there", "gateway", a.gateway.ID, "region", a.endpoint.Region, "outcome", reported, "status", resp.StatusCode)
 	a.tried[regionKey(a.endpoint.Region)] = true
+	if reported == failure.NotRun && resp.StatusCode == http.StatusUnauthorized {
+		return outcome{refusal: failure.Refuse(failure.CodeUnauthorized, "the key is unknown to a gateway with a newer configuration")}, endpointload.Shed
+	}
 	if reported == failure.NotRun {
 		retryAfter, _ := httpmeta.RetryAfter(resp.Header)
 		refusal := failure.Refuse(failure.CodeOverloaded, "refused by a gateway of another region").
@@ -120,8 +130,8 @@
 	if err := s.match(r); err != nil {
 		return s, err
 	}
-	if !s.route.Permits(e.Gateways.Self().Region) {
-		return s, failure.Refuse(failure.CodeResidencyNotPermitted, "the route may not be processed in this region")
+	if !s.permits(e.Gateways.Self().Region) {
+		return s, failure.Refuse(failure.CodeResidencyNotPermitted, "the request may not be processed in this region")
 	}
 	if s.service.Name != info.Service {
 		if info.Version < s.table.Version {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -43,6 +43,9 @@
 	headerLastID    = "Last-Event-Id"
 	headerInstance  = "X-Instance"
 	headerCold      = "X-Cold-Ms"
+	headerKey       = "X-Key"
+	headerAccount   = "X-Account"
+	headerUrgency   = "X-Urgency"
 )
 
 // testCodec implements httpmeta.HeaderCodec.
@@ -50,7 +53,7 @@
 
 func (testCodec) ReadRequest(h http.Header) httpmeta.Request {
 	ms, _ := strconv.Atoi(h.Get(headerTimeout))
-	r := httpmeta.Request{AttemptID: h.Get(headerID), Timeout: time.Duration(ms) * time.Millisecond}
+	r := httpmeta.Request{AttemptID: h.Get(headerID), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get(headerKey)}
 	if n, err := strconv.Atoi(h.Get(headerPrompt)); err == nil {
 		r.Prompt = &httpmeta.PromptInfo{Model: "m", Tokens: n, MaxOutputTokens: 10, Segments: []httpmeta.PromptSegment{{ID: "a", Tokens: n / 2}, {ID: "b", Tokens: n / 2}}}
 	}
@@ -66,6 +69,10 @@
 func (testCodec) WriteAttempt(h http.Header, a httpmeta.Attempt) {
 	h.Set(headerExpect, a.EndpointID)
 	h.Set(headerRemaining, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	h.Set(headerUrgency, strconv.Itoa(a.Priority))
+	if a.Account != "" {
+		h.Set(headerAccount, a.Account)
+	}
 	if a.LastEventID != "" {
 		h.Set(headerLastID, a.LastEventID)
 	}
@@ -79,6 +86,11 @@
 	}
 }
 
+func (testCodec) RemoveAccount(h http.Header) {
+	h.Del(headerKey)
+	h.Del(headerAccount)
+}
+
 func (testCodec) StripResponseHeader(h http.Header) { h.Del(headerNotRun) }
 
 // receivedRequest is a request as an endpoint received it.
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -80,7 +80,7 @@
 // placementRequest returns what placement has to know of the request.
 func (s *session) placementRequest(now time.Time) placement.Request {
 	r := placement.Request{
-		Priority:        s.route.Priority,
+		Priority:        s.priority(),
 		TimeToObjective: s.arrived.Add(s.route.Objective).Sub(now),
 		TimeToDeadline:  s.deadline.Sub(now),
 		StaleView:       !s.edge.Gateways.IsFullMesh(),
@@ -139,7 +139,7 @@
 	best := -1
 	s.heldBack, s.soonestReturn = nil, 0
 	for _, view := range e.Registry.Usable(s.service.Name, e.heartbeatInterval(), now) {
-		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.route.Permits(view.Region) {
+		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.permits(view.Region) {
 			continue
 		}
 		remote := view.Region != local
@@ -211,7 +211,7 @@
 func (s *session) loadQuery(view fleet.EndpointView, remote bool) endpointload.Query {
 	q := endpointload.Query{
 		ID: view.ID, Incarnation: view.Incarnation, Service: view.Service, Segments: s.segments,
-		Priority: s.route.Priority, Slots: view.Slots, Remote: remote, MaxReportAge: remoteReportMaxAge,
+		Priority: s.priority(), Slots: view.Slots, Remote: remote, MaxReportAge: remoteReportMaxAge,
 	}
 	if s.service.Engine != nil {
 		q.KVCapacity = s.service.Engine.CacheTokens
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -38,7 +38,12 @@
 	service *route.Service
 	// account is the owner of the request's key; nil if the configuration has no accounts,
 	// and for requests without a known key on public routes.
-	account  *account.Account
+	account *account.Account
+	// keyDigest is the digest of the request's key, set if account is.
+	keyDigest account.Digest
+	// unproved is set if account isn't named to others, since its key may have been taken
+	// away. This happens on public routes only.
+	unproved bool
 	req      httpmeta.Request
 	deadline time.Time
 	// forwarded is set if a gateway of another region forwarded the request, nil
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -205,6 +205,8 @@
 	}
 	httpmeta.StripHopByHop(h)
 	a.edge.Codec.StripResponseHeader(h)
+	// Only a gateway may set it, on a response that it makes itself.
+	h.Del(headerOutcome)
 	if _, ok := h["Content-Type"]; !ok {
 		// Keeps net/http from sniffing a content type.
 		h["Content-Type"] = nil
--- a/internal/edgeserver/docs_test.go
+++ b/internal/edgeserver/docs_test.go
@@ -22,4 +22,8 @@
 		row := fmt.Sprintf("| `%s` | %s | %s |", c.Name, c.Unit, strings.TrimSuffix(c.Help, "."))
 		require.Contains(t, string(raw), row)
 	}
+	for _, f := range telemetry.CounterFamilies() {
+		row := fmt.Sprintf("| `%s` | %s | %s |", f.Name, f.Unit, strings.TrimSuffix(f.Help, "."))
+		require.Contains(t, string(raw), row)
+	}
 }
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -29,6 +29,8 @@
 	CodeBadRequest            Code = "bad_request"
 	CodeBodyTooLarge          Code = "body_too_large"
 	CodeUnauthenticated       Code = "unauthenticated"
+	CodeUnauthorized          Code = "unauthorized"
+	CodeRevocationUnknown     Code = "revocation_unknown"
 	CodeForbidden             Code = "forbidden"
 	CodeUnknownModel          Code = "unknown_model"
 	CodeUnknownService        Code = "unknown_service"
@@ -58,6 +60,8 @@
 	CodeBadRequest:            http.StatusBadRequest,
 	CodeBodyTooLarge:          http.StatusRequestEntityTooLarge,
 	CodeUnauthenticated:       http.StatusUnauthorized,
+	CodeUnauthorized:          http.StatusUnauthorized,
+	CodeRevocationUnknown:     http.StatusServiceUnavailable,
 	CodeForbidden:             http.StatusForbidden,
 	CodeUnknownModel:          http.StatusNotFound,
 	CodeUnknownService:        http.StatusNotFound,
--- a/internal/httpmeta/httpmeta.go
+++ b/internal/httpmeta/httpmeta.go
@@ -18,6 +18,8 @@
 	// LastEventID is the id of the last event that a caller received of a
 	// broken stream which it wants to continue; empty for other requests.
 	LastEventID string
+	// Key is the key of the caller's account; empty if the request has none.
+	Key string
 	// Prompt is nil for requests without a model.
 	Prompt *PromptInfo
 }
@@ -53,6 +55,8 @@
 	Remaining time.Duration
 	// Priority orders the requests of a service; 0 is the highest.
 	Priority int
+	// Account is the name of the caller's account. If it is empty, no name is written.
+	Account string
 	// LastEventID replaces the caller's value when the gateway resumes a
 	// stream. If it is empty, the caller's value is kept.
 	LastEventID string
@@ -102,6 +106,9 @@
 	// the request to an endpoint: it removes the headers that callers may not
 	// set and writes those of the attempt.
 	WriteAttempt(h http.Header, a Attempt)
+	// RemoveAccount removes the key and the account's name from the header of a
+	// caller's request.
+	RemoveAccount(h http.Header)
 	// ReadResponse reads the header of an endpoint's response.
 	ReadResponse(h http.Header) Response
 	// StripResponseHeader removes the headers of an endpoint's response that
--- a/internal/intent/index.go
+++ b/internal/intent/index.go
@@ -1,22 +1,17 @@
 package intent
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/binary"
-	"encoding/hex"
 	"strings"
-)
 
-// MaxAPIKeyBytes is the maximum length of an API key in bytes. Longer keys are
-// treated as unknown without being hashed.
-const MaxAPIKeyBytes = 512
+	"github.com/hickorystage/hickorystage/internal/account"
+)
 
 // index holds lookup tables for the request path, built once after a parse.
 type index struct {
-	// apiKeys maps the first eight bytes of a key's hash to all entries that
-	// share them.
-	apiKeys map[uint64][]apiKeyEntry
+	// accounts finds the account of a customer by key. customers holds the customers by
+	// name.
+	accounts  *account.Index
+	customers map[string]*Customer
 	// permittedRegions maps customers to the regions in which their data may be
 	// processed.
 	permittedRegions map[string]map[string]bool
@@ -26,24 +21,23 @@
 	links      map[regionPair]Link
 }
 
-type apiKeyEntry struct {
-	hash     [sha256.Size]byte
-	name     string
-	customer *Customer
-}
-
 type regionPair struct{ a, b string }
 
 func newIndex(in *Intent) *index {
 	x := &index{
-		apiKeys:          make(map[uint64][]apiKeyEntry),
+		customers:        make(map[string]*Customer, len(in.Customers)),
 		permittedRegions: make(map[string]map[string]bool, len(in.Customers)),
 		regionSets:       make(map[string]map[string]bool),
 		links:            make(map[regionPair]Link),
 	}
+	accounts := make([]*account.Account, 0, len(in.Customers))
 	for name, c := range in.Customers {
-		x.addCustomer(name, &c)
+		x.customers[name] = &c
+		x.permittedRegions[name] = x.regionSet(c.Residency)
+		accounts = append(accounts, c.account(name))
 	}
+	// Validation has rejected keys of more than one customer.
+	x.accounts, _ = account.NewIndex(accounts)
 	for a := range in.Regions {
 		for b := range in.Regions {
 			if a < b {
@@ -54,16 +48,15 @@
 	return x
 }
 
-func (x *index) addCustomer(name string, c *Customer) {
+// account returns the customer's account.
+func (c *Customer) account(name string) *account.Account {
+	a := &account.Account{Name: name, Priority: &c.Priority, HomeRegions: c.Residency}
 	for _, keyHash := range c.KeyHashes {
-		e := apiKeyEntry{name: name, customer: c}
-		if _, err := hex.Decode(e.hash[:], []byte(keyHash)); err != nil {
-			continue
+		if digest, ok := account.ParseDigest(keyHash); ok {
+			a.Keys = append(a.Keys, digest)
 		}
-		bucket := binary.BigEndian.Uint64(e.hash[:])
-		x.apiKeys[bucket] = append(x.apiKeys[bucket], e)
 	}
-	x.permittedRegions[name] = x.regionSet(c.Residency)
+	return a
 }
 
 // regionSet returns the regions as a set. Equal lists share one set, which saves
@@ -105,18 +98,14 @@
 // CustomerByAPIKey returns the customer that the API key belongs to. Hashes are
 // compared in constant time. ok is false for an unknown key.
 func (in *Intent) CustomerByAPIKey(key string) (name string, c *Customer, ok bool) {
-	if in.index == nil || key == "" || len(key) > MaxAPIKeyBytes {
+	if in.index == nil {
 		return "", nil, false
 	}
-	hash := sha256.Sum256([]byte(key))
-	bucket := in.index.apiKeys[binary.BigEndian.Uint64(hash[:])]
-	for i := range bucket {
-		e := &bucket[i]
-		if subtle.ConstantTimeCompare(e.hash[:], hash[:]) == 1 {
-			return e.name, e.customer, true
-		}
+	a, ok := in.index.accounts.ByKey(key)
+	if !ok {
+		return "", nil, false
 	}
-	return "", nil, false
+	return a.Name, in.index.customers[a.Name], true
 }
 
 // PermittedRegions returns the regions in which the customer's data may be
@@ -141,7 +130,4 @@
 }
 
 // HashAPIKey returns the hex SHA-256 hash of an API key, the form used in key_hashes.
-func HashAPIKey(key string) string {
-	hash := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(hash[:])
-}
+func HashAPIKey(key string) string { return account.DigestOf(key).String() }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -195,12 +195,19 @@
 }
 
 // CountPermitted returns the number of the host's routes whose requests the
-// region may process.
+// region may process. If there are accounts, it counts each route once for each
+// account that permits the region too, public routes for all accounts.
 func (t *Table) CountPermitted(host, region string) int {
 	n := 0
 	for _, r := range t.byHost[normalizeHost(host)] {
-		if r.Permits(region) {
+		switch {
+		case !r.Permits(region):
+		case t.Accounts == nil:
 			n++
+		case r.Public:
+			n += t.Accounts.Len()
+		default:
+			n += t.Accounts.CountPermitted(region)
 		}
 	}
 	return n
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -80,4 +80,9 @@
 	// MaxEventDelay is the longest time that a gateway may delay an event of a
 	// stream.
 	MaxEventDelay time.Duration
+	// RevokeStrict is set if a request must not run that was sent later than Revocation
+	// after the store acknowledged a configuration that took its key away. Revocation is
+	// positive.
+	RevokeStrict bool
+	Revocation   time.Duration
 }
--- a/internal/telemetry/exposition.go
+++ b/internal/telemetry/exposition.go
@@ -17,6 +17,11 @@
 			return err
 		}
 	}
+	for _, f := range CounterFamilies() {
+		if err := f.write(w); err != nil {
+			return err
+		}
+	}
 	var lines []string
 	histograms.Range(func(name, value any) bool {
 		q := value.(*Histogram).Quantiles()
