Prove that the configuration is current before keys are trusted

A gateway that was cut off or frozen went on serving with keys that had been taken away for as long as it liked. Where the settings ask for strict revocation (bounds.revoke-strict, bounds.revoke-ms) and the configuration has accounts, requests with keys are now refused with 503 (revocation_unknown) while the proof that the configuration is current is older than the bound. Public routes go on.

A proof dates from the start of the call that brought it, by CLOCK_BOOTTIME. The store reader of a region has it from its watches, which are a tenth of the bound long then. The others ask it for its age by a datagram each 400 ms, then the second hub, and read op/config themselves from 0.6 to 0.7 of the bound on. After a restore of the store, calls to it count once operators have had 3 s to write again; the earlier proof lasts meanwhile. Without strict revocation or without accounts no message is sent and the calls of the store reader don't change.

Counting an answer from its arrival fails TestFrozenGatewaysWakeWithWaitingDatagrams and TestRandomFaults; taking any version's proof fails TestNewerVersionsProveNothing; not waiting after a restore fails TestARestoreLosesAVersion; no reads of its own fail TestShortCutsAreBridged and TestOneWayLoss.

Tests of configproof, grants, routesync, freshness and telemetry pass with -race, those of edgeserver on keys 3 times.

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -7,6 +7,9 @@
 //
 // The gateways of a region of any size also ask coordinators for permits to send requests
 // to endpoints that name a limit. A gateway that gets no response sends none.
+//
+// Where the settings ask for strict revocation, they also ask each other how old the proof
+// is that their configuration is current.
 package grants
 
 import (
@@ -66,6 +69,7 @@
 type Controller struct {
 	conn        net.PacketConn
 	coordinator Coordinator
+	prover      Prover
 	logger      *log.Logger
 
 	mu sync.Mutex
@@ -116,7 +120,9 @@
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
-	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
+	case m.ProofRequest != nil:
+		c.answerProof(m, from)
+	case (m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil) && c.deliver(m):
 	default:
 		malformed.Inc()
 	}
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -87,6 +87,8 @@
 	Response       *Response       `json:"a,omitempty"`
 	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
 	PermitResponse *PermitResponse `json:"pa,omitempty"`
+	ProofRequest   *ProofRequest   `json:"fq,omitempty"`
+	ProofResponse  *ProofResponse  `json:"fa,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -17,6 +17,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/freshness"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/store"
@@ -31,9 +32,13 @@
 	watchWait = time.Second
 	// retryWait is the delay after a failed call.
 	retryWait = 250 * time.Millisecond
-	// rewriteTime is how long after a restore of the store an evacuation that it no longer
+	// RewriteTime is how long after a restore of the store an evacuation that it no longer
 	// holds stays in force: operators write again what the older copy lacks.
-	rewriteTime = 3 * time.Second
+	RewriteTime = 3 * time.Second
+	// watchesPerRevocation is the number of watches within the bound of revocations. A watch
+	// proves what it returns as of its start, so that the proof of a store reader is up to
+	// two waits old, a fifth of the bound.
+	watchesPerRevocation = 10
 )
 
 var (
@@ -63,6 +68,8 @@
 	// next. It waits for at most wait if there are none. The error is a
 	// *store.CompactedError if the store no longer has the changes.
 	Watch(ctx context.Context, after store.Revision, wait time.Duration) ([]Change, store.Revision, error)
+	// ReadConfig returns the configuration alone, and the revision at which it was read.
+	ReadConfig(ctx context.Context) ([]Change, store.Revision, error)
 	// Decode decodes a configuration fetched from another gateway.
 	Decode(raw []byte) (*route.Table, error)
 }
@@ -77,7 +84,10 @@
 	// StartupWait is how long to wait at the start for the store status of a peer
 	// before the store is read.
 	StartupWait time.Duration
-	Logger      *log.Logger
+	// Proofs takes in that the store answered, by Clock.
+	Proofs *freshness.Tracker
+	Clock  freshness.Clock
+	Logger *log.Logger
 }
 
 // Controller keeps the configuration and evacuations of the blackboard up to date.
@@ -216,7 +226,8 @@
 
 // watch waits for changes in the store and applies them.
 func (c *Controller) watch(ctx context.Context) error {
-	changes, revision, err := c.Source.Watch(ctx, c.watchFrom, watchWait)
+	startedAt := c.Clock.Now()
+	changes, revision, err := c.Source.Watch(ctx, c.watchFrom, c.watchWait(time.Now()))
 	if err != nil {
 		// A read of everything includes whatever the watch missed.
 		c.watchFrom = store.Revision{}
@@ -233,12 +244,13 @@
 	for _, change := range changes {
 		c.apply(change)
 	}
+	c.prove(revision, startedAt)
 	c.Board.EvacuatedKnownAt.Set(time.Now())
 	return nil
 }
 
 func (c *Controller) readAll(ctx context.Context) error {
-	startedAt := time.Now()
+	startedAt, proofStartedAt := time.Now(), c.Clock.Now()
 	changes, revision, err := c.Source.Read(ctx)
 	if err != nil {
 		return err
@@ -260,6 +272,7 @@
 		}
 		c.apply(change)
 	}
+	c.prove(revision, proofStartedAt)
 	c.setEvacuated(evacuated, startedAt)
 	return nil
 }
@@ -269,8 +282,10 @@
 	if era <= c.era {
 		return
 	}
+	// This precedes rewrittenAt, so that the read that is due then counts as a proof.
+	c.Proofs.ObserveEra(era, c.Clock.Now())
 	if c.era != 0 {
-		c.rewrittenAt = time.Now().Add(rewriteTime)
+		c.rewrittenAt = time.Now().Add(RewriteTime)
 		c.Logger.Warn("store was restored from an older copy", "era", era, "before", c.era)
 	}
 	c.era = era
--- a/internal/controller/routesync/routesync_test.go
+++ b/internal/controller/routesync/routesync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/freshness"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/settings"
@@ -133,11 +135,21 @@
 	}
 }
 
+func (s *fakeSource) ReadConfig(ctx context.Context) ([]Change, store.Revision, error) {
+	changes, revision, err := s.Read(ctx)
+	return slices.DeleteFunc(changes, func(c Change) bool { return c.Routes == nil }), revision, err
+}
+
 func (s *fakeSource) Decode(raw []byte) (*route.Table, error) {
 	n, err := strconv.ParseUint(string(raw), 10, 64)
 	return table(n), err
 }
 
+// sinceClock is a freshness.Clock that starts at a time.
+type sinceClock struct{ start time.Time }
+
+func (c sinceClock) Now() freshness.Instant { return freshness.Instant(time.Since(c.start)) }
+
 func newController(t adoptions.Reporter, s Source) *Controller {
 	return New(Config{
 		Board:       blackboard.NewEdge(&settings.PlatformSettings{}),
@@ -145,6 +157,8 @@
 		StoreStatus: fleet.NewLatestStoreStatus(),
 		Source:      s,
 		Client:      peerfetch.NewClient(nil),
+		Proofs:      freshness.NewTracker(RewriteTime),
+		Clock:       sinceClock{time.Now()},
 		Logger:      log.New(adoptions.Watch(t, "gateway", io.Discard)),
 	})
 }
--- a/internal/edge/accounts.go
+++ b/internal/edge/accounts.go
@@ -150,9 +150,10 @@
 	return s.account.Name
 }
 
-// countAccountRefusal counts a request of a caller that gets an error.
+// countAccountRefusal counts a request of an account that gets an error, at the gateway
+// that the caller connected to.
 func (s *session) countAccountRefusal() {
-	if s.account != nil && s.forwarded == nil {
+	if s.forwarded == nil {
 		accountRefusals.Inc(s.account.Name)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -274,7 +274,11 @@
 	if s.forwarded != nil {
 		h.Set(headerOutcome, string(r.Outcome))
 	}
-	s.countAccountRefusal()
-	s.log("refused", "code", r.Code, "outcome", r.Outcome, "account", s.accountName(), "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
+	fields := []any{"code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r}
+	if s.account != nil {
+		s.countAccountRefusal()
+		fields = append(fields, "account", s.account.Name)
+	}
+	s.log("refused", fields...)
 	s.writer.WriteHeader(r.Status())
 }
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/budget"
 	"github.com/hickorystage/hickorystage/internal/controller"
+	"github.com/hickorystage/hickorystage/internal/controller/configproof"
 	"github.com/hickorystage/hickorystage/internal/controller/discovery"
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/controller/heartbeat"
@@ -32,6 +33,7 @@
 	"github.com/hickorystage/hickorystage/internal/edge"
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/freshness"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
@@ -119,6 +121,7 @@
 	sockets.add(grantConn)
 	grantController := grants.New(grantConn, logger)
 	quarantined, limits := quarantine.New(), requestlimit.New()
+	clock, proofs := freshness.BootClock(), freshness.NewTracker(routesync.RewriteTime)
 	s.edge = edge.New(edge.Config{
 		Board:             s.board,
 		Registry:          s.registry,
@@ -133,15 +136,23 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
+	routeController := routesync.New(routesync.Config{
+		Board: s.board, Gateways: s.gateways, StoreStatus: latestStatus, Source: p.OperatorSource, Client: peerClient,
+		StartupWait: startupWait(site), Proofs: proofs, Clock: clock, Logger: logger,
+	})
+	proofController := configproof.New(configproof.Config{
+		Board: s.board, Gateways: s.gateways, Tracker: proofs, Clock: clock, Peers: grantController, Configs: routeController, Logger: logger,
+	})
+	grantController.SetProver(proofController)
 	s.controllers = []controller.Controller{
-		routesync.New(routesync.Config{
-			Board: s.board, Gateways: s.gateways, StoreStatus: latestStatus, Source: p.OperatorSource, Client: peerClient, StartupWait: startupWait(site), Logger: logger,
-		}),
+		routeController,
+		proofController,
 		discovery.New(discovery.Config{
 			Board: s.board, Registry: s.registry, Gateways: s.gateways, StoreStatus: latestStatus,
 			Source: p.EndpointSource, Client: peerClient, StartupWait: startupWait(site), OnRemoved: s.edge.Forget, Logger: logger,
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -70,16 +70,11 @@
 func (t *Tracker) Observe(o Observation, inForce uint64, now Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if o.Era > t.era {
-		if t.era != 0 {
-			t.restored, t.restoredAt = true, now
-		}
-		t.era = o.Era
-	}
+	t.observeEra(o.Era, now)
 	switch {
 	case inForce == 0 || o.Version > inForce || o.AsOf > now:
 		return false
-	case o.IsDirect && t.restored && o.Era == t.era && o.AsOf < t.restoredAt.Add(t.rewriteTime):
+	case o.IsDirect && o.Era == t.era && t.awaitsRewriting(o.AsOf):
 		return false
 	case !t.proved || o.AsOf > t.asOf:
 		t.proved, t.asOf = true, o.AsOf
@@ -87,6 +82,36 @@
 	return true
 }
 
+// ObserveEra takes in the era of the store, as Observe does; 0 if it isn't known.
+func (t *Tracker) ObserveEra(era uint64, now Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeEra(era, now)
+}
+
+func (t *Tracker) observeEra(era uint64, now Instant) {
+	if era <= t.era {
+		return
+	}
+	if t.era != 0 {
+		t.restored, t.restoredAt = true, now
+	}
+	t.era = era
+}
+
+// awaitsRewriting reports whether a call to the store that is started at a time proves
+// nothing, since the store was restored a moment before.
+func (t *Tracker) awaitsRewriting(at Instant) bool {
+	return t.restored && at < t.restoredAt.Add(t.rewriteTime)
+}
+
+// MayProve reports whether a call to the store that is started now can be a proof.
+func (t *Tracker) MayProve(now Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.awaitsRewriting(now)
+}
+
 // AsOf returns the time of the latest proof. ok is false if there is none.
 func (t *Tracker) AsOf() (asOf Instant, ok bool) {
 	t.mu.Lock()
