--- a/internal/controller/configproof/configproof_test.go
+++ b/internal/controller/configproof/configproof_test.go
@@ -159,6 +159,19 @@
 	}
 }
 
+// TestLossAndSlowStoreRefuseNothing loses three of ten datagrams and then slows the store
+// down by some hundreds of milliseconds.
+func TestLossAndSlowStoreRefuseNothing(t *testing.T) {
+	bubble(t, 15, func(t *testing.T, w *world) {
+		serveAll := func() { require.Equal(t, 15, w.check()) }
+		w.lostPerTen.Store(3)
+		w.pass(20*time.Second, serveAll)
+		w.storeDelay.Store(int64(350 * time.Millisecond))
+		w.pass(20*time.Second, serveAll)
+		require.Less(t, w.maxAge(), 4*time.Second)
+	})
+}
+
 // TestAGatewayCutFromAllStops guards against a gateway that serves on with a key that was
 // taken away.
 func TestAGatewayCutFromAllStops(t *testing.T) {
