--- a/internal/controller/gossip/unreadable_test.go
+++ b/internal/controller/gossip/unreadable_test.go
@@ -35,7 +35,7 @@
 	signer := peer.NewSigner(id, []string{secret})
 	g := &testGateway{board: board, address: address}
 	g.Controller = New(board, &damagedClient{signer: signer, damage: damage}, time.Second, nil, 1, log.New(io.Discard))
-	handler := peer.NewServer(signer, address, peer.Handlers{Exchange: g.HandleExchange}).Handler()
+	handler := peer.NewServer(signer, address, nil, peer.Handlers{Exchange: g.HandleExchange}).Handler()
 	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, r)
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -88,6 +88,8 @@
 	Response       *Response       `json:"a,omitempty" lenient:"parts"`
 	PermitRequest  *PermitRequest  `json:"pq,omitempty" lenient:"parts"`
 	PermitResponse *PermitResponse `json:"pa,omitempty" lenient:"parts"`
+	ProofRequest   *ProofRequest   `json:"fq,omitempty" lenient:"parts"`
+	ProofResponse  *ProofResponse  `json:"fa,omitempty" lenient:"parts"`
 	// Unreadable tells which parts of the request can't be read. Without a response the
 	// request is not decided.
 	Unreadable *lenient.Report `json:"bad,omitempty"`
@@ -97,7 +99,7 @@
 
 // isResponse reports whether the message is the response to a request.
 func (m message) isResponse() bool {
-	return m.Response != nil || m.PermitResponse != nil || m.Unreadable != nil || m.isDamaged
+	return m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil || m.Unreadable != nil || m.isDamaged
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/controller/grants/unreadable.go
+++ b/internal/controller/grants/unreadable.go
@@ -45,7 +45,7 @@
 		c.logger.Warn("cannot read a part of a grant message", "from", from, "problems", report.Problems, "count", report.Count)
 	}
 	switch {
-	case m.Request != nil || m.PermitRequest != nil:
+	case m.Request != nil || m.PermitRequest != nil || m.ProofRequest != nil:
 		m.Unreadable = report
 		c.handle(m, from)
 	case m.isResponse() || !hasRequestProblem(problems) && c.deliver(message{RequestID: m.RequestID, isDamaged: true}):
@@ -60,7 +60,7 @@
 // hasRequestProblem reports whether a request can't be read.
 func hasRequestProblem(problems []lenient.Problem) bool {
 	for _, p := range problems {
-		if name, _, _ := strings.Cut(p.Path, "."); name == "q" || name == "pq" {
+		if name, _, _ := strings.Cut(p.Path, "."); name == "q" || name == "pq" || name == "fq" {
 			return true
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,7 +72,9 @@
 	// Memory is the account of the bodies and responses that requests hold. If it is
 	// nil, nothing is refused for them.
 	Memory *memory.Account
-	Logger *log.Logger
+	// Freshness is used only where the settings ask for strict revocation.
+	Freshness Freshness
+	Logger    *log.Logger
 }
 
 // Edge serves the requests of callers and those forwarded by other gateways. It
@@ -142,6 +144,9 @@
 // the whole body. The session is valid for refusing the request even when the
 // error is not nil.
 func (e *Edge) openSession(w http.ResponseWriter, r *http.Request, arrived time.Time) (*session, error) {
+	// Callers can't set what gateways tell each other.
+	r.Header.Del(headerForward)
+	r.Header.Del(headerOutcome)
 	s := e.newSession(w, r, arrived)
 	if err := s.match(r); err != nil {
 		return s, err
@@ -156,6 +161,9 @@
 // match sets the route and the service of the request. The error is a
 // *failure.Refusal.
 func (s *session) match(r *http.Request) error {
+	// The proof is read before the configuration, which may become newer in between but
+	// not older.
+	isCurrent := s.edge.isProvedCurrent()
 	table := s.edge.Board.Routes.Get()
 	if table == nil {
 		return failure.Refuse(failure.CodeNotReady, "the gateway has no configuration yet").WithRetryAfter(notReadyRetryDelay)
@@ -168,6 +176,9 @@
 	if !transport.IsTargetSendable(s.target) {
 		return failure.Refuse(failure.CodeBadRequest, "the request target is invalid")
 	}
+	if err := s.identify(isCurrent); err != nil {
+		return err
+	}
 	if s.req.AttemptID == "" {
 		return failure.Refuse(failure.CodeBadRequest, "the request has no attempt id")
 	}
@@ -228,7 +239,12 @@
 	} else {
 		requestsFailed.Inc()
 	}
-	s.log("refused", "code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r)
+	fields := []any{"code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r}
+	if s.account != nil {
+		s.countAccountRefusal()
+		fields = append(fields, "account", s.account.Name)
+	}
+	s.log("refused", fields...)
 	e.writeRefusal(s, r)
 }
 
@@ -238,6 +254,9 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if r.Code == failure.CodeUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if s.forwarded != nil {
 		h.Set(headerOutcome, string(r.Outcome))
 		h.Set(headerReachedEndpoint, strconv.FormatBool(s.reachedEndpoint))
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -243,6 +243,9 @@
 	httpmeta.StripHopByHop(header)
 	a.edge.Codec.StripResponseHeader(header)
 	h := a.writer.Header()
+	// Only a gateway may set them, on a response that it makes itself.
+	header.Del(headerOutcome)
+	header.Del(headerReachedEndpoint)
 	maps.Copy(h, header)
 	if _, ok := h["Content-Type"]; !ok {
 		// Keeps net/http from sniffing a content type.
