Admit requests to plain services with few slots through coordinators

Cause: only model requests are admitted by coordinators.

Change: where a plain service has fewer slots in a large region than the region has gateways, the coordinators of its endpoints hold a place for each request, from the grant to a release by the asking gateway, at most until the request's deadline. Grants whose response is lost are released too. Refusals carry a Retry-After from the backlog. The service time is learned without the wait behind the requests ahead.

Refusals of endpoints as the only outcome end as 503 already; no path to 502 was found for them.

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -42,6 +42,7 @@
 	permitsAsked     = telemetry.NewCounter("permits_asked", "requests", "requests for a permit sent to coordinators of endpoints that name a limit")
 	permitsAnswered  = telemetry.NewCounter("permits_answered", "requests", "requests of other gateways for a permit answered")
 	requestsTimedOut = telemetry.NewCounter("grants_unanswered", "requests", "grant and permit requests without a response in time")
+	releasesSent     = telemetry.NewCounter("grants_released", "releases", "ends of granted requests told to endpoint coordinators at other gateways")
 	sentBytes        = telemetry.NewCounter("grants_sent_bytes", "bytes", "size of the grant requests and responses sent")
 	malformed        = telemetry.NewCounter("grants_malformed", "datagrams", "datagrams that are neither a grant request nor an expected response")
 )
@@ -59,6 +60,7 @@
 type Coordinator interface {
 	Grant(req Request, now time.Time) Response
 	Permit(req PermitRequest, now time.Time) PermitResponse
+	Release(r Release, now time.Time)
 }
 
 // Controller sends grant requests, and answers those of other gateways through
@@ -116,6 +118,8 @@
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
+	case m.Release != nil:
+		c.coordinator.Release(*m.Release, time.Now())
 	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
 	default:
 		malformed.Inc()
@@ -167,6 +171,16 @@
 	return *m.PermitResponse, nil
 }
 
+// ReleaseGrant sends a release to the gateway with the given address.
+func (c *Controller) ReleaseGrant(address string, r Release) error {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return errors.Wrap(err, "resolve gateway address")
+	}
+	releasesSent.Inc()
+	return c.send(message{Release: &r}, to)
+}
+
 // exchange sends a request and returns the response. The error is a *NoResponseError if
 // there is none in time.
 func (c *Controller) exchange(ctx context.Context, gateway, address string, m message) (message, error) {
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -28,6 +28,9 @@
 	return Response{Endpoint: "at " + req.RankKey, EstimateMillis: req.EstimateLimitMillis, CachedTokens: req.Segments[0].Tokens}
 }
 
+// Release counts as a request.
+func (c *fakeCoordinator) Release(Release, time.Time) { c.requests.Add(1) }
+
 // Permit permits requests to endpoints whose limit is at least 1 a second.
 func (c *fakeCoordinator) Permit(req PermitRequest, _ time.Time) PermitResponse {
 	return PermitResponse{Granted: req.Limit.PerSecond >= 1, HoldMillis: 300}
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -30,6 +30,11 @@
 	TimeToObjectiveMillis int64 `json:"o"`
 	EstimateLimitMillis   int64 `json:"w"`
 	HardLimitMillis       int64 `json:"l"`
+	// TimeToDeadlineMillis is the time left until the deadline of the whole response, 0
+	// if the asking gateway doesn't say.
+	TimeToDeadlineMillis int64 `json:"d,omitempty"`
+	// GrantID identifies the grant in its Release, 0 if it is not released.
+	GrantID uint64 `json:"g,omitempty"`
 	// ResponseStarted is set if the caller already has part of the response.
 	ResponseStarted bool `json:"b,omitempty"`
 	// Segments are the segments of the prompt in order.
@@ -54,8 +59,19 @@
 	CachedTokens              int   `json:"c,omitempty"`
 	QueuedPrefillMillis       int64 `json:"q,omitempty"`
 	PrefillUtilizationPercent int   `json:"u,omitempty"`
-	// Reason is the reason of a refusal.
-	Reason string `json:"r,omitempty"`
+	// Ahead is the number of requests that the endpoint had before a grant with a GrantID.
+	Ahead int `json:"f,omitempty"`
+	// Reason is the reason of a refusal, RetryAfterMillis when a request may be granted.
+	Reason           string `json:"r,omitempty"`
+	RetryAfterMillis int64  `json:"b,omitempty"`
+}
+
+// Release tells a coordinator that the request of a grant has ended, or was never sent
+// because the response of the coordinator didn't arrive. It is not answered; a grant
+// whose Release is lost ends with the request's deadline.
+type Release struct {
+	Endpoint string `json:"e"`
+	GrantID  uint64 `json:"g"`
 }
 
 // PermitRequest asks the coordinator of an endpoint that names a limit for the permit to
@@ -79,14 +95,15 @@
 // Estimate returns the estimated time to the first output.
 func (r Response) Estimate() time.Duration { return time.Duration(r.EstimateMillis) * time.Millisecond }
 
-// message is one datagram: a request, or the response to the request with the
-// same ID.
+// message is one datagram: a request, the response to the request with the same ID, or
+// a release.
 type message struct {
 	RequestID      uint64          `json:"n"`
 	Request        *Request        `json:"q,omitempty"`
 	Response       *Response       `json:"a,omitempty"`
 	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
 	PermitResponse *PermitResponse `json:"pa,omitempty"`
+	Release        *Release        `json:"r,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -30,6 +30,7 @@
 // attempt sends the request to the endpoint of the decision, or to a gateway of
 // its region, and records it in Loads until it ends.
 func (s *session) attempt(ctx context.Context, d placement.Decision) outcome {
+	defer s.releaseGrant()
 	now := time.Now()
 	view, ok := s.edge.Registry.Get(d.Candidate.ID)
 	if !ok {
@@ -105,6 +106,7 @@
 	j := endpointload.Job{
 		Service: a.service.Name, CachedTokens: d.Candidate.CachedTokens, Priority: a.route.Priority,
 		Segments: a.segments, SharedPrefix: a.sharedPrefix, Forwarded: a.gateway != nil,
+		Ahead: a.grant.ahead, Slots: a.grant.slots,
 	}
 	if p := a.req.Prompt; p != nil {
 		j.PromptTokens, j.OutputTokens = p.Tokens, expectedOutputTokens(p)
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -22,6 +22,8 @@
 	// RequestPermit is RequestGrant for a permit, which allows one request to an endpoint
 	// that names a limit.
 	RequestPermit(ctx context.Context, gateway, address string, req grants.PermitRequest) (grants.PermitResponse, error)
+	// ReleaseGrant tells the gateway at the given address that a granted request has ended.
+	ReleaseGrant(address string, r grants.Release) error
 }
 
 // Grant decides on a request for a grant from another gateway of this region, by
@@ -46,9 +48,14 @@
 		TimeToDeadline:  time.Duration(req.HardLimitMillis) * time.Millisecond,
 	}, candidates, time.Duration(req.EstimateLimitMillis)*time.Millisecond)
 	if d.Kind != placement.Serve {
-		return grants.Response{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds()}
+		return grants.Response{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds(), RetryAfterMillis: d.RetryAfter.Milliseconds()}
 	}
 	c := d.Candidate
+	if req.GrantID != 0 {
+		hold := time.Duration(max(req.TimeToDeadlineMillis, req.HardLimitMillis)) * time.Millisecond
+		e.Loads.HoldSlot(c.ID, incarnations[c.ID], req.GrantID, hold, now)
+		return grants.Response{Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Ahead: c.Running + c.Waiting}
+	}
 	e.Loads.RecordGrant(c.ID, incarnations[c.ID], endpointload.Job{
 		Service: req.Service, PromptTokens: req.PromptTokens, CachedTokens: c.CachedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, Segments: req.Segments,
 	}, now)
@@ -71,7 +78,7 @@
 		}
 		c, ok := e.Loads.Candidate(endpointload.Query{
 			ID: view.ID, Incarnation: view.Incarnation, Service: view.Service, Segments: req.Segments, Priority: req.Priority,
-			Slots: view.Slots, KVCapacity: capacity, Coordinated: true,
+			Slots: view.Slots, KVCapacity: capacity, Coordinated: true, HoldsSlots: req.GrantID != 0,
 		}, now)
 		if !ok {
 			continue
@@ -105,7 +112,7 @@
 
 // grantResult sums up the responses of the coordinators of the local region.
 type grantResult struct {
-	// decision is set if granted is.
+	// decision is that of the coordinator if granted is set.
 	decision placement.Decision
 	granted  bool
 	// denied is set if a coordinator responded without a grant. If granted is not
@@ -117,6 +124,9 @@
 	fastestEstimate time.Duration
 	// responses is the number of responses, those of this gateway included.
 	responses int
+	// retryAfter is the shortest time after which one of the coordinators that refused
+	// expects to grant; 0 if none says.
+	retryAfter time.Duration
 }
 
 // requestGrant asks for the highest-ranked local candidates in turn, each at its
@@ -165,6 +175,7 @@
 func (s *session) requestGrantFrom(ctx context.Context, result *grantResult, coords *coordinators, id string, req grants.Request, local []placement.Candidate) {
 	response, err := s.grantResponseOf(ctx, coords, id, req)
 	if err != nil {
+		s.releaseLost(coords, id, req, local)
 		s.log("not_granted", "coordinator", id, "err", err)
 		return
 	}
@@ -175,11 +186,20 @@
 		}
 		candidate.QueuedPrefill = time.Duration(response.QueuedPrefillMillis) * time.Millisecond
 		candidate.PrefillUtilization, candidate.CachedTokens = float64(response.PrefillUtilizationPercent)/percentFactor, response.CachedTokens
+		if req.GrantID != 0 {
+			s.grant = slotGrant{coordinator: id, address: coords.others[id].GrantAddress, release: grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID}, ahead: response.Ahead, slots: candidate.Slots}
+		}
 		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate()}
 		result.granted = true
 		return
 	}
 	result.denied = true
+	if response.Endpoint != "" && req.GrantID != 0 {
+		s.release(id, coords.others[id].GrantAddress, grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID})
+	}
+	if retryAfter := time.Duration(response.RetryAfterMillis) * time.Millisecond; retryAfter > 0 && (result.retryAfter == 0 || retryAfter < result.retryAfter) {
+		result.retryAfter = retryAfter
+	}
 	if estimate := response.Estimate(); estimate > 0 && (result.fastest == "" || estimate < result.fastestEstimate) {
 		result.fastest, result.fastestEstimate = id, estimate
 	}
@@ -197,7 +217,7 @@
 	grantReq := grants.Request{
 		Service: s.service.Name, RankKey: s.rankKey(), PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens,
 		Priority: req.Priority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
-		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(),
+		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(), TimeToDeadlineMillis: req.TimeToDeadline.Milliseconds(), GrantID: s.newGrantID(),
 		ResponseStarted: req.ResponseStarted, Segments: s.segments,
 	}
 	grantReq.ExcludedEndpoints = slices.Clone(s.heldBack)
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -23,13 +23,25 @@
 	mu sync.Mutex
 	// requested holds the ids of the gateways that were asked, in order.
 	requested []string
-	respond   func(gateway string, req grants.Request) (grants.Response, error)
+	// released holds the address that each release was sent to.
+	released map[grants.Release]string
+	respond  func(gateway string, req grants.Request) (grants.Response, error)
 }
 
 func (f *fakeGrants) RequestPermit(_ context.Context, gateway, _ string, _ grants.PermitRequest) (grants.PermitResponse, error) {
 	return grants.PermitResponse{}, errors.WithStack(&grants.NoResponseError{Gateway: gateway})
 }
 
+func (f *fakeGrants) ReleaseGrant(address string, r grants.Release) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.released == nil {
+		f.released = make(map[grants.Release]string)
+	}
+	f.released[r] = address
+	return nil
+}
+
 func (f *fakeGrants) RequestGrant(_ context.Context, gateway, _ string, req grants.Request) (grants.Response, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/permit_test.go
+++ b/internal/edge/permit_test.go
@@ -109,6 +109,8 @@
 	}
 }
 
+func (g *simulatedGateway) ReleaseGrant(string, grants.Release) error { return nil }
+
 func (g *simulatedGateway) RequestGrant(context.Context, string, string, grants.Request) (grants.Response, error) {
 	return grants.Response{}, errors.New("no grants here")
 }
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -42,26 +42,34 @@
 	return d, true
 }
 
-// decide chooses among the candidates. For model requests in a large region it asks
-// the endpoints' coordinators first. Everything else, including the local region
+// decide chooses among the candidates. For model requests in a large region, and for
+// those to plain services with few slots, it asks the endpoints' coordinators first. Everything else, including the local region
 // if no coordinator responds, is decided by what this gateway knows of the load.
 func (s *session) decide(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) (placement.Decision, grantResult) {
-	if !req.StaleView || req.PromptTokens == 0 {
+	hasFewSlots := req.StaleView && req.PromptTokens == 0 && s.hasFewSlots(now)
+	if !req.StaleView || req.PromptTokens == 0 && !hasFewSlots {
 		return placement.Decide(req, candidates), grantResult{}
 	}
 	grant := s.requestGrant(ctx, req, candidates, now)
-	if grant.granted {
-		return grant.decision, grant
-	}
-	req.LocalRefused = grant.denied
-	d := placement.Decide(req, candidates)
-	if d.Kind == placement.Serve || !grant.denied {
-		return d, grant
+	if !grant.granted {
+		req.LocalRefused = grant.denied
+		d := placement.Decide(req, candidates)
+		if d.Kind != placement.Serve && grant.denied {
+			s.requestFallbackGrant(ctx, &grant, req, candidates, now)
+			d.RetryAfter = max(d.RetryAfter, grant.retryAfter)
+		}
+		if !grant.granted {
+			grant.decision = d
+		}
 	}
-	if s.requestFallbackGrant(ctx, &grant, req, candidates, now); grant.granted {
-		return grant.decision, grant
+	switch {
+	case !hasFewSlots:
+	case grant.granted:
+		slotsGranted.Inc()
+	case grant.denied:
+		slotsRefused.Inc()
 	}
-	return d, grant
+	return grant.decision, grant
 }
 
 // percentFactor converts a share (0 to 1) to percent.
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -62,6 +62,8 @@
 	// them is back.
 	heldBack      []string
 	soonestReturn time.Duration
+	// grant is the place that a coordinator holds for the next attempt.
+	grant slotGrant
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
 	// mayHaveRun is set once an endpoint may have run the request.
--- a/internal/endpointload/account.go
+++ b/internal/endpointload/account.go
@@ -54,6 +54,7 @@
 	prefixes prefixCache
 	// grantedLoad is used only if this gateway is the endpoint's coordinator.
 	grantedLoad grantedLoad
+	heldSlots   heldSlots
 }
 
 func newAccount(incarnation int64) *account {
--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -22,8 +22,10 @@
 	// reports.
 	Remote       bool
 	MaxReportAge time.Duration
-	// Coordinated is set if this gateway is the endpoint's coordinator.
+	// Coordinated is set if this gateway is the endpoint's coordinator. HoldsSlots is set
+	// in addition if it holds a slot for each request that the endpoint is granted.
 	Coordinated bool
+	HoldsSlots  bool
 }
 
 // Candidate returns the endpoint with its estimated current load. ok is false
@@ -62,7 +64,10 @@
 		c.QueuedPrefill += a.queuedPrefill(q.Priority, now)
 		recentPrefill += a.recentPrefillNow(now)
 		c.PrefillUtilization = recentPrefill.Seconds() / utilizationTimeConstant.Seconds()
-		if q.Coordinated {
+		switch {
+		case q.HoldsSlots:
+			a.heldSlots.adjust(&c, now)
+		case q.Coordinated:
 			a.grantedLoad.adjust(&c, q.Priority, now)
 		}
 		c.CachedTokens = a.cachedTokens(&c, q, now)
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -76,6 +76,10 @@
 	// Forwarded is set if a gateway of another region serves the request. That
 	// gateway accounts for it.
 	Forwarded bool
+	// Ahead is the number of requests that a plain endpoint had before this one, Slots
+	// how many it runs at once. Slots is 0 if Ahead is not known.
+	Ahead int
+	Slots int
 }
 
 // Segment is one segment of a prompt. PrefixHash identifies the prompt prefix
@@ -164,7 +168,7 @@
 	case req.job.PromptTokens > 0 && req.responseStarted:
 		req.tracker.serviceTimes.observeGeneration(req.job, now.Sub(req.firstOutputAt), now.Sub(req.start))
 	case req.job.PromptTokens == 0 && !req.job.Forwarded:
-		req.tracker.serviceTimes.observePlainService(req.job.Service, now.Sub(req.start))
+		req.tracker.serviceTimes.observePlainService(req.job.Service, req.job.withoutWait(now.Sub(req.start)))
 	}
 }
 
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -64,6 +64,10 @@
 // IsStoreReader reports whether this gateway reads the store for its region.
 func (g *Gateways) IsStoreReader(now time.Time) bool { return g.StoreReader(now) == g.self.ID }
 
+// RegionSize returns the number of known gateways of this gateway's region, alive or
+// not, this one included.
+func (g *Gateways) RegionSize() int { return g.countRegion() + 1 }
+
 // IsFullMesh reports whether the gateways of this gateway's region form a full
 // mesh.
 func (g *Gateways) IsFullMesh() bool { return g.countRegion() < MaxFullMeshGateways }
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -62,11 +62,28 @@
 	req.StaleView = false
 	d := Decide(req, candidates)
 	if d.Kind != Serve {
+		d.RetryAfter = max(d.RetryAfter, backlogTime(req, candidates))
 		return d
 	}
 	cacheBonus := time.Duration(prefillWeight * float64(time.Duration(min(d.Candidate.CachedTokens, req.SharedTokens))*d.Candidate.PrefillTimePerToken))
 	if d.Estimate > limit+cacheBonus {
-		return Decision{Kind: Refuse, Reason: TooLate, Estimate: d.Estimate, RetryAfter: minRetryAfter}
+		return Decision{Kind: Refuse, Reason: TooLate, Estimate: d.Estimate, RetryAfter: max(backlogTime(req, candidates), minRetryAfter)}
 	}
 	return d
 }
+
+// backlogTime returns the time until the first of the candidates has a slot for a plain
+// request, 0 for model requests.
+func backlogTime(req Request, candidates []Candidate) time.Duration {
+	shortest := time.Duration(-1)
+	if req.PromptTokens > 0 {
+		return 0
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if wait := slotWait(c, c.ServiceTime); shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(shortest, 0)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,6 +55,9 @@
 	// Slots is the number of requests that the endpoint runs at once, 0 if
 	// unknown.
 	Slots int
+	// MaxWaiting is the number of requests that may wait for a slot; 0 for the usual
+	// share of the slots.
+	MaxWaiting int
 	// Running and Waiting count the requests whose response has started and
 	// those whose response has not.
 	Running int
@@ -220,7 +223,11 @@
 // hasCapacity reports whether the endpoint has a slot or queue place and KV
 // cache for the request. An empty KV cache fits any request.
 func hasCapacity(req Request, c *Candidate) bool {
-	if c.Slots > 0 && c.Running+c.Waiting >= c.Slots+c.Slots/slotsPerQueuedRequest {
+	maxWaiting := c.Slots / slotsPerQueuedRequest
+	if c.MaxWaiting > 0 {
+		maxWaiting = c.MaxWaiting
+	}
+	if c.Slots > 0 && c.Running+c.Waiting >= c.Slots+maxWaiting {
 		return false
 	}
 	need := req.PromptTokens + req.OutputTokens - c.CachedTokens
