Place streams by a forecast of their whole responses

Cause: an engine that prefills between the steps of a large batch takes several times as long for each output. Nothing bounds what it is given meanwhile.

Change: the time of a step over the requests in flight is learned for each service, and the length of responses over the hint for each route. A request goes where its response ends a tenth of the time before its deadline, and where its prefill leaves the responses in flight time to end before theirs; it is refused at once where there is no such endpoint. Decide, decideStale and DecideGrant use the same check. Grant requests carry the time to the deadline and the expected length. Requests whose forecast lies inside the deadline are placed as before.

--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -21,6 +21,10 @@
 	PromptTokens int `json:"t"`
 	SharedTokens int `json:"h,omitempty"`
 	OutputTokens int `json:"a,omitempty"`
+	// Outputs and LongTokens are the length of the response that few such requests
+	// exceed, in outputs of the endpoint and in tokens; 0 if unknown.
+	Outputs    int `json:"v,omitempty"`
+	LongTokens int `json:"z,omitempty"`
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int `json:"u,omitempty"`
 	// TimeToObjectiveMillis is the time left until the latency objective is
@@ -52,6 +56,8 @@
 	// EstimateMillis is the estimated time to the first output. In a refusal it
 	// is the shortest estimate, or 0 if unknown.
 	EstimateMillis int64 `json:"w,omitempty"`
+	// ForecastMillis is the forecast time to the end of the response, 0 if unknown.
+	ForecastMillis int64 `json:"v,omitempty"`
 	// CachedTokens is the length of the prompt prefix that the endpoint is
 	// believed to have cached. QueuedPrefillMillis is the prefill time ahead of
 	// the request. PrefillUtilizationPercent is the share of the endpoint's
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -110,6 +110,10 @@
 	}
 	if p := a.req.Prompt; p != nil {
 		j.PromptTokens, j.OutputTokens = p.Tokens, expectedOutputTokens(p)
+		j.Streamed, j.Class, j.Deadline = a.isWholeStream(), a.lengthClass(), a.deadline
+		if j.Streamed {
+			j.Lengths = a.lengths
+		}
 	}
 	return j
 }
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -42,8 +42,10 @@
 		incarnations[view.ID] = view.Incarnation
 		return usable(view)
 	})
+	toDeadline := time.Duration(req.TimeToDeadlineMillis) * time.Millisecond
 	d := placement.DecideGrant(placement.Request{
 		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, ResponseStarted: req.ResponseStarted,
+		Outputs: req.Outputs, LongOutputTokens: req.LongTokens, TimeToEnd: toDeadline,
 		TimeToObjective: time.Duration(req.TimeToObjectiveMillis) * time.Millisecond,
 		TimeToDeadline:  time.Duration(req.HardLimitMillis) * time.Millisecond,
 	}, candidates, time.Duration(req.EstimateLimitMillis)*time.Millisecond)
@@ -52,15 +54,19 @@
 	}
 	c := d.Candidate
 	if req.GrantID != 0 {
-		hold := time.Duration(max(req.TimeToDeadlineMillis, req.HardLimitMillis)) * time.Millisecond
-		e.Loads.HoldSlot(c.ID, incarnations[c.ID], req.GrantID, hold, now)
+		e.Loads.HoldSlot(c.ID, incarnations[c.ID], req.GrantID, max(toDeadline, time.Duration(req.HardLimitMillis)*time.Millisecond), now)
 		return grants.Response{Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Ahead: c.Running + c.Waiting}
 	}
-	e.Loads.RecordGrant(c.ID, incarnations[c.ID], endpointload.Job{
+	job := endpointload.Job{
 		Service: req.Service, PromptTokens: req.PromptTokens, CachedTokens: c.CachedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, Segments: req.Segments,
-	}, now)
+		Lengths: endpointload.Lengths{Outputs: req.Outputs, Tokens: req.LongTokens},
+	}
+	if toDeadline > 0 {
+		job.Deadline = now.Add(toDeadline)
+	}
+	e.Loads.RecordGrant(c.ID, incarnations[c.ID], job, now)
 	return grants.Response{
-		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), CachedTokens: c.CachedTokens,
+		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), ForecastMillis: d.Forecast.Milliseconds(), CachedTokens: c.CachedTokens,
 		QueuedPrefillMillis: c.QueuedPrefill.Milliseconds(), PrefillUtilizationPercent: int(percentFactor * c.PrefillUtilization),
 	}
 }
@@ -127,6 +133,8 @@
 	// retryAfter is the shortest time after which one of the coordinators that refused
 	// expects to grant; 0 if none says.
 	retryAfter time.Duration
+	// reason is that of the last refusal.
+	reason placement.Reason
 }
 
 // requestGrant asks for the highest-ranked local candidates in turn, each at its
@@ -189,11 +197,11 @@
 		if req.GrantID != 0 {
 			s.grant = slotGrant{coordinator: id, address: coords.others[id].GrantAddress, release: grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID}, ahead: response.Ahead, slots: candidate.Slots}
 		}
-		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate()}
+		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate(), Forecast: time.Duration(response.ForecastMillis) * time.Millisecond}
 		result.granted = true
 		return
 	}
-	result.denied = true
+	result.denied, result.reason = true, placement.Reason(response.Reason)
 	if response.Endpoint != "" && req.GrantID != 0 {
 		s.release(id, coords.others[id].GrantAddress, grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID})
 	}
@@ -216,6 +224,7 @@
 func (s *session) grantRequest(req placement.Request, limit time.Duration) grants.Request {
 	grantReq := grants.Request{
 		Service: s.service.Name, RankKey: s.rankKey(), PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens,
+		Outputs: req.Outputs, LongTokens: req.LongOutputTokens,
 		Priority: req.Priority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
 		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(), TimeToDeadlineMillis: req.TimeToDeadline.Milliseconds(), GrantID: s.newGrantID(),
 		ResponseStarted: req.ResponseStarted, Segments: s.segments,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,7 @@
 	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
+	forecastRefusals = telemetry.NewCounter("route_forecast_refusals", "requests", "route requests refused since their response would end too late or delay others")
 	requestTime      = telemetry.NewHistogram("route_time")
 )
 
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -15,6 +15,7 @@
 	"github.com/hickorystage/hickorystage/internal/placement"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/rendezvous"
+	"github.com/hickorystage/hickorystage/internal/route"
 )
 
 // remoteReportMaxAge is the greatest age of the load that gateways of other regions
@@ -29,14 +30,17 @@
 	req := s.placementRequest(now)
 	d, grant := s.decide(ctx, req, candidates, now)
 	if d.Kind != placement.Serve {
+		if d.Reason == placement.EndsTooLate || d.Reason == placement.DelaysOthers {
+			forecastRefusals.Inc()
+		}
 		s.log("not_placed", "reason", d.Reason, "version", s.table.Version, "candidates", len(candidates),
-			"tokens", req.PromptTokens, "left_ms", req.TimeToDeadline.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds(),
+			"tokens", req.PromptTokens, "left_ms", req.TimeToDeadline.Milliseconds(), "soonest_ms", d.Estimate.Milliseconds(), "outputs", req.Outputs,
 			"asks", grant.responses)
 		return d, false
 	}
 	c := d.Candidate
 	s.log("placed", "endpoint", c.ID, "region", c.Region, "version", s.table.Version, "candidates", len(candidates),
-		"estimate_ms", d.Estimate.Milliseconds(), "queued_ms", c.QueuedPrefill.Milliseconds(), "use_pct", int(percentFactor*c.PrefillUtilization),
+		"estimate_ms", d.Estimate.Milliseconds(), "forecast_ms", d.Forecast.Milliseconds(), "queued_ms", c.QueuedPrefill.Milliseconds(), "use_pct", int(percentFactor*c.PrefillUtilization),
 		"running", c.Running, "waiting", c.Waiting, "tokens", req.PromptTokens, "cached", c.CachedTokens, "home", c.IsPrefixHome,
 		"heard_ms", s.entryAge(c.ID, now).Milliseconds(), "asks", grant.responses, "granted", grant.granted)
 	return d, true
@@ -57,6 +61,9 @@
 		if d.Kind != placement.Serve && grant.denied {
 			s.requestFallbackGrant(ctx, &grant, req, candidates, now)
 			d.RetryAfter = max(d.RetryAfter, grant.retryAfter)
+			if d.Reason == placement.Full && grant.reason != "" {
+				d.Reason = grant.reason
+			}
 		}
 		if !grant.granted {
 			grant.decision = d
@@ -91,16 +98,31 @@
 		Priority:        s.route.Priority,
 		TimeToObjective: s.arrived.Add(s.route.Objective).Sub(now),
 		TimeToDeadline:  s.deadline.Sub(now),
+		TimeToEnd:       s.deadline.Sub(now),
 		StaleView:       !s.edge.Gateways.IsFullMesh(),
 		HashFraction:    hashFraction(s.rankKey()),
 		ResponseStarted: s.stream.started || s.forwarded != nil && s.forwarded.LastEventID != "",
 	}
 	if p := s.req.Prompt; p != nil {
 		r.PromptTokens, r.SharedTokens, r.OutputTokens = p.Tokens, s.sharedTokens, expectedOutputTokens(p)
+		if s.isWholeStream() {
+			s.lengths = s.edge.Loads.ExpectedLengths(s.lengthClass(), r.OutputTokens, p.MaxOutputTokens)
+		}
+		r.Outputs, r.LongOutputTokens = s.lengths.Outputs, s.lengths.Tokens
 	}
 	return r
 }
 
+// isWholeStream reports whether the response is a stream from its first event on.
+func (s *session) isWholeStream() bool {
+	return s.route.Kind == route.Streaming && s.req.LastEventID == "" && s.resumeEventID() == "" && (s.forwarded == nil || s.forwarded.LastEventID == "")
+}
+
+// lengthClass returns the class of requests by which the length of the response is learned.
+func (s *session) lengthClass() endpointload.LengthClass {
+	return endpointload.LengthClass{Route: s.route.Name, Hinted: s.req.Prompt.ExpectedOutputTokens > 0}
+}
+
 // hashFraction maps a key to a number from 0 to 1 by a hash.
 func hashFraction(key string) float64 {
 	return float64(xxhash.Sum64String(key)) / math.MaxUint64
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -62,6 +62,8 @@
 	// them is back.
 	heldBack      []string
 	soonestReturn time.Duration
+	// lengths are those that the response of a model request is expected to have.
+	lengths endpointload.Lengths
 	// grant is the place that a coordinator holds for the next attempt.
 	grant slotGrant
 	// attempts counts the attempts that may have reached an endpoint.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -78,7 +78,7 @@
 			return a.handleFailure(ctx, err)
 		}
 		now := time.Now()
-		a.activeRequest.RecordFirstOutput(now)
+		a.activeRequest.RecordOutput(now)
 		switch {
 		case provenAt.IsZero():
 			provenAt = now
--- a/internal/endpointload/account.go
+++ b/internal/endpointload/account.go
@@ -33,6 +33,10 @@
 	// running counts the requests whose response has started, without forwarded
 	// ones.
 	running int
+	// slots is the number of requests that the endpoint runs at once, 0 if unknown.
+	slots int
+	// streams holds the requests whose length is expected, without forwarded ones.
+	streams []*ActiveRequest
 	// kvTokens is the KV cache in tokens that all requests in flight use,
 	// without forwarded ones.
 	kvTokens int
@@ -67,9 +71,12 @@
 	}
 	a.pending = append(a.pending, req)
 	if !req.job.Forwarded {
-		a.kvTokens += req.job.PromptTokens + req.job.OutputTokens
+		a.kvTokens += req.job.maxTokens()
 		a.recentPrefill = a.recentPrefillNow(now) + req.prefill
 		a.recentPrefillAt = now
+		if req.job.Lengths.Outputs > 0 {
+			a.streams = append(a.streams, req)
+		}
 	}
 	a.prefixes.touch(req.job.Segments, now)
 }
@@ -110,11 +117,14 @@
 		a.removePending(req)
 	}
 	if !req.job.Forwarded {
-		a.kvTokens -= req.job.PromptTokens + req.job.OutputTokens
+		a.kvTokens -= req.job.maxTokens()
 		if req.responseStarted {
 			a.running--
 		}
 	}
+	if i := slices.Index(a.streams, req); i >= 0 {
+		a.streams = slices.Delete(a.streams, i, i+1)
+	}
 	switch result {
 	case Succeeded:
 		a.recordOutcome(0, now)
--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -52,6 +52,7 @@
 	t.withAccount(q.ID, q.Incarnation, func(a *account) {
 		ok = !now.Before(a.ejectedUntil)
 		c.FailureRate = a.failureRateNow(now)
+		defer t.forecastLoad(a, &c, q, now)
 		if q.Remote {
 			recentPrefill += a.addUnreported(&c, q, now)
 			c.PrefillUtilization = recentPrefill.Seconds() / utilizationTimeConstant.Seconds()
@@ -90,7 +91,7 @@
 			continue
 		}
 		c.Waiting++
-		c.KVTokens += req.job.PromptTokens + req.job.OutputTokens
+		c.KVTokens += req.job.maxTokens()
 		if req.job.Priority <= q.Priority {
 			c.QueuedPrefill += req.prefill
 		}
--- a/internal/endpointload/grants.go
+++ b/internal/endpointload/grants.go
@@ -22,6 +22,8 @@
 	updated       time.Time
 	// inFlight are the granted requests that are expected not to be complete.
 	inFlight []grantedRequest
+	// perOutput is the time for each output as of the last decision, 0 if unknown.
+	perOutput time.Duration
 }
 
 // grantedRequest is a request that holds a slot and KV cache until completesAt.
@@ -33,11 +35,16 @@
 	ownTokens    int
 	sharedTokens int
 	sharedPrefix uint64
+	// remaining is the number of outputs still to come of a response that starts at
+	// startsAt, 0 if unknown, and deadline when the caller gives up.
+	remaining float64
+	startsAt  time.Time
+	deadline  time.Time
 }
 
 // newGrantedRequest returns the request of a job that completes at the given time.
 func newGrantedRequest(job Job, completesAt time.Time) grantedRequest {
-	r := grantedRequest{completesAt: completesAt, ownTokens: job.PromptTokens + job.OutputTokens}
+	r := grantedRequest{completesAt: completesAt, ownTokens: job.maxTokens()}
 	if len(job.Segments) < 2 {
 		return r
 	}
@@ -66,6 +73,7 @@
 		g.queuedPrefill[priority] -= completed
 		prefilled -= completed
 	}
+	g.advanceOutputs(now)
 	g.inFlight = slices.DeleteFunc(g.inFlight, func(r grantedRequest) bool { return !r.completesAt.After(now) })
 }
 
@@ -76,7 +84,33 @@
 	g.queuedPrefill[min(job.Priority, priorityLevels-1)] += prefill
 	g.recentPrefill += prefill
 	firstOutput := engineOverhead + time.Duration(float64(g.queuedFor(job.Priority))/prefillShare)
-	g.inFlight = append(g.inFlight, newGrantedRequest(job, now.Add(firstOutput+generation)))
+	r := newGrantedRequest(job, now.Add(firstOutput+generation))
+	r.remaining, r.startsAt, r.deadline = float64(job.Lengths.Outputs), now.Add(firstOutput), job.Deadline
+	g.inFlight = append(g.inFlight, r)
+}
+
+// advanceOutputs brings the outputs still to come up to now.
+func (g *grantedLoad) advanceOutputs(now time.Time) {
+	if g.perOutput <= 0 {
+		return
+	}
+	for i := range g.inFlight {
+		r := &g.inFlight[i]
+		if since := now.Sub(r.startsAt); since > 0 && r.remaining > 0 {
+			r.remaining = max(r.remaining-float64(since)/float64(g.perOutput), 0)
+			r.startsAt = now
+		}
+	}
+}
+
+// addSlack adds the granted requests in flight to a forecast. perOutput is the time for
+// each output from now on.
+func (g *grantedLoad) addSlack(f *slackForecast, perOutput time.Duration) {
+	for i := range g.inFlight {
+		r := &g.inFlight[i]
+		f.add(r.deadline, r.remaining)
+	}
+	g.perOutput = perOutput
 }
 
 // queuedFor returns the granted prefill time that is served before or with a request
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -17,6 +17,8 @@
 type Tracker struct {
 	shards       [shardCount]shard
 	serviceTimes *serviceTimes
+	steps        *stepTimes
+	lengths      *lengths
 	peerLoads    *peerLoads
 	// ownPrefixes logs the prefixes that this gateway's requests had prefilled,
 	// peerPrefixes those that other gateways of the region reported.
@@ -31,7 +33,7 @@
 
 // New returns a tracker without any load.
 func New() *Tracker {
-	t := &Tracker{serviceTimes: newServiceTimes(), peerLoads: newPeerLoads(), ownPrefixes: newPrefixLog(), peerPrefixes: newPrefixLog()}
+	t := &Tracker{serviceTimes: newServiceTimes(), steps: newStepTimes(), lengths: newLengths(), peerLoads: newPeerLoads(), ownPrefixes: newPrefixLog(), peerPrefixes: newPrefixLog()}
 	for i := range t.shards {
 		t.shards[i].accounts = make(map[string]*account)
 	}
@@ -76,12 +78,27 @@
 	// Forwarded is set if a gateway of another region serves the request. That
 	// gateway accounts for it.
 	Forwarded bool
+	// Streamed is set if the response is a stream that is read from its first output,
+	// Class that by which its length is learned, Lengths what was learned before the
+	// request. Deadline is when the caller gives up.
+	Streamed bool
+	Class    LengthClass
+	Lengths  Lengths
+	Deadline time.Time
 	// Ahead is the number of requests that a plain endpoint had before this one, Slots
 	// how many it runs at once. Slots is 0 if Ahead is not known.
 	Ahead int
 	Slots int
 }
 
+// maxTokens returns the KV cache in tokens that the request needs by its end.
+func (j *Job) maxTokens() int {
+	if j.Lengths.Tokens > 0 {
+		return j.PromptTokens + j.Lengths.Tokens
+	}
+	return j.PromptTokens + j.OutputTokens
+}
+
 // Segment is one segment of a prompt. PrefixHash identifies the prompt prefix
 // that ends with it.
 type Segment struct {
@@ -124,6 +141,7 @@
 	firstOutputAt   time.Time
 	responseStarted bool
 	ended           bool
+	progress        streamProgress
 }
 
 // Begin accounts for a request that is sent to the endpoint now. The caller
@@ -149,8 +167,10 @@
 	if req.responseStarted {
 		return
 	}
-	req.responseStarted, req.firstOutputAt = true, now
-	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.startResponse(req, now) })
+	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) {
+		req.responseStarted, req.firstOutputAt = true, now
+		a.startResponse(req, now)
+	})
 	if req.uncontended {
 		req.tracker.serviceTimes.observePrefill(req.job, now.Sub(req.start))
 	}
@@ -162,7 +182,11 @@
 		return
 	}
 	req.ended = true
+	req.observeSteps(now)
 	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) { a.finish(req, result, now) })
+	if result == Succeeded || result == Abandoned {
+		req.tracker.lengths.observe(req.job, req.progress.outputs, result == Succeeded)
+	}
 	switch {
 	case result != Succeeded:
 	case req.job.PromptTokens > 0 && req.responseStarted:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,11 @@
 	SharedTokens int
 	// OutputTokens is the expected length of the response in tokens.
 	OutputTokens int
+	// LongOutputTokens is the length of the response that few such requests exceed, 0 if
+	// unknown. Outputs is the same in outputs of the endpoint, as Candidate.TimePerOutput
+	// counts them.
+	LongOutputTokens int
+	Outputs          int
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
 	// TimeToObjective is the time left until the latency objective is missed.
@@ -28,6 +33,9 @@
 	// TimeToDeadline is the time left until the response is of no use to the
 	// caller.
 	TimeToDeadline time.Duration
+	// TimeToEnd is the time left until the deadline of the whole response, which may be
+	// later than TimeToDeadline; 0 if unknown.
+	TimeToEnd time.Duration
 	// StaleView is set if the load state of the candidates is older than the
 	// time in which most requests start to be answered.
 	StaleView bool
@@ -90,6 +98,14 @@
 	// SlotTime is the mean time for which a model request holds a slot, 0 if
 	// unknown.
 	SlotTime time.Duration
+	// TimePerOutput is the time that the endpoint is expected to need for each output
+	// after the first, with this request and those that it has; 0 if unknown.
+	TimePerOutput time.Duration
+	// Slack is the time for which the requests in flight can be held up, with one request
+	// more, before one of them is expected to miss its deadline. It is valid if HasSlack
+	// is set.
+	Slack    time.Duration
+	HasSlack bool
 	// FailureRate is the share of recent requests that failed, from 0 to 1.
 	FailureRate float64
 	// Rank orders the candidates for this request, the highest first. Without
@@ -137,6 +153,8 @@
 	// Estimate is the estimated time until the first output. For a TooLate
 	// refusal it is the shortest estimate of any candidate.
 	Estimate time.Duration
+	// Forecast is the forecast time until the end of the response, 0 if unknown.
+	Forecast time.Duration
 	// Reason and RetryAfter are set for refusals.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -188,6 +206,7 @@
 	best, bestCost, found := 0, time.Duration(0), false
 	soonest := time.Duration(-1)
 	full := true
+	var refused Decision
 	for i := range candidates {
 		c := &candidates[i]
 		if !hasCapacity(req, c) || isSaturated(req, c) {
@@ -195,6 +214,10 @@
 		}
 		full = false
 		firstOutput := estimateFirstOutput(req, c)
+		if f := forecastFor(req, c, firstOutput); f.reason != "" {
+			refused = f.earlierRefusal(refused)
+			continue
+		}
 		if soonest < 0 || firstOutput < soonest {
 			soonest = firstOutput
 		}
@@ -208,9 +231,11 @@
 	}
 	switch {
 	case found:
-		return Decision{Kind: Serve, Candidate: candidates[best], Estimate: estimateFirstOutput(req, &candidates[best])}
+		return serve(req, &candidates[best])
 	case full:
 		return Decision{Kind: Refuse, Reason: Full, RetryAfter: minRetryAfter}
+	case soonest < 0:
+		return refused
 	default:
 		return Decision{Kind: Refuse, Reason: TooLate, Estimate: soonest, RetryAfter: max(soonest-req.TimeToDeadline, minRetryAfter)}
 	}
@@ -220,20 +245,6 @@
 // capacity again at any moment.
 const minRetryAfter = 250 * time.Millisecond
 
-// hasCapacity reports whether the endpoint has a slot or queue place and KV
-// cache for the request. An empty KV cache fits any request.
-func hasCapacity(req Request, c *Candidate) bool {
-	maxWaiting := c.Slots / slotsPerQueuedRequest
-	if c.MaxWaiting > 0 {
-		maxWaiting = c.MaxWaiting
-	}
-	if c.Slots > 0 && c.Running+c.Waiting >= c.Slots+maxWaiting {
-		return false
-	}
-	need := req.PromptTokens + req.OutputTokens - c.CachedTokens
-	return c.KVCapacity == 0 || float64(c.KVTokens+need) <= maxKVShare*float64(c.KVCapacity) || c.KVTokens == 0
-}
-
 // isSaturated reports whether the prefill of this prompt would leave too little
 // time for generation, so that responses in flight would miss their deadlines.
 // An endpoint without requests is never saturated. Higher priorities have a
@@ -260,10 +271,6 @@
 	utilizationTimeConstant = 2 * time.Second
 )
 
-// slotsPerQueuedRequest is the number of slots for which an endpoint may have
-// one additional waiting request.
-const slotsPerQueuedRequest = 2
-
 // estimateFirstOutput returns the estimated time until the first output of the
 // response.
 func estimateFirstOutput(req Request, c *Candidate) time.Duration {
--- a/internal/placement/stale.go
+++ b/internal/placement/stale.go
@@ -57,8 +57,11 @@
 		if r.remote && !r.canTakeOverflow(req, limit, localEngines) || !r.remote && req.LocalRefused || r.meanUtilization > limit {
 			continue
 		}
-		c := r.firstSuitable(req)
+		c, late := r.firstSuitable(req)
 		if c == nil {
+			if late.reason != "" {
+				d = late.earlierRefusal(d)
+			}
 			continue
 		}
 		firstOutput := estimateFirstOutput(req, c)
@@ -67,7 +70,7 @@
 			continue
 		}
 		if cost := placementCost(req, c, firstOutput, medianFailures); d.Kind != Serve || cost < bestCost {
-			d, bestCost = Decision{Kind: Serve, Candidate: *c, Estimate: firstOutput}, cost
+			d, bestCost = serve(req, c), cost
 		}
 	}
 	return d
@@ -152,21 +155,28 @@
 // firstSuitable returns the highest-ranked candidate with capacity that is
 // neither utilized much more than its region nor queued for too long. Without
 // one it returns the least utilized candidate with capacity, or nil if none has
-// capacity.
-func (r *regionCandidates) firstSuitable(req Request) *Candidate {
+// capacity. Candidates that the forecast rules out are skipped; late is the forecast for
+// the first of them.
+func (r *regionCandidates) firstSuitable(req Request) (suitable *Candidate, late forecast) {
 	var leastUtilized *Candidate
 	for _, c := range r.candidates {
 		if !hasCapacity(req, c) {
 			continue
 		}
+		if f := forecastFor(req, c, estimateFirstOutput(req, c)); f.reason != "" {
+			if late.reason == "" {
+				late = f
+			}
+			continue
+		}
 		if c.PrefillUtilization <= max(maxUtilizationSkew*r.meanUtilization, minSkewedUtilization) && c.QueuedPrefill <= maxQueuedPrefill(req, c) {
-			return c
+			return c, late
 		}
 		if leastUtilized == nil || c.PrefillUtilization < leastUtilized.PrefillUtilization {
 			leastUtilized = c
 		}
 	}
-	return leastUtilized
+	return leastUtilized, late
 }
 
 // maxQueuedPrefill returns the longest queue behind which the request still
