Place requests by how fast endpoints are

Endpoints of a service differ in speed, for good and by what else runs on their machines. All were taken for alike, and a load with a fourth figure, which says how long work takes now, was dropped whole.

Change: the fourth figure is read, averaged over 0.25 s and faded over 1 s; a factor is learned for each endpoint from responses beyond that. Both scale service, prefill and step times. Grant requests carry what the asking gateway heard to the endpoint's coordinator. Learned factors up to 1.2 count as noise, so that equal endpoints are placed as before.

--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -37,6 +37,11 @@
 	// TimeToDeadlineMillis is the time left until the deadline of the whole response, 0
 	// if the asking gateway doesn't say.
 	TimeToDeadlineMillis int64 `json:"d,omitempty"`
+	// TimePercent is how long work takes on the machine of OnlyEndpoint, in percent of the
+	// usual time, as the endpoint told the asking gateway TimePercentAgeMillis ago; 0 if
+	// nothing recent is known.
+	TimePercent          int   `json:"m,omitempty"`
+	TimePercentAgeMillis int64 `json:"n,omitempty"`
 	// GrantID identifies the grant in its Release, 0 if it is not released.
 	GrantID uint64 `json:"g,omitempty"`
 	// ResponseStarted is set if the caller already has part of the response.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -140,6 +140,7 @@
 		return a.handleAddressTaken()
 	}
 	a.observeLeaving(meta)
+	a.observeSpeed(meta)
 	a.observePause(resp)
 	a.observeRequestLimit(meta)
 	a.attempts++
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -37,6 +37,7 @@
 // grant decides among the coordinated endpoints for which usable returns true. A
 // granted request counts as load of its endpoint at once.
 func (e *Edge) grant(req grants.Request, now time.Time, usable func(fleet.EndpointView) bool) grants.Response {
+	e.applySpeed(req, now)
 	incarnations := make(map[string]int64)
 	candidates := e.coordinated(req, now, func(view fleet.EndpointView) bool {
 		incarnations[view.ID] = view.Incarnation
@@ -146,6 +147,7 @@
 	for n, c := range local[:min(placement.MaxGrantRequests, len(local))] {
 		grantReq := s.grantRequest(req, placement.GrantLimit(req, c.PrefillTimePerToken, n))
 		grantReq.OnlyEndpoint = c.ID
+		s.tellSpeed(&grantReq, now)
 		s.requestGrantFrom(ctx, &result, coords, coords.coordinatorOf(c.ID), grantReq, local)
 		if result.granted || ctx.Err() != nil {
 			break
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -43,6 +43,7 @@
 	headerLastID    = "Last-Event-Id"
 	headerInstance  = "X-Instance"
 	headerCold      = "X-Cold-Ms"
+	headerPercent   = "X-Time-Percent"
 )
 
 // testCodec implements httpmeta.HeaderCodec.
@@ -73,9 +74,11 @@
 
 func (testCodec) ReadResponse(h http.Header) httpmeta.Response {
 	ms, _ := strconv.Atoi(h.Get(headerCold))
+	percent, _ := strconv.Atoi(h.Get(headerPercent))
 	return httpmeta.Response{
 		AttemptID: h.Get(headerID), NotExecuted: h.Get(headerNotRun) != "", Leaving: h.Get(headerLeaving) != "",
 		EndpointID: h.Get(headerInstance), ColdRemaining: time.Duration(ms) * time.Millisecond,
+		Load: &httpmeta.Load{TimePercent: percent},
 	}
 }
 
--- a/internal/endpointload/account.go
+++ b/internal/endpointload/account.go
@@ -35,6 +35,7 @@
 	running int
 	// slots is the number of requests that the endpoint runs at once, 0 if unknown.
 	slots int
+	speed speed
 	// streams holds the requests whose length is expected, without forwarded ones.
 	streams []*ActiveRequest
 	// kvTokens is the KV cache in tokens that all requests in flight use,
--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -52,6 +52,12 @@
 	t.withAccount(q.ID, q.Incarnation, func(a *account) {
 		ok = !now.Before(a.ejectedUntil)
 		c.FailureRate = a.failureRateNow(now)
+		a.slots = q.Slots
+		factor := a.speed.at(now)
+		c.PrefillTimePerToken = scale(c.PrefillTimePerToken, factor)
+		if q.KVCapacity == 0 {
+			c.ServiceTime = scale(c.ServiceTime, factor)
+		}
 		defer t.forecastLoad(a, &c, q, now)
 		if q.Remote {
 			recentPrefill += a.addUnreported(&c, q, now)
--- a/internal/endpointload/grants.go
+++ b/internal/endpointload/grants.go
@@ -160,7 +160,7 @@
 	prefill := time.Duration(max(job.PromptTokens-job.CachedTokens, 0)) * t.serviceTimes.prefillPerToken(job.Service)
 	generation := t.serviceTimes.generationTime(job.Service, job.OutputTokens)
 	t.withAccount(id, incarnation, func(a *account) {
-		a.grantedLoad.add(job, prefill, generation, now)
+		a.grantedLoad.add(job, scale(prefill, a.speed.at(now)), generation, now)
 		a.prefixes.touch(job.Segments, now)
 	})
 }
--- a/internal/endpointload/steptimes.go
+++ b/internal/endpointload/steptimes.go
@@ -154,6 +154,11 @@
 		}
 		recent := a.recentPrefillNow(now) + time.Duration(peerLoad.RecentPrefillMillis)*time.Millisecond
 		prefill = recent.Seconds() / utilizationTimeConstant.Seconds()
+		reported := a.speed.reportedNow(now)
+		if expected := t.steps.timePerOutput(req.job.Service, n, prefill, now); expected > 0 {
+			a.speed.learn(elapsed.Seconds() / float64(outputs) / expected.Seconds() / reported)
+		}
+		elapsed = scale(elapsed, 1/reported)
 	})
 	t.steps.observe(req.job.Service, outputs, elapsed, n, prefill, now)
 }
@@ -164,17 +169,17 @@
 	if n < 0 || q.KVCapacity == 0 {
 		return
 	}
-	a.slots = c.Slots
 	if c.Slots > 0 {
 		n = min(n, c.Slots-1)
 	}
-	c.TimePerOutput = t.steps.timePerOutput(q.Service, n+1, c.PrefillUtilization, now)
+	factor := a.speed.at(now)
+	c.TimePerOutput = scale(t.steps.timePerOutput(q.Service, n+1, c.PrefillUtilization, now), factor)
 	if c.TimePerOutput <= 0 {
 		return
 	}
 	f := slackForecast{perOutput: c.TimePerOutput, now: now}
 	if q.Coordinated {
-		f.perOutput, f.queue = t.steps.timePerOutput(q.Service, n+1, 0, now), time.Duration(float64(c.QueuedPrefill)/prefillShare)
+		f.perOutput, f.queue = scale(t.steps.timePerOutput(q.Service, n+1, 0, now), factor), time.Duration(float64(c.QueuedPrefill)/prefillShare)
 	}
 	for _, req := range a.streams {
 		f.add(req.job.Deadline, req.remainingOutputs(c.TimePerOutput, now))
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -137,6 +137,8 @@
 	// uncontended is set if no other request was waiting at the endpoint when
 	// this one was sent.
 	uncontended bool
+	// foundSlot is set if the endpoint was known to have a free slot then.
+	foundSlot bool
 	// firstOutputAt is set once responseStarted is.
 	firstOutputAt   time.Time
 	responseStarted bool
@@ -152,6 +154,8 @@
 	t.serviceTimes.observeRequest(job, req.prefill)
 	peerLoad := t.peerLoads.sum(id, now)
 	t.withAccount(id, incarnation, func(a *account) {
+		req.prefill = scale(req.prefill, a.speed.at(now))
+		req.foundSlot = len(a.pending)+a.running+peerLoad.Waiting+peerLoad.Running < a.slots
 		req.uncontended = len(a.pending) == 0 && peerLoad.Waiting == 0
 		a.add(req, now)
 	})
@@ -167,12 +171,14 @@
 	if req.responseStarted {
 		return
 	}
+	factor := 1.0
 	req.tracker.withAccount(req.endpointID, req.incarnation, func(a *account) {
 		req.responseStarted, req.firstOutputAt = true, now
 		a.startResponse(req, now)
+		factor = a.speed.at(now)
 	})
 	if req.uncontended {
-		req.tracker.serviceTimes.observePrefill(req.job, now.Sub(req.start))
+		req.tracker.serviceTimes.observePrefill(req.job, scale(now.Sub(req.start), 1/factor))
 	}
 }
 
@@ -192,7 +198,7 @@
 	case req.job.PromptTokens > 0 && req.responseStarted:
 		req.tracker.serviceTimes.observeGeneration(req.job, now.Sub(req.firstOutputAt), now.Sub(req.start))
 	case req.job.PromptTokens == 0 && !req.job.Forwarded:
-		req.tracker.serviceTimes.observePlainService(req.job.Service, req.job.withoutWait(now.Sub(req.start)))
+		req.learnSpeed(req.job.withoutWait(now.Sub(req.start)), now)
 	}
 }
 
--- a/internal/httpmeta/httpmeta.go
+++ b/internal/httpmeta/httpmeta.go
@@ -92,6 +92,9 @@
 	Waiting int
 	// Slots is the number of requests that can run at a time.
 	Slots int
+	// TimePercent is how long work takes on the endpoint's machine now, in percent of the
+	// usual time; 0 if the endpoint doesn't say.
+	TimePercent int
 }
 
 // HeaderCodec converts between headers and the metadata they carry.
