Read streams on while their callers read slowly

Endpoints cut off a response that stays unread for some seconds. A gateway reads an event from the endpoint only when the caller has taken the one before.

Change: events are written to the caller by a goroutine of the stream. The endpoint counts as free when it has sent the end, however long the caller takes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,8 @@
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
 	stopping                              *stopping
+	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
+	streamBacklog atomic.Int64
 }
 
 // New returns an Edge that measures the round trips to other regions on the
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -70,6 +70,8 @@
 	attempts int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// out writes the events of the stream to the caller; nil until there is one.
+	out *streamWriter
 	// stream is the part of the response that the caller has been sent.
 	stream streamState
 }
@@ -92,6 +94,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	defer s.closeStream()
 	s.tried = make(map[string]bool)
 	s.edge.RetryBudget.RecordRequest(s.service.Name, time.Now())
 	for {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -71,6 +71,11 @@
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			a.startResponse(resp)
 			a.recordCompletion(resp)
+			// The endpoint is free again, however long the caller takes.
+			a.activeRequest.End(endpointload.Succeeded, time.Now())
+			if err := a.finishStream(); err != nil {
+				return a.handleRelayError(ctx, err)
+			}
 			a.log("done", "endpoint", a.endpoint.ID, "events", a.stream.lastEventID)
 			return outcome{done: true}, endpointload.Succeeded
 		}
@@ -86,7 +91,7 @@
 			provenAt = now
 			a.edge.Quarantine.RecordCompletion(a.sharedSegments, now)
 		}
-		if err := a.relayEvent(resp, reader, event); err != nil {
+		if err := a.relayEvent(ctx, resp, reader, event); err != nil {
 			return a.handleRelayError(ctx, err)
 		}
 	}
@@ -96,7 +101,9 @@
 // the caller.
 func (a *attempt) handleRelayError(ctx context.Context, err error) (outcome, endpointload.Result) {
 	var streamErr *StreamError
-	if errors.As(err, &streamErr) {
+	if errors.As(err, &streamErr) || errors.Is(err, ctx.Err()) {
+		// At the deadline the caller may still be there, and must not take what it has for
+		// the whole.
 		return a.handleFailure(ctx, err)
 	}
 	a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
@@ -105,7 +112,7 @@
 
 // relayEvent sends one event to the caller, unless the caller has it already. It
 // flushes only when no further events are buffered.
-func (a *attempt) relayEvent(resp *http.Response, reader *bufio.Reader, event []byte) error {
+func (a *attempt) relayEvent(ctx context.Context, resp *http.Response, reader *bufio.Reader, event []byte) error {
 	if line, ok := invalidLine(event); ok {
 		return errors.WithStack(&StreamError{Reason: fmt.Sprintf("not a line of an event: %.40q", line)})
 	}
@@ -119,13 +126,18 @@
 		a.stream.lastEventID = id
 	}
 	a.startResponse(resp)
-	if _, err := a.writer.Write(event); err != nil {
-		return err
+	if a.out == nil {
+		a.out = newStreamWriter(a.writer, &a.edge.streamBacklog)
 	}
-	if reader.Buffered() > 0 {
+	return a.out.write(ctx, event, reader.Buffered() > 0)
+}
+
+// finishStream waits until the caller has been sent the whole stream.
+func (a *attempt) finishStream() error {
+	if a.out == nil {
 		return nil
 	}
-	return http.NewResponseController(a.writer).Flush()
+	return a.out.finish()
 }
 
 // readEvent appends the next event to buf, including the empty line that ends it.
