--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -22,6 +22,10 @@
 	PromptTokens int `json:"t" lenient:"required"`
 	SharedTokens int `json:"h,omitempty"`
 	OutputTokens int `json:"a,omitempty" lenient:"required"`
+	// Outputs and LongTokens are the length of the response that few such requests
+	// exceed, in outputs of the endpoint and in tokens; 0 if unknown.
+	Outputs    int `json:"v,omitempty"`
+	LongTokens int `json:"z,omitempty"`
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int `json:"u,omitempty" lenient:"required"`
 	// TimeToObjectiveMillis is the time left until the latency objective is
@@ -31,6 +35,16 @@
 	TimeToObjectiveMillis int64 `json:"o" lenient:"required"`
 	EstimateLimitMillis   int64 `json:"w" lenient:"required"`
 	HardLimitMillis       int64 `json:"l" lenient:"required"`
+	// TimeToDeadlineMillis is the time left until the deadline of the whole response, 0
+	// if the asking gateway doesn't say.
+	TimeToDeadlineMillis int64 `json:"d,omitempty" lenient:"required"`
+	// TimePercent is how long work takes on the machine of OnlyEndpoint, in percent of the
+	// usual time, as the endpoint told the asking gateway TimePercentAgeMillis ago; 0 if
+	// nothing recent is known.
+	TimePercent          int   `json:"m,omitempty" lenient:"required"`
+	TimePercentAgeMillis int64 `json:"n,omitempty" lenient:"required"`
+	// GrantID identifies the grant in its Release, 0 if it is not released.
+	GrantID uint64 `json:"g,omitempty"`
 	// ResponseStarted is set if the caller already has part of the response.
 	ResponseStarted bool `json:"b,omitempty"`
 	// Segments are the segments of the prompt in order.
@@ -48,6 +62,8 @@
 	// EstimateMillis is the estimated time to the first output. In a refusal it
 	// is the shortest estimate, or 0 if unknown.
 	EstimateMillis int64 `json:"w,omitempty"`
+	// ForecastMillis is the forecast time to the end of the response, 0 if unknown.
+	ForecastMillis int64 `json:"v,omitempty"`
 	// CachedTokens is the length of the prompt prefix that the endpoint is
 	// believed to have cached. QueuedPrefillMillis is the prefill time ahead of
 	// the request. PrefillUtilizationPercent is the share of the endpoint's
@@ -55,8 +71,19 @@
 	CachedTokens              int   `json:"c,omitempty"`
 	QueuedPrefillMillis       int64 `json:"q,omitempty"`
 	PrefillUtilizationPercent int   `json:"u,omitempty"`
-	// Reason is the reason of a refusal.
-	Reason string `json:"r,omitempty"`
+	// Ahead is the number of requests that the endpoint had before a grant with a GrantID.
+	Ahead int `json:"f,omitempty"`
+	// Reason is the reason of a refusal, RetryAfterMillis when a request may be granted.
+	Reason           string `json:"r,omitempty"`
+	RetryAfterMillis int64  `json:"b,omitempty"`
+}
+
+// Release tells a coordinator that the request of a grant has ended, or was never sent
+// because the response of the coordinator didn't arrive. It is not answered; a grant
+// whose Release is lost ends with the request's deadline.
+type Release struct {
+	Endpoint string `json:"e" lenient:"required"`
+	GrantID  uint64 `json:"g" lenient:"required"`
 }
 
 // PermitRequest asks the coordinator of an endpoint that names a limit for the permit to
@@ -80,8 +107,8 @@
 // Estimate returns the estimated time to the first output.
 func (r Response) Estimate() time.Duration { return time.Duration(r.EstimateMillis) * time.Millisecond }
 
-// message is one datagram: a request, or the response to the request with the
-// same ID.
+// message is one datagram: a request, the response to the request with the same ID, or
+// a release.
 type message struct {
 	RequestID      uint64          `json:"n"`
 	Request        *Request        `json:"q,omitempty" lenient:"parts"`
@@ -90,6 +117,7 @@
 	PermitResponse *PermitResponse `json:"pa,omitempty" lenient:"parts"`
 	ProofRequest   *ProofRequest   `json:"fq,omitempty" lenient:"parts"`
 	ProofResponse  *ProofResponse  `json:"fa,omitempty" lenient:"parts"`
+	Release        *Release        `json:"r,omitempty" lenient:"parts"`
 	// Unreadable tells which parts of the request can't be read. Without a response the
 	// request is not decided.
 	Unreadable *lenient.Report `json:"bad,omitempty"`
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -22,6 +22,8 @@
 	// RequestPermit is RequestGrant for a permit, which allows one request to an endpoint
 	// that names a limit.
 	RequestPermit(ctx context.Context, gateway, address string, req grants.PermitRequest) (grants.PermitResponse, error)
+	// ReleaseGrant tells the gateway at the given address that a granted request has ended.
+	ReleaseGrant(address string, r grants.Release) error
 }
 
 // Grant decides on a request for a grant from another gateway of this region, by
@@ -35,25 +37,37 @@
 // grant decides among the coordinated endpoints for which usable returns true. A
 // granted request counts as load of its endpoint at once.
 func (e *Edge) grant(req grants.Request, now time.Time, usable func(fleet.EndpointView) bool) grants.Response {
+	e.applySpeed(req, now)
 	incarnations := make(map[string]int64)
 	candidates := e.coordinated(req, now, func(view fleet.EndpointView) bool {
 		incarnations[view.ID] = view.Incarnation
 		return usable(view)
 	})
+	toDeadline := time.Duration(req.TimeToDeadlineMillis) * time.Millisecond
 	d := placement.DecideGrant(placement.Request{
 		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, ResponseStarted: req.ResponseStarted,
+		Outputs: req.Outputs, LongOutputTokens: req.LongTokens, TimeToEnd: toDeadline,
 		TimeToObjective: time.Duration(req.TimeToObjectiveMillis) * time.Millisecond,
 		TimeToDeadline:  time.Duration(req.HardLimitMillis) * time.Millisecond,
 	}, candidates, time.Duration(req.EstimateLimitMillis)*time.Millisecond)
 	if d.Kind != placement.Serve {
-		return grants.Response{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds()}
+		return grants.Response{Reason: string(d.Reason), EstimateMillis: d.Estimate.Milliseconds(), RetryAfterMillis: d.RetryAfter.Milliseconds()}
 	}
 	c := d.Candidate
-	e.Loads.RecordGrant(c.ID, incarnations[c.ID], endpointload.Job{
+	if req.GrantID != 0 {
+		e.Loads.HoldSlot(c.ID, incarnations[c.ID], req.GrantID, max(toDeadline, time.Duration(req.HardLimitMillis)*time.Millisecond), now)
+		return grants.Response{Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Ahead: c.Running + c.Waiting}
+	}
+	job := endpointload.Job{
 		Service: req.Service, PromptTokens: req.PromptTokens, CachedTokens: c.CachedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, Segments: req.Segments,
-	}, now)
+		Lengths: endpointload.Lengths{Outputs: req.Outputs, Tokens: req.LongTokens},
+	}
+	if toDeadline > 0 {
+		job.Deadline = now.Add(toDeadline)
+	}
+	e.Loads.RecordGrant(c.ID, incarnations[c.ID], job, now)
 	return grants.Response{
-		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), CachedTokens: c.CachedTokens,
+		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), ForecastMillis: d.Forecast.Milliseconds(), CachedTokens: c.CachedTokens,
 		QueuedPrefillMillis: c.QueuedPrefill.Milliseconds(), PrefillUtilizationPercent: int(percentFactor * c.PrefillUtilization),
 	}
 }
@@ -71,7 +85,7 @@
 		}
 		c, ok := e.Loads.Candidate(endpointload.Query{
 			ID: view.ID, Incarnation: view.Incarnation, Service: view.Service, Segments: req.Segments, Priority: req.Priority,
-			Slots: view.Slots, KVCapacity: capacity, Coordinated: true,
+			Slots: view.Slots, KVCapacity: capacity, Coordinated: true, HoldsSlots: req.GrantID != 0,
 		}, now)
 		if !ok {
 			continue
@@ -105,7 +119,7 @@
 
 // grantResult sums up the responses of the coordinators of the local region.
 type grantResult struct {
-	// decision is set if granted is.
+	// decision is that of the coordinator if granted is set.
 	decision placement.Decision
 	granted  bool
 	// denied is set if a coordinator responded without a grant. If granted is not
@@ -117,6 +131,11 @@
 	fastestEstimate time.Duration
 	// responses is the number of responses, those of this gateway included.
 	responses int
+	// retryAfter is the shortest time after which one of the coordinators that refused
+	// expects to grant; 0 if none says.
+	retryAfter time.Duration
+	// reason is that of the last refusal.
+	reason placement.Reason
 }
 
 // requestGrant asks for the highest-ranked local candidates in turn, each at its
@@ -128,6 +147,7 @@
 	for n, c := range local[:min(placement.MaxGrantRequests, len(local))] {
 		grantReq := s.grantRequest(req, placement.GrantLimit(req, c.PrefillTimePerToken, n))
 		grantReq.OnlyEndpoint = c.ID
+		s.tellSpeed(&grantReq, now)
 		s.requestGrantFrom(ctx, &result, coords, coords.coordinatorOf(c.ID), grantReq, local)
 		if result.granted || ctx.Err() != nil {
 			break
@@ -165,6 +185,7 @@
 func (s *session) requestGrantFrom(ctx context.Context, result *grantResult, coords *coordinators, id string, req grants.Request, local []placement.Candidate) {
 	response, err := s.grantResponseOf(ctx, coords, id, req)
 	if err != nil {
+		s.releaseLost(coords, id, req, local)
 		s.log("not_granted", "coordinator", id, "err", err)
 		return
 	}
@@ -175,11 +196,20 @@
 		}
 		candidate.QueuedPrefill = time.Duration(response.QueuedPrefillMillis) * time.Millisecond
 		candidate.PrefillUtilization, candidate.CachedTokens = float64(response.PrefillUtilizationPercent)/percentFactor, response.CachedTokens
-		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate()}
+		if req.GrantID != 0 {
+			s.grant = slotGrant{coordinator: id, address: coords.others[id].GrantAddress, release: grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID}, ahead: response.Ahead, slots: candidate.Slots}
+		}
+		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate(), Forecast: time.Duration(response.ForecastMillis) * time.Millisecond}
 		result.granted = true
 		return
 	}
-	result.denied = true
+	result.denied, result.reason = true, placement.Reason(response.Reason)
+	if response.Endpoint != "" && req.GrantID != 0 {
+		s.release(id, coords.others[id].GrantAddress, grants.Release{Endpoint: response.Endpoint, GrantID: req.GrantID})
+	}
+	if retryAfter := time.Duration(response.RetryAfterMillis) * time.Millisecond; retryAfter > 0 && (result.retryAfter == 0 || retryAfter < result.retryAfter) {
+		result.retryAfter = retryAfter
+	}
 	if estimate := response.Estimate(); estimate > 0 && (result.fastest == "" || estimate < result.fastestEstimate) {
 		result.fastest, result.fastestEstimate = id, estimate
 	}
@@ -196,8 +226,9 @@
 func (s *session) grantRequest(req placement.Request, limit time.Duration) grants.Request {
 	grantReq := grants.Request{
 		Service: s.service.Name, RankKey: s.rankKey(), PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens,
+		Outputs: req.Outputs, LongTokens: req.LongOutputTokens,
 		Priority: req.Priority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
-		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(),
+		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(), TimeToDeadlineMillis: req.TimeToDeadline.Milliseconds(), GrantID: s.newGrantID(),
 		ResponseStarted: req.ResponseStarted, Segments: s.segments,
 	}
 	grantReq.ExcludedEndpoints = slices.Clone(s.heldBack)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,7 @@
 	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
+	forecastRefusals = telemetry.NewCounter("route_forecast_refusals", "requests", "route requests refused since their response would end too late or delay others")
 	requestTime      = telemetry.NewHistogram("route_time")
 )
 
@@ -91,6 +92,8 @@
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
 	stopping                              *stopping
+	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
+	streamBacklog atomic.Int64
 }
 
 // New returns an Edge that measures the round trips to other regions on the
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -46,6 +46,7 @@
 	headerKey       = "X-Key"
 	headerAccount   = "X-Account"
 	headerUrgency   = "X-Urgency"
+	headerPercent   = "X-Time-Percent"
 )
 
 // testCodec implements httpmeta.HeaderCodec.
@@ -80,9 +81,11 @@
 
 func (testCodec) ReadResponse(h http.Header) httpmeta.Response {
 	ms, _ := strconv.Atoi(h.Get(headerCold))
+	percent, _ := strconv.Atoi(h.Get(headerPercent))
 	return httpmeta.Response{
 		AttemptID: h.Get(headerID), NotExecuted: h.Get(headerNotRun) != "", Leaving: h.Get(headerLeaving) != "",
 		EndpointID: h.Get(headerInstance), ColdRemaining: time.Duration(ms) * time.Millisecond,
+		Load: &httpmeta.Load{TimePercent: percent},
 	}
 }
 
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -71,6 +71,10 @@
 	// them is back.
 	heldBack      []string
 	soonestReturn time.Duration
+	// lengths are those that the response of a model request is expected to have.
+	lengths endpointload.Lengths
+	// grant is the place that a coordinator holds for the next attempt.
+	grant slotGrant
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
 	// reachedEndpoint is set once an endpoint may have received the request, whether it ran
@@ -78,6 +82,8 @@
 	reachedEndpoint bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// out writes the events of the stream to the caller; nil until there is one.
+	out *streamWriter
 	// stream is the part of the response that the caller has been sent.
 	stream streamState
 }
@@ -100,6 +106,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	defer s.closeStream()
 	s.tried = make(map[string]bool)
 	s.edge.RetryBudget.RecordRequest(s.service.Name, time.Now())
 	for {
--- a/internal/endpointload/tracker.go
+++ b/internal/endpointload/tracker.go
@@ -17,6 +17,8 @@
 type Tracker struct {
 	shards       [shardCount]shard
 	serviceTimes *serviceTimes
+	steps        *stepTimes
+	lengths      *lengths
 	peerLoads    *peerLoads
 	// ownPrefixes logs the prefixes that this gateway's requests had prefilled,
 	// peerPrefixes those that other gateways of the region reported.
@@ -31,7 +33,7 @@
 
 // New returns a tracker without any load.
 func New() *Tracker {
-	t := &Tracker{serviceTimes: newServiceTimes(), peerLoads: newPeerLoads(), ownPrefixes: newPrefixLog(), peerPrefixes: newPrefixLog()}
+	t := &Tracker{serviceTimes: newServiceTimes(), steps: newStepTimes(), lengths: newLengths(), peerLoads: newPeerLoads(), ownPrefixes: newPrefixLog(), peerPrefixes: newPrefixLog()}
 	for i := range t.shards {
 		t.shards[i].accounts = make(map[string]*account)
 	}
@@ -76,6 +78,25 @@
 	// Forwarded is set if a gateway of another region serves the request. That
 	// gateway accounts for it.
 	Forwarded bool
+	// Streamed is set if the response is a stream that is read from its first output,
+	// Class that by which its length is learned, Lengths what was learned before the
+	// request. Deadline is when the caller gives up.
+	Streamed bool
+	Class    LengthClass
+	Lengths  Lengths
+	Deadline time.Time
+	// Ahead is the number of requests that a plain endpoint had before this one, Slots
+	// how many it runs at once. Slots is 0 if Ahead is not known.
+	Ahead int
+	Slots int
+}
+
+// maxTokens returns the KV cache in tokens that the request needs by its end.
+func (j *Job) maxTokens() int {
+	if j.Lengths.Tokens > 0 {
+		return j.PromptTokens + j.Lengths.Tokens
+	}
+	return j.PromptTokens + j.OutputTokens
 }
 
 // Segment is one segment of a prompt. PrefixHash identifies the prompt prefix
@@ -118,10 +139,13 @@
 	// uncontended is set if no other request was waiting at the endpoint when
 	// this one was sent.
 	uncontended bool
+	// foundSlot is set if the endpoint was known to have a free slot then.
+	foundSlot bool
 	// firstOutputAt is set once responseStarted is.
 	firstOutputAt   time.Time
 	responseStarted bool
 	ended           bool
+	progress        streamProgress
 }
 
 // Begin accounts for a request that is sent to the endpoint now. The caller
@@ -137,6 +161,8 @@
 			a = newAccount(incarnation)
 		}
 		req.account = a
+		req.prefill = scale(req.prefill, a.speed.at(now))
+		req.foundSlot = len(a.pending)+a.running+peerLoad.Waiting+peerLoad.Running < a.slots
 		req.uncontended = len(a.pending) == 0 && peerLoad.Waiting == 0
 		a.add(req, now)
 	})
@@ -161,10 +187,14 @@
 	if req.responseStarted {
 		return
 	}
-	req.responseStarted, req.firstOutputAt = true, now
-	req.withAccount(func(a *account) { a.startResponse(req, now) })
+	factor := 1.0
+	req.withAccount(func(a *account) {
+		req.responseStarted, req.firstOutputAt = true, now
+		a.startResponse(req, now)
+		factor = a.speed.at(now)
+	})
 	if req.uncontended {
-		req.tracker.serviceTimes.observePrefill(req.job, now.Sub(req.start))
+		req.tracker.serviceTimes.observePrefill(req.job, scale(now.Sub(req.start), 1/factor))
 	}
 }
 
@@ -174,13 +204,17 @@
 		return
 	}
 	req.ended = true
+	req.observeSteps(now)
 	req.withAccount(func(a *account) { a.finish(req, result, now) })
+	if result == Succeeded || result == Abandoned {
+		req.tracker.lengths.observe(req.job, req.progress.outputs, result == Succeeded)
+	}
 	switch {
 	case result != Succeeded:
 	case req.job.PromptTokens > 0 && req.responseStarted:
 		req.tracker.serviceTimes.observeGeneration(req.job, now.Sub(req.firstOutputAt), now.Sub(req.start))
 	case req.job.PromptTokens == 0 && !req.job.Forwarded:
-		req.tracker.serviceTimes.observePlainService(req.job.Service, now.Sub(req.start))
+		req.learnSpeed(req.job.withoutWait(now.Sub(req.start)), now)
 	}
 }
 
