Edge: pace of endpoints that have just started or recovered

Endpoints that come back got all requests that placement found them idle for, once the limit of cold endpoints ended. In a large region the coordinator of an endpoint keeps it and is told by datagrams how the endpoint responds to the others; in a small one each gateway takes its part. Requests go to endpoints with room first, and beyond a window where no other endpoint can serve them in time. The limit of cold endpoints, pauses and named limits are looked at before.

Off by default; without it nothing is decided differently.

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -44,6 +44,7 @@
 		EndpointSource:  platform.EndpointSource{Store: store},
 		Codec:           platform.HeaderCodec{},
 		MetricsPort:     edgeSettings.MetricsPort,
+		EndpointPace:    edgeSettings.EndpointPace,
 		NewDirectoryHandler: func(addresses func(host, region string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directoryFunc(addresses))
 		},
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -66,6 +66,7 @@
 type Controller struct {
 	conn        net.PacketConn
 	coordinator Coordinator
+	recordPace  func(PaceReport, time.Time)
 	logger      *log.Logger
 
 	mu sync.Mutex
@@ -116,6 +117,8 @@
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
+	case m.PaceReport != nil:
+		c.handlePaceReport(*m.PaceReport)
 	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
 	default:
 		malformed.Inc()
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -56,6 +56,9 @@
 	PrefillUtilizationPercent int   `json:"u,omitempty"`
 	// Reason is the reason of a refusal.
 	Reason string `json:"r,omitempty"`
+	// Paced is set if the coordinator keeps a window for the granted endpoint: it is to be
+	// told how the endpoint responds.
+	Paced bool `json:"pc,omitempty"`
 }
 
 // PermitRequest asks the coordinator of an endpoint that names a limit for the permit to
@@ -87,6 +90,7 @@
 	Response       *Response       `json:"a,omitempty"`
 	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
 	PermitResponse *PermitResponse `json:"pa,omitempty"`
+	PaceReport     *PaceReport     `json:"pr,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -25,6 +25,8 @@
 	activeRequest *endpointload.ActiveRequest
 	// sentAt is when the request was sent.
 	sentAt time.Time
+	// paced is nil for forwarded requests and if the pace of endpoints is off.
+	paced *pacedRequest
 }
 
 // attempt sends the request to the endpoint of the decision, or to a gateway of
@@ -55,8 +57,10 @@
 		return outcome{mayRetry: true, refusal: notSentRefusal(reason)}
 	}
 	a.activeRequest = s.edge.Loads.Begin(view.ID, view.Incarnation, a.loadJob(d), time.Now())
+	a.paced = a.beginPaced(d)
 	out, result := a.run(ctx)
 	a.activeRequest.End(result, time.Now())
+	a.paced.end(result)
 	return out
 }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -38,9 +38,10 @@
 	incarnations := make(map[string]int64)
 	candidates := e.coordinated(req, now, func(view fleet.EndpointView) bool {
 		incarnations[view.ID] = view.Incarnation
+		e.observePace(view, now)
 		return usable(view)
 	})
-	d := placement.DecideGrant(placement.Request{
+	d := e.decideGrantPaced(req, incarnations, now, placement.Request{
 		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, ResponseStarted: req.ResponseStarted,
 		TimeToObjective: time.Duration(req.TimeToObjectiveMillis) * time.Millisecond,
 		TimeToDeadline:  time.Duration(req.HardLimitMillis) * time.Millisecond,
@@ -55,6 +56,7 @@
 	return grants.Response{
 		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), CachedTokens: c.CachedTokens,
 		QueuedPrefillMillis: c.QueuedPrefill.Milliseconds(), PrefillUtilizationPercent: int(percentFactor * c.PrefillUtilization),
+		Paced: e.pacing.hasWindow(c.ID, incarnations[c.ID], now),
 	}
 }
 
@@ -177,6 +179,7 @@
 		candidate.PrefillUtilization, candidate.CachedTokens = float64(response.PrefillUtilizationPercent)/percentFactor, response.CachedTokens
 		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate()}
 		result.granted = true
+		s.edge.pacing.setReported(response, time.Now())
 		return
 	}
 	result.denied = true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
@@ -70,7 +71,11 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
-	Logger *log.Logger
+	// Pace holds the windows of endpoints that have just started or recovered; nil if their
+	// pace is off. PaceReporter tells coordinators of it; it may be nil.
+	Pace         *pace.Tracker
+	PaceReporter PaceReporter
+	Logger       *log.Logger
 }
 
 // Edge serves the requests of callers and those forwarded by other gateways. It
@@ -86,13 +91,14 @@
 	// that may still run, send to cold endpoints and give out permits.
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
+	pacing                                *pacing
 	stopping                              *stopping
 }
 
 // New returns an Edge that measures the round trips to other regions on the
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
-	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
+	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping(), pacing: newPacing(c.Pace)}
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -235,6 +241,7 @@
 	e.EndpointTransport.Forget(address)
 	e.Loads.Forget(id)
 	e.Limits.Forget(id)
+	e.pacing.forget(id)
 }
 
 // IsReady reports whether this gateway accepts requests of callers.
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -47,14 +47,14 @@
 // if no coordinator responds, is decided by what this gateway knows of the load.
 func (s *session) decide(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) (placement.Decision, grantResult) {
 	if !req.StaleView || req.PromptTokens == 0 {
-		return placement.Decide(req, candidates), grantResult{}
+		return s.decidePaced(req, candidates, now), grantResult{}
 	}
 	grant := s.requestGrant(ctx, req, candidates, now)
 	if grant.granted {
 		return grant.decision, grant
 	}
 	req.LocalRefused = grant.denied
-	d := placement.Decide(req, candidates)
+	d := s.decidePaced(req, candidates, now)
 	if d.Kind == placement.Serve || !grant.denied {
 		return d, grant
 	}
@@ -137,7 +137,7 @@
 	reachable := make(map[string]bool)
 	var out []placement.Candidate
 	best := -1
-	s.heldBack, s.soonestReturn = nil, 0
+	s.heldBack, s.soonestReturn, s.paced = nil, 0, pacedEndpoints{}
 	for _, view := range e.Registry.Usable(s.service.Name, e.heartbeatInterval(), now) {
 		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.route.Permits(view.Region) {
 			continue
@@ -146,6 +146,9 @@
 		if remote && (s.forwarded != nil || !s.canReach(view.Region, reachable, now)) {
 			continue
 		}
+		if !remote {
+			s.checkPace(view, now)
+		}
 		if !remote && (s.isHeldBack(view, now) || !s.mayUseCold(view, now)) {
 			continue
 		}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -62,6 +62,8 @@
 	// them is back.
 	heldBack      []string
 	soonestReturn time.Duration
+	// paced is what the last search for candidates found of the pace of endpoints.
+	paced pacedEndpoints
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
 	// mayHaveRun is set once an endpoint may have run the request.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -79,6 +79,7 @@
 		}
 		now := time.Now()
 		a.activeRequest.RecordFirstOutput(now)
+		a.paced.observeFirstOutput(resp, now)
 		switch {
 		case provenAt.IsZero():
 			provenAt = now
@@ -220,6 +221,7 @@
 		return a.handleFailure(ctx, err)
 	}
 	a.activeRequest.RecordFirstOutput(time.Now())
+	a.paced.observeFirstOutput(resp, time.Now())
 	a.startResponse(resp)
 	if _, err := a.writer.Write(body); err != nil {
 		a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -34,6 +34,7 @@
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
@@ -57,6 +58,8 @@
 	Codec          httpmeta.HeaderCodec
 	// MetricsPort is the port on which the counters are served; 0 disables it.
 	MetricsPort int
+	// EndpointPace switches on the pace of endpoints that have just started or recovered.
+	EndpointPace bool
 	// NewDirectoryHandler and NewReadinessHandler return the handlers of the directory
 	// listener and the readiness listener. The addresses function
 	// returns the caller addresses of gateways and how long they may be cached.
@@ -133,9 +136,12 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Pace:              newPace(p.EndpointPace),
+		PaceReporter:      grantController,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
+	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
 	s.controllers = []controller.Controller{
@@ -165,6 +171,14 @@
 	return s, nil
 }
 
+// newPace returns the tracker of the pace, nil if it is off.
+func newPace(on bool) *pace.Tracker {
+	if !on {
+		return nil
+	}
+	return pace.New()
+}
+
 // openSockets closes what has been opened so far unless all could be opened.
 type openSockets []io.Closer
 
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -53,6 +53,17 @@
 	Abandoned
 )
 
+// String returns the name of the result, as it appears in logs.
+func (r Result) String() string {
+	if !r.IsValid() {
+		return "unknown"
+	}
+	return [...]string{"answered", "refused", "failed", "unreachable", "abandoned"}[r]
+}
+
+// IsValid reports whether r is one of the results.
+func (r Result) IsValid() bool { return r >= Answered && r <= Abandoned }
+
 // Sample is what one request showed of its endpoint.
 type Sample struct {
 	// Expected is the time to the first output that was expected when the request was
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -9,6 +9,9 @@
 	// MetricsPort is the port of the metrics at this machine's address. If it
 	// is 0, metrics are not served.
 	MetricsPort int
+	// EndpointPace is set if endpoints that have just started or recovered get requests by
+	// how they respond.
+	EndpointPace bool
 }
 
 // LoadEdge reads the settings from args and the environment as Load does.
@@ -28,6 +31,17 @@
 	return []option{
 		{"log-level", "info", "debug, info, warn or error", stringOption(&e.LogLevel)},
 		{"metrics-port", "9464", "port of the counters and histograms; 0 serves none", portOption(&e.MetricsPort)},
+		{"endpoint-pace", "off", "off or on: whether endpoints that have just started or recovered get requests by how they respond", switchOption(&e.EndpointPace)},
+	}
+}
+
+func switchOption(dst *bool) func(string) string {
+	return func(s string) string {
+		if s != "on" && s != "off" {
+			return "off or on"
+		}
+		*dst = s == "on"
+		return ""
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,19 @@
 	})
 	require.NotContains(t, err.Error(), "0123456789abcdef")
 }
+
+// TestEndpointPaceIsOffByDefault guards against a deployment that gets the pace without
+// asking for it.
+func TestEndpointPaceIsOffByDefault(t *testing.T) {
+	e, err := LoadEdge(nil, emptyEnv)
+	require.NoError(t, err)
+	require.False(t, e.EndpointPace)
+	e, err = LoadEdge(nil, func(name string) (string, bool) { return "on", name == "HICKORYSTAGE_ENDPOINT_PACE" })
+	require.NoError(t, err)
+	require.True(t, e.EndpointPace)
+	e, err = LoadEdge([]string{"--endpoint-pace", "off"}, func(name string) (string, bool) { return "on", name == "HICKORYSTAGE_ENDPOINT_PACE" })
+	require.NoError(t, err)
+	require.False(t, e.EndpointPace)
+	_, err = LoadEdge([]string{"--endpoint-pace", "yes"}, emptyEnv)
+	require.ErrorContains(t, err, "--endpoint-pace")
+}
