Pace: denials and unreachable endpoints in large regions

A request that asks for up to three endpoints could find all of them without room in their windows and go to another region, while others of its own had room: half of a region may return at once. Endpoints that were denied within the last 100 ms are now asked for last. A coordinator learns by a report that another gateway could not reach an endpoint; only refused connections were told before. Windows that can't matter any more are dropped when looked at.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -125,7 +125,7 @@
 // coordinator, until one is granted.
 func (s *session) requestGrant(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) grantResult {
 	var result grantResult
-	local := localByRank(candidates)
+	local := s.edge.pacing.demoteDenied(localByRank(candidates), now)
 	coords := s.edge.coordinators(now)
 	for n, c := range local[:min(placement.MaxGrantRequests, len(local))] {
 		grantReq := s.grantRequest(req, placement.GrantLimit(req, c.PrefillTimePerToken, n))
@@ -171,6 +171,7 @@
 		return
 	}
 	result.responses++
+	s.edge.pacing.recordGrant(req, response, time.Now())
 	for _, candidate := range local {
 		if candidate.ID != response.Endpoint {
 			continue
@@ -179,7 +180,6 @@
 		candidate.PrefillUtilization, candidate.CachedTokens = float64(response.PrefillUtilizationPercent)/percentFactor, response.CachedTokens
 		result.decision = placement.Decision{Kind: placement.Serve, Candidate: candidate, Estimate: response.Estimate()}
 		result.granted = true
-		s.edge.pacing.setReported(response, time.Now())
 		return
 	}
 	result.denied = true
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -86,6 +86,10 @@
 		return
 	}
 	e.observePace(view, now)
+	if !e.Pace.HasWindow(view.ID, view.Incarnation, now) {
+		s.paced.hasUnpaced = true
+		return
+	}
 	inFlight := e.pacing.inFlight(view.ID, view.Incarnation) * e.paceParts(now)
 	s.paced.add(view.ID, limitedEndpoint{view.Incarnation, inFlight}, e.Pace.Room(view.ID, view.Incarnation, inFlight, now))
 }
@@ -278,7 +282,7 @@
 	if coordinator == coords.selfID {
 		sample.Count = 1
 	}
-	isReported := e.Pace.HasWindow(id, incarnation, now) || e.pacing.isReported(id, now)
+	isReported := result == pace.Unreachable || e.Pace.HasWindow(id, incarnation, now) || e.pacing.isReported(id, now)
 	e.recordPace(id, incarnation, sample, now)
 	if coordinator == coords.selfID || !isReported || e.PaceReporter == nil {
 		return
@@ -303,9 +307,14 @@
 }
 
 // RecordPaceReport records what a request of another gateway of this region showed of an
-// endpoint that this one coordinates.
+// endpoint that this one coordinates. An endpoint that the other could not reach gets a
+// window once the limit of a cold endpoint doesn't hold.
 func (e *Edge) RecordPaceReport(r grants.PaceReport, now time.Time) {
-	if e.pacing != nil {
-		e.recordPace(r.Endpoint, r.Incarnation, r.Sample(), now)
+	if e.pacing == nil {
+		return
+	}
+	if r.Result == pace.Unreachable {
+		e.pacing.setRecovered(r.Endpoint, r.Incarnation)
 	}
+	e.recordPace(r.Endpoint, r.Incarnation, r.Sample(), now)
 }
--- a/internal/edge/pace_test.go
+++ b/internal/edge/pace_test.go
@@ -259,7 +259,65 @@
 	e.Pace.Forget(other.id)
 	send(other.id)
 	require.Len(t, reporter.reports[coordinator], 1, "nobody keeps a window")
-	e.pacing.setReported(grants.Response{Endpoint: other.id, Paced: true}, time.Now())
+	e.pacing.recordGrant(grants.Request{}, grants.Response{Endpoint: other.id, Paced: true}, time.Now())
 	send(other.id)
 	require.Len(t, reporter.reports[coordinator], 2)
 }
+
+// TestCoordinatorLearnsOfUnreachableEndpoints checks that an endpoint that another gateway
+// could not reach gets a window at its coordinator, and that the report of it is sent though
+// nobody keeps one.
+func TestCoordinatorLearnsOfUnreachableEndpoints(t *testing.T) {
+	c, e, own := newPacedCoordinator(t)
+	view, _ := e.Registry.Get(own)
+	e.observePace(view, time.Now())
+	e.Pace.Forget(own)
+	e.RecordPaceReport(grants.NewPaceReport(own, 9, pace.Sample{Result: pace.Unreachable}), time.Now())
+	e.observePace(view, time.Now())
+	require.False(t, e.Pace.HasWindow(own, 0, time.Now()), "another incarnation")
+	e.RecordPaceReport(grants.NewPaceReport(own, 0, pace.Sample{Result: pace.Unreachable}), time.Now())
+	e.observePace(view, time.Now())
+	require.True(t, e.Pace.HasWindow(own, 0, time.Now()))
+
+	reporter := &fakeReporter{reports: make(map[string][]grants.PaceReport)}
+	e.PaceReporter = reporter
+	id := "gone-1"
+	for i := 2; e.coordinators(time.Now()).coordinatorOf(id) == "gw-north"; i++ {
+		id = fmt.Sprint("gone-", i)
+	}
+	c.addUnreachableEndpoint(id, "north-a")
+	p := c.regions["north"].place(t, "id")
+	e.Pace.Forget(id)
+	p.decision.Candidate.ID = id
+	p.session.attempt(t.Context(), p.decision)
+	require.Len(t, reporter.reports[e.coordinators(time.Now()).coordinatorOf(id)], 1)
+}
+
+// TestDeniedEndpointsAreAskedForLast guards against requests that ask for endpoints without
+// room only, while others of the region have room.
+func TestDeniedEndpointsAreAskedForLast(t *testing.T) {
+	f := &fakeGrants{}
+	var asked []string
+	f.respond = func(_ string, req grants.Request) (grants.Response, error) {
+		asked = append(asked, req.OnlyEndpoint)
+		if len(asked) <= placement.MaxGrantRequests {
+			return grants.Response{Reason: string(reasonPaced)}, nil
+		}
+		return grants.Response{Endpoint: req.OnlyEndpoint, EstimateMillis: 5}, nil
+	}
+	c := newCluster(t, "north")
+	c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent})
+	north := c.regions["north"]
+	north.makeLarge(f)
+	north.setPace()
+	for i, n := 0, 0; n < 8; i++ {
+		if id := fmt.Sprint("n", i); north.edge.coordinators(time.Now()).coordinatorOf(id) != "gw-north" {
+			c.startEndpoint(id, "north-a")
+			n++
+		}
+	}
+	require.Equal(t, http.StatusServiceUnavailable, north.callModel().status, "no estimate, so nobody else is asked")
+	require.Equal(t, http.StatusOK, north.callModel().status)
+	require.Len(t, asked, placement.MaxGrantRequests+1)
+	require.NotContains(t, asked[:placement.MaxGrantRequests], asked[placement.MaxGrantRequests])
+}
--- a/internal/edge/pacing.go
+++ b/internal/edge/pacing.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/pace"
+	"github.com/hickorystage/hickorystage/internal/placement"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// reportTime is how long after a grant by a coordinator that keeps a window it is
 	// told how the endpoint responds. It covers most responses.
 	reportTime = 10 * time.Second
+	// deniedTime is how long after a denial an endpoint is asked for last: about as long as
+	// responses take by which its window opens.
+	deniedTime = 100 * time.Millisecond
 	// logInterval is the least time between two pace_limited lines of an endpoint.
 	logInterval = time.Second
 	// maxPacedEndpoints bounds the endpoints that are kept.
@@ -49,6 +54,8 @@
 	unreachableAt, returnedAt time.Time
 	inFlight                  int
 	reportedUntil, loggedAt   time.Time
+	// deniedUntil is until when its coordinator is expected to have no room.
+	deniedUntil time.Time
 }
 
 func newPacing(t *pace.Tracker) *pacing {
@@ -156,17 +163,54 @@
 	return p != nil && p.tracker.HasWindow(id, incarnation, now)
 }
 
-// setReported records that the coordinator of a granted endpoint is to be told how the
-// endpoint responds, if it asks for that.
-func (p *pacing) setReported(r grants.Response, now time.Time) {
-	if p == nil || !r.Paced {
+// setRecovered records that another gateway could not reach an endpoint.
+func (p *pacing) setRecovered(id string, incarnation int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ep, ok := p.endpoints[id]; ok && ep.incarnation == incarnation {
+		ep.pending = pace.Recovered
+	}
+}
+
+// recordGrant records what a coordinator says of an endpoint: that it is to be told how the
+// endpoint responds, or that there is no room in its window.
+func (p *pacing) recordGrant(req grants.Request, r grants.Response, now time.Time) {
+	if p == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if ep, ok := p.endpoints[r.Endpoint]; ok {
+	if ep, ok := p.endpoints[r.Endpoint]; ok && r.Paced {
 		ep.reportedUntil = now.Add(reportTime)
 	}
+	if ep, ok := p.endpoints[req.OnlyEndpoint]; ok && r.Reason == string(reasonPaced) {
+		ep.deniedUntil = now.Add(deniedTime)
+	}
+}
+
+// demoteDenied moves the endpoints whose coordinators have just said that there is no room
+// to the end, so that the few coordinators that are asked for a request are others.
+func (p *pacing) demoteDenied(candidates []placement.Candidate, now time.Time) []placement.Candidate {
+	if p == nil {
+		return candidates
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isDenied := func(c placement.Candidate) bool {
+		ep, ok := p.endpoints[c.ID]
+		return ok && now.Before(ep.deniedUntil)
+	}
+	slices.SortStableFunc(candidates, func(a, b placement.Candidate) int {
+		switch aDenied, bDenied := isDenied(a), isDenied(b); {
+		case aDenied == bDenied:
+			return 0
+		case aDenied:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return candidates
 }
 
 func (p *pacing) isReported(id string, now time.Time) bool {
--- a/internal/edgeserver/harness_test.go
+++ b/internal/edgeserver/harness_test.go
@@ -39,6 +39,8 @@
 	routeTimeout time.Duration
 	// pause holds the gateways' calls to the store back while it is locked.
 	pause sync.RWMutex
+	// endpointPace switches on the pace of endpoints at gateways that start from now on.
+	endpointPace bool
 	// basePort is the first of the ports that each gateway uses.
 	basePort int
 }
@@ -171,6 +173,7 @@
 		OperatorSource: platform.OperatorSource{Store: client},
 		EndpointSource: platform.EndpointSource{Store: client},
 		Codec:          platform.HeaderCodec{},
+		EndpointPace:   s.endpointPace,
 		NewDirectoryHandler: func(addresses func(host, region string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directory(addresses))
 		},
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -219,12 +219,14 @@
 func (t *Tracker) open(id string, incarnation int64, now time.Time) *window {
 	w, ok := t.windows[id]
 	switch {
-	case !ok || w.incarnation != incarnation || w.proved:
+	case !ok:
 		return nil
-	case now.Sub(w.beganAt) >= maxAge:
+	case w.isOver(now):
 		delete(t.windows, id)
 		t.count.Store(int64(len(t.windows)))
 		return nil
+	case w.incarnation != incarnation || w.proved:
+		return nil
 	default:
 		return w
 	}
@@ -234,7 +236,7 @@
 // there were any. The caller must hold the lock.
 func (t *Tracker) removeExpired(now time.Time) bool {
 	for id, w := range t.windows {
-		if now.Sub(w.beganAt) >= maxAge || w.proved && now.Sub(w.beganAt) >= relapseTime {
+		if w.isOver(now) {
 			delete(t.windows, id)
 		}
 	}
--- a/internal/pace/window.go
+++ b/internal/pace/window.go
@@ -75,6 +75,12 @@
 // used returns the part of the window that was in use lately.
 func (w *window) used() float64 { return min(w.size, float64(max(w.peak, 1))) }
 
+// isOver reports whether the window can't matter any more, not even for a relapse.
+func (w *window) isOver(now time.Time) bool {
+	age := now.Sub(w.beganAt)
+	return age >= maxAge || w.proved && age >= relapseTime
+}
+
 func (w *window) room(inFlight int, now time.Time) int {
 	if now.Sub(w.peakAt) >= peakTime {
 		w.peak, w.peakAt = 0, now
