--- a/internal/controller/grants/pace.go
+++ b/internal/controller/grants/pace.go
@@ -11,12 +11,12 @@
 )
 
 var (
-	paceReportsSent     = telemetry.NewCounter("pace_reports_sent", "reports", "reports to coordinators of how endpoints that have just started or recovered respond")
+	paceReportsSent     = telemetry.NewCounter("pace_reports_sent", "reports", "reports to other gateways of how endpoints that have just started or recovered respond")
 	paceReportsReceived = telemetry.NewCounter("pace_reports_received", "reports", "such reports from other gateways")
 )
 
-// PaceReport tells the coordinator of an endpoint that has just started or recovered what
-// one request showed of it. It is not answered; a lost one leaves the endpoint's window
+// PaceReport tells a gateway that keeps the window of an endpoint that has just started or
+// recovered what one request showed of it. It is not answered; a lost one leaves the endpoint's window
 // as it is.
 type PaceReport struct {
 	Endpoint        string      `json:"e"`
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -1,15 +1,14 @@
 package edge
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
-	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/placement"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -22,8 +21,8 @@
 	paceRefused  = telemetry.NewCounter("pace_refused", "requests", "decisions to refuse a request since every endpoint had reached its window")
 )
 
-// PaceReporter tells the coordinator of an endpoint, a gateway at the given address
-// (host:port), what a request showed of the endpoint. It doesn't wait for the coordinator.
+// PaceReporter tells another gateway, at the given address (host:port), what a request
+// showed of an endpoint. It doesn't wait for a response.
 type PaceReporter interface {
 	ReportPace(address string, r grants.PaceReport) error
 }
@@ -57,11 +56,19 @@
 	return ok && s.ColdRequestsPerSecond > 0
 }
 
-// paceParts returns the number of gateways that take a part of the windows that this one
-// keeps: each sees its own requests only. The coordinator of an endpoint in a large
-// region keeps the whole window.
-func (e *Edge) paceParts(now time.Time) int {
-	return len(e.Gateways.Alive(e.Gateways.Self().Region, now)) + 1
+// paceShare returns the number of gateways that take a part of an endpoint's window, and
+// the place of this one among them. They differ by endpoint, so that each has the part of
+// a small window somewhere.
+func (e *Edge) paceShare(endpoint string, now time.Time) (gateways, rank int) {
+	self := e.Gateways.Self()
+	own := rendezvous.Weight(endpoint, self.ID)
+	others := e.Gateways.Alive(self.Region, now)
+	for i := range others {
+		if weight := rendezvous.Weight(endpoint, others[i].ID); weight > own || weight == own && others[i].ID < self.ID {
+			rank++
+		}
+	}
+	return len(others) + 1, rank
 }
 
 // pacedEndpoints is what the pace has to do with the candidates for a request.
@@ -79,7 +86,8 @@
 }
 
 // checkPace records whether an endpoint of this region has room in its window, of which
-// this gateway takes its part.
+// this gateway takes its part. In a large region that counts where coordinators aren't
+// asked or don't answer.
 func (s *session) checkPace(view fleet.EndpointView, now time.Time) {
 	e := s.edge
 	if e.pacing == nil {
@@ -90,7 +98,9 @@
 		s.paced.hasUnpaced = true
 		return
 	}
-	inFlight := e.pacing.inFlight(view.ID, view.Incarnation) * e.paceParts(now)
+	// With this count the parts of all gateways are one window together.
+	gateways, rank := e.paceShare(view.ID, now)
+	inFlight := e.pacing.inFlight(view.ID, view.Incarnation)*gateways + rank
 	s.paced.add(view.ID, limitedEndpoint{view.Incarnation, inFlight}, e.Pace.Room(view.ID, view.Incarnation, inFlight, now))
 }
 
@@ -211,110 +221,3 @@
 		return view.Region == local && !e.Pace.HasWindow(view.ID, view.Incarnation, now)
 	})
 }
-
-// pacedRequest is a request that is sent to an endpoint of this region. Its methods may
-// be called on nil.
-type pacedRequest struct {
-	session  *session
-	endpoint fleet.EndpointView
-	sentAt   time.Time
-	sample   pace.Sample
-	// hasOutput is set once the first output has been recorded.
-	hasOutput bool
-}
-
-// beginPaced counts the request as in flight at its endpoint. The caller must call end.
-func (a *attempt) beginPaced(d placement.Decision) *pacedRequest {
-	if a.edge.pacing == nil || a.gateway != nil {
-		return nil
-	}
-	now := time.Now()
-	a.edge.pacing.begin(a.endpoint.ID, a.endpoint.Incarnation)
-	return &pacedRequest{session: a.session, endpoint: a.endpoint, sentAt: now, sample: pace.Sample{
-		Expected: d.Estimate, Objective: a.arrived.Add(a.route.Objective).Sub(now),
-	}}
-}
-
-// observeFirstOutput records the first output of the response. Only the first call counts.
-// A server error is no output.
-func (p *pacedRequest) observeFirstOutput(resp *http.Response, now time.Time) {
-	if p == nil || p.hasOutput || resp.StatusCode >= http.StatusInternalServerError {
-		return
-	}
-	p.hasOutput = true
-	p.record(pace.Answered, now)
-}
-
-// end records the end of the request. A response that fails after its first output counts
-// as well.
-func (p *pacedRequest) end(result endpointload.Result) {
-	if p == nil {
-		return
-	}
-	p.session.edge.pacing.end(p.endpoint.ID, p.endpoint.Incarnation)
-	now := time.Now()
-	switch result {
-	case endpointload.Failed:
-		p.record(pace.Failed, now)
-	case endpointload.Shed:
-		p.record(pace.Refused, now)
-	case endpointload.Unreachable:
-		p.record(pace.Unreachable, now)
-	case endpointload.Abandoned:
-		if !p.hasOutput {
-			p.record(pace.Abandoned, now)
-		}
-	case endpointload.Succeeded:
-	}
-}
-
-// record records a sample here and, in a large region, at the endpoint's coordinator.
-func (p *pacedRequest) record(result pace.Result, now time.Time) {
-	e, id, incarnation := p.session.edge, p.endpoint.ID, p.endpoint.Incarnation
-	sample := p.sample
-	sample.Actual, sample.Result, sample.Count = now.Sub(p.sentAt), result, e.paceParts(now)
-	if e.Gateways.IsFullMesh() {
-		e.recordPace(id, incarnation, sample, now)
-		return
-	}
-	coords := e.coordinators(now)
-	coordinator := coords.coordinatorOf(id)
-	if coordinator == coords.selfID {
-		sample.Count = 1
-	}
-	isReported := result == pace.Unreachable || e.Pace.HasWindow(id, incarnation, now) || e.pacing.isReported(id, now)
-	e.recordPace(id, incarnation, sample, now)
-	if coordinator == coords.selfID || !isReported || e.PaceReporter == nil {
-		return
-	}
-	if err := e.PaceReporter.ReportPace(coords.others[coordinator].GrantAddress, grants.NewPaceReport(id, incarnation, sample)); err != nil {
-		p.session.log("pace_not_reported", "endpoint", id, "coordinator", coordinator, "err", err)
-	}
-}
-
-// recordPace records a sample and logs what follows from it.
-func (e *Edge) recordPace(id string, incarnation int64, s pace.Sample, now time.Time) {
-	c := e.Pace.Record(id, incarnation, s, now)
-	switch c.Kind {
-	case pace.Shrunk:
-		paceShrunk.Inc()
-		e.Logger.Info("pace_shrunk", "endpoint", id, "cause", c.Cause, "result", s.Result, "window", c.Size,
-			"took_ms", s.Actual.Milliseconds(), "expected_ms", s.Expected.Milliseconds(), "age_ms", c.Age.Milliseconds())
-	case pace.Proved:
-		paceProved.Inc()
-		e.Logger.Info("pace_proved", "endpoint", id, "cause", c.Cause, "window", c.Size, "age_ms", c.Age.Milliseconds())
-	}
-}
-
-// RecordPaceReport records what a request of another gateway of this region showed of an
-// endpoint that this one coordinates. An endpoint that the other could not reach gets a
-// window once the limit of a cold endpoint doesn't hold.
-func (e *Edge) RecordPaceReport(r grants.PaceReport, now time.Time) {
-	if e.pacing == nil {
-		return
-	}
-	if r.Result == pace.Unreachable {
-		e.pacing.setRecovered(r.Endpoint, r.Incarnation)
-	}
-	e.recordPace(r.Endpoint, r.Incarnation, r.Sample(), now)
-}
--- a/internal/pace/callers_test.go
+++ b/internal/pace/callers_test.go
@@ -34,11 +34,14 @@
 	placed, served, refusals, crashes int
 }
 
-func (s scenario) run(newPolicy func() policy) outcome {
+// run runs the scenario with so many gateways.
+func (s scenario) run(gateways int, newPolicy func(rank int) policy) outcome {
 	var out outcome
 	for seed := range uint64(seeds) {
-		p := newPolicy()
-		m := &model{policy: p, seed: seed, perSecond: s.perSecond, objective: 300 * time.Millisecond, deadline: 2 * time.Second, length: 11 * time.Second, measureFrom: returnAt}
+		m := &model{seed: seed, perSecond: s.perSecond, objective: 300 * time.Millisecond, deadline: 2 * time.Second, length: 11 * time.Second, measureFrom: returnAt}
+		for rank := range gateways {
+			m.gateways = append(m.gateways, newPolicy(rank))
+		}
 		for i := range modelSize {
 			m.endpoints = append(m.endpoints, &modelEndpoint{id: fmt.Sprint("e", i), slots: 8, service: 100 * time.Millisecond, incarnation: 1})
 		}
@@ -47,7 +50,7 @@
 			if s.change != nil {
 				s.change(e)
 			}
-			m.at(returnAt, func(now time.Duration) { p.begin(e, s.cause, now) })
+			m.at(returnAt, func(now time.Duration) { m.begin(e, s.cause, now) })
 		}
 		out.add(m.run())
 		first := m.endpoints[0]
@@ -59,11 +62,19 @@
 	return out
 }
 
+// runPaced runs the scenario with the pace, kept by one gateway or by each for its part.
+// isTold is set if gateways tell each other what requests show.
+func (s scenario) runPaced(gateways int, isTold bool) outcome {
+	return s.run(gateways, func(rank int) policy {
+		return &byPace{tracker: New(), parts: gateways, rank: rank, inFlight: make(map[string]int), isTold: isTold, allPaced: s.returning == modelSize}
+	})
+}
+
 // compare runs the scenario with today's behaviour, a fixed ramp and the pace.
 func (s scenario) compare(t *testing.T) (today, ramp, paced outcome) {
-	today = s.run(func() policy { return noPace{} })
-	ramp = s.run(func() policy { return newFixedRamp() })
-	paced = s.run(func() policy { return byPace{New(), s.returning == modelSize} })
+	today = s.run(1, func(int) policy { return noPace{} })
+	ramp = s.run(1, func(int) policy { return newFixedRamp() })
+	paced = s.runPaced(1, true)
 	t.Logf("today:      %v", today)
 	t.Logf("fixed ramp: %v", ramp)
 	t.Logf("pace:       %v", paced)
@@ -213,3 +224,34 @@
 		require.GreaterOrEqual(t, paced.inTime, ramp.inTime)
 	})
 }
+
+// TestPartsOfAWindow guards against gateways that together flood an endpoint, since each may
+// always send one request, or leave it idle, since each learns of its own requests only.
+func TestPartsOfAWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		scenario
+		// isWeak is set if the endpoint that comes back makes responses late or fails.
+		isWeak bool
+	}{
+		"slow start": {scenario{1, Started, 560, slowFor(6, 3*time.Second)}, true},
+		"late":       {scenario{1, Recovered, 560, slowFor(5, time.Hour)}, true},
+		"fragile":    {scenario{1, Recovered, 560, fragileFor(3 * time.Second)}, true},
+		"sound":      {scenario{5, Returned, 700, nil}, false},
+		"region":     {scenario{modelSize, Recovered, 780, nil}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			today := c.run(1, func(int) policy { return noPace{} })
+			t.Logf("today:                     %v", today)
+			for _, gateways := range []int{4, 8} {
+				for _, isTold := range []bool{true, false} {
+					paced := c.runPaced(gateways, isTold)
+					t.Logf("%d gateways, reports %-5v: %v", gateways, isTold, paced)
+					require.GreaterOrEqual(t, paced.inTime, today.inTime)
+					if c.isWeak {
+						require.LessOrEqual(t, paced.late+paced.failed, (today.late+today.failed)/2)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/pace/model_test.go
+++ b/internal/pace/model_test.go
@@ -54,16 +54,23 @@
 	incarnation   int64
 	tries         int
 	done          bool
+	// gateway is the policy of the gateway that received the request.
+	gateway policy
 }
 
-// policy decides which endpoints may get a request, and learns from responses.
+// policy decides which endpoints may get a request of one gateway, and learns from
+// responses.
 type policy interface {
 	begin(e *modelEndpoint, cause Cause, now time.Duration)
 	// room reports whether the endpoint may get a request, mayExceed whether it may if no
 	// other can.
 	room(e *modelEndpoint, now time.Duration) bool
 	mayExceed(e *modelEndpoint, now time.Duration) bool
-	record(e *modelEndpoint, s Sample, now time.Duration)
+	// sent and ended count a request of this gateway. record records what one of this
+	// gateway (isOwn) or of another showed.
+	sent(e *modelEndpoint)
+	ended(e *modelEndpoint)
+	record(e *modelEndpoint, s Sample, isOwn bool, now time.Duration)
 }
 
 // result counts what callers got.
@@ -107,7 +114,7 @@
 // model is one run. Requests that arrive after measureFrom count.
 type model struct {
 	endpoints   []*modelEndpoint
-	policy      policy
+	gateways    []policy
 	seed        uint64
 	perSecond   float64
 	objective   time.Duration
@@ -142,10 +149,25 @@
 	if now >= m.length {
 		return
 	}
-	m.place(&modelRequest{arrived: now}, now)
+	m.place(&modelRequest{arrived: now, gateway: m.gateways[m.choices.IntN(len(m.gateways))]}, now)
 	m.at(now+time.Duration(m.arrivals.ExpFloat64()/m.perSecond*float64(time.Second)), m.arrive)
 }
 
+// begin tells all gateways of an endpoint that starts or recovers.
+func (m *model) begin(e *modelEndpoint, cause Cause, now time.Duration) {
+	for _, g := range m.gateways {
+		g.begin(e, cause, now)
+	}
+}
+
+// record tells all gateways what a request showed.
+func (m *model) record(r *modelRequest, e *modelEndpoint, s Sample, now time.Duration) {
+	r.gateway.ended(e)
+	for _, g := range m.gateways {
+		g.record(e, s, g == r.gateway, now)
+	}
+}
+
 // count counts what the caller of a request got.
 func (m *model) count(r *modelRequest, n *int) {
 	if r.done {
@@ -161,7 +183,7 @@
 // place sends a request to the endpoint with the shortest expected wait among those with
 // room; failing that, among those that may be sent more.
 func (m *model) place(r *modelRequest, now time.Duration) {
-	for _, may := range []func(*modelEndpoint, time.Duration) bool{m.policy.room, m.policy.mayExceed} {
+	for _, may := range []func(*modelEndpoint, time.Duration) bool{r.gateway.room, r.gateway.mayExceed} {
 		var best *modelEndpoint
 		first := m.choices.IntN(len(m.endpoints))
 		for i := range m.endpoints {
@@ -173,7 +195,7 @@
 				best = e
 			}
 		}
-		if best != nil && (best.expected() <= r.arrived+m.objective-now || !m.anyIdle(now)) {
+		if best != nil && (best.expected() <= r.arrived+m.objective-now || !m.anyIdle(r.gateway, now)) {
 			m.send(r, best, now)
 			return
 		}
@@ -182,9 +204,9 @@
 }
 
 // anyIdle reports whether an endpoint without room would be expected to answer at once.
-func (m *model) anyIdle(now time.Duration) bool {
+func (m *model) anyIdle(p policy, now time.Duration) bool {
 	return slices.ContainsFunc(m.endpoints, func(e *modelEndpoint) bool {
-		return now >= e.ejectedUntil && !m.policy.room(e, now) && m.policy.mayExceed(e, now) && e.expected() <= e.service
+		return now >= e.ejectedUntil && !p.room(e, now) && p.mayExceed(e, now) && e.expected() <= e.service
 	})
 }
 
@@ -194,19 +216,20 @@
 
 func (m *model) send(r *modelRequest, e *modelEndpoint, now time.Duration) {
 	e.placed++
+	r.gateway.sent(e)
 	r.sent, r.expected, r.incarnation = now, e.expected(), e.incarnation
 	s := Sample{Expected: r.expected, Objective: r.arrived + m.objective - now}
 	switch {
 	case now < e.downUntil:
 		s.Result = Unreachable
 		e.ejectedUntil = now + 500*time.Millisecond
-		m.policy.record(e, s, now)
-		m.policy.begin(e, Recovered, now)
+		m.record(r, e, s, now)
+		m.begin(e, Recovered, now)
 		m.place(r, now)
 	case e.maxQueue > 0 && len(e.queue) >= e.maxQueue:
 		e.refusals++
 		s.Result = Refused
-		m.policy.record(e, s, now)
+		m.record(r, e, s, now)
 		if r.tries++; r.tries >= 2 {
 			m.count(r, &m.result.refused)
 			return
@@ -224,7 +247,7 @@
 func (m *model) crash(e *modelEndpoint, now time.Duration) {
 	lost := append(e.running, e.queue...)
 	for _, r := range lost {
-		m.policy.record(e, Sample{Expected: r.expected, Actual: now - r.sent, Result: Unreachable}, now)
+		m.record(r, e, Sample{Expected: r.expected, Actual: now - r.sent, Result: Unreachable}, now)
 		m.count(r, &m.result.failed)
 	}
 	e.running, e.queue, e.served = nil, nil, 0
@@ -232,7 +255,7 @@
 	e.crashes++
 	e.downUntil, e.startedAt = now+time.Second, now+time.Second
 	e.ejectedUntil = e.downUntil
-	m.policy.begin(e, Started, now+time.Second)
+	m.begin(e, Started, now+time.Second)
 }
 
 func (m *model) serve(e *modelEndpoint, now time.Duration) {
@@ -254,7 +277,7 @@
 	}
 	e.running = slices.DeleteFunc(e.running, func(x *modelRequest) bool { return x == r })
 	e.served++
-	m.policy.record(e, Sample{Expected: r.expected, Actual: now - r.sent, Objective: r.arrived + m.objective - r.sent}, now)
+	m.record(r, e, Sample{Expected: r.expected, Actual: now - r.sent, Objective: r.arrived + m.objective - r.sent}, now)
 	if now-r.arrived <= m.objective {
 		m.count(r, &m.result.inTime)
 	} else {
@@ -262,71 +285,3 @@
 	}
 	m.serve(e, now)
 }
-
-// noPace is today's behaviour after a cold start: all requests at once.
-type noPace struct{}
-
-func (noPace) begin(*modelEndpoint, Cause, time.Duration)   {}
-func (noPace) room(*modelEndpoint, time.Duration) bool      { return true }
-func (noPace) mayExceed(*modelEndpoint, time.Duration) bool { return true }
-func (noPace) record(*modelEndpoint, Sample, time.Duration) {}
-
-// fixedRamp is today's behaviour after a pause: one request in the first quarter of a
-// second, and in each further one twice as many as before, for two seconds.
-type fixedRamp struct {
-	began map[string]time.Duration
-	sent  map[string]map[int]int
-}
-
-func newFixedRamp() *fixedRamp {
-	return &fixedRamp{began: make(map[string]time.Duration), sent: make(map[string]map[int]int)}
-}
-
-func (f *fixedRamp) begin(e *modelEndpoint, _ Cause, now time.Duration) {
-	f.began[e.id], f.sent[e.id] = now, make(map[int]int)
-}
-
-func (f *fixedRamp) room(e *modelEndpoint, now time.Duration) bool {
-	began, ok := f.began[e.id]
-	step := int((now - began) / (250 * time.Millisecond))
-	return !ok || step >= 8 || e.placed-f.sentBefore(e, step) < 1<<max(step, 0)
-}
-
-// sentBefore returns how many requests the endpoint had got before the step.
-func (f *fixedRamp) sentBefore(e *modelEndpoint, step int) int {
-	sent := f.sent[e.id]
-	if _, ok := sent[step]; !ok {
-		sent[step] = e.placed
-	}
-	return sent[step]
-}
-
-// mayExceed is false: a ramp refuses what it has no room for.
-func (f *fixedRamp) mayExceed(*modelEndpoint, time.Duration) bool { return false }
-func (f *fixedRamp) record(*modelEndpoint, Sample, time.Duration) {}
-
-// byPace uses a Tracker, as one gateway or the coordinator of the endpoints does.
-type byPace struct {
-	tracker *Tracker
-	// allPaced is set if all endpoints of the model have windows.
-	allPaced bool
-}
-
-// epoch is the time at which models start.
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
-func (p byPace) begin(e *modelEndpoint, cause Cause, now time.Duration) {
-	p.tracker.Begin(e.id, e.incarnation, cause, epoch.Add(now))
-}
-
-func (p byPace) room(e *modelEndpoint, now time.Duration) bool {
-	return p.tracker.Room(e.id, e.incarnation, e.inFlight(), epoch.Add(now)) > 0
-}
-
-func (p byPace) mayExceed(e *modelEndpoint, now time.Duration) bool {
-	return p.tracker.MayExceed(e.id, e.incarnation, e.inFlight(), p.allPaced, epoch.Add(now))
-}
-
-func (p byPace) record(e *modelEndpoint, s Sample, now time.Duration) {
-	p.tracker.Record(e.id, e.incarnation, s, epoch.Add(now))
-}
