--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,7 +72,7 @@
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
 	// Pace holds the windows of endpoints that have just started or recovered; nil if their
-	// pace is off. PaceReporter tells coordinators of it; it may be nil.
+	// pace is off. PaceReporter tells other gateways of them; it may be nil.
 	Pace         *pace.Tracker
 	PaceReporter PaceReporter
 	Logger       *log.Logger
