--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -73,6 +73,7 @@
 	conn        net.PacketConn
 	coordinator Coordinator
 	prover      Prover
+	recordPace  func(PaceReport, time.Time)
 	logger      *log.Logger
 
 	mu sync.Mutex
@@ -128,6 +129,8 @@
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response, Unreadable: m.Unreadable}, from)
 	case m.ProofRequest != nil:
 		c.answerProof(m, from)
+	case m.PaceReport != nil:
+		c.handlePaceReport(*m.PaceReport)
 	case m.Release != nil:
 		c.coordinator.Release(*m.Release, time.Now())
 	case m.isResponse() && c.deliver(m):
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -76,6 +76,9 @@
 	// Reason is the reason of a refusal, RetryAfterMillis when a request may be granted.
 	Reason           string `json:"r,omitempty"`
 	RetryAfterMillis int64  `json:"b,omitempty"`
+	// Paced is set if the coordinator keeps a window for the granted endpoint: it is to be
+	// told how the endpoint responds.
+	Paced bool `json:"pc,omitempty"`
 }
 
 // Release tells a coordinator that the request of a grant has ended, or was never sent
@@ -118,6 +121,7 @@
 	ProofRequest   *ProofRequest   `json:"fq,omitempty" lenient:"parts"`
 	ProofResponse  *ProofResponse  `json:"fa,omitempty" lenient:"parts"`
 	Release        *Release        `json:"r,omitempty" lenient:"parts"`
+	PaceReport     *PaceReport     `json:"pr,omitempty" lenient:"parts"`
 	// Unreadable tells which parts of the request can't be read. Without a response the
 	// request is not decided.
 	Unreadable *lenient.Report `json:"bad,omitempty"`
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -125,7 +125,9 @@
 		return a.handleFailure(ctx, err)
 	}
 	a.logMemory(err)
-	a.activeRequest.RecordFirstOutput(time.Now())
+	now := time.Now()
+	a.activeRequest.RecordFirstOutput(now)
+	a.paced.observeFirstOutput(resp, now)
 	// The response is whole, or so much of it goes to the caller now that no other can follow.
 	a.releaseBody()
 	a.startResponse(resp)
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -41,10 +41,11 @@
 	incarnations := make(map[string]int64)
 	candidates := e.coordinated(req, now, func(view fleet.EndpointView) bool {
 		incarnations[view.ID] = view.Incarnation
+		e.observePace(view, now)
 		return usable(view)
 	})
 	toDeadline := time.Duration(req.TimeToDeadlineMillis) * time.Millisecond
-	d := placement.DecideGrant(placement.Request{
+	d := e.decideGrantPaced(req, incarnations, now, placement.Request{
 		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, ResponseStarted: req.ResponseStarted,
 		Outputs: req.Outputs, LongOutputTokens: req.LongTokens, TimeToEnd: toDeadline,
 		TimeToObjective: time.Duration(req.TimeToObjectiveMillis) * time.Millisecond,
@@ -56,7 +57,7 @@
 	c := d.Candidate
 	if req.GrantID != 0 {
 		e.Loads.HoldSlot(c.ID, incarnations[c.ID], req.GrantID, max(toDeadline, time.Duration(req.HardLimitMillis)*time.Millisecond), now)
-		return grants.Response{Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Ahead: c.Running + c.Waiting}
+		return grants.Response{Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), Ahead: c.Running + c.Waiting, Paced: e.pacing.hasWindow(c.ID, incarnations[c.ID], now)}
 	}
 	job := endpointload.Job{
 		Service: req.Service, PromptTokens: req.PromptTokens, CachedTokens: c.CachedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, Segments: req.Segments,
@@ -69,6 +70,7 @@
 	return grants.Response{
 		Endpoint: c.ID, EstimateMillis: d.Estimate.Milliseconds(), ForecastMillis: d.Forecast.Milliseconds(), CachedTokens: c.CachedTokens,
 		QueuedPrefillMillis: c.QueuedPrefill.Milliseconds(), PrefillUtilizationPercent: int(percentFactor * c.PrefillUtilization),
+		Paced: e.pacing.hasWindow(c.ID, incarnations[c.ID], now),
 	}
 }
 
@@ -142,7 +144,7 @@
 // coordinator, until one is granted.
 func (s *session) requestGrant(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) grantResult {
 	var result grantResult
-	local := localByRank(candidates)
+	local := s.edge.pacing.demoteDenied(localByRank(candidates), now)
 	coords := s.edge.coordinators(now)
 	for n, c := range local[:min(placement.MaxGrantRequests, len(local))] {
 		grantReq := s.grantRequest(req, placement.GrantLimit(req, c.PrefillTimePerToken, n))
@@ -190,6 +192,7 @@
 		return
 	}
 	result.responses++
+	s.edge.pacing.recordGrant(req, response, time.Now())
 	for _, candidate := range local {
 		if candidate.ID != response.Endpoint {
 			continue
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
@@ -75,7 +76,11 @@
 	Memory *memory.Account
 	// Freshness is used only where the settings ask for strict revocation.
 	Freshness Freshness
-	Logger    *log.Logger
+	// Pace holds the windows of endpoints that have just started or recovered; nil if their
+	// pace is off. PaceReporter tells other gateways of them; it may be nil.
+	Pace         *pace.Tracker
+	PaceReporter PaceReporter
+	Logger       *log.Logger
 }
 
 // Edge serves the requests of callers and those forwarded by other gateways. It
@@ -91,6 +96,7 @@
 	// that may still run, send to cold endpoints and give out permits.
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
+	pacing                                *pacing
 	stopping                              *stopping
 	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
 	streamBacklog atomic.Int64
@@ -99,7 +105,7 @@
 // New returns an Edge that measures the round trips to other regions on the
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
-	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
+	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping(), pacing: newPacing(c.Pace)}
 	if e.Memory == nil {
 		e.Memory = memory.NewAccount(0)
 	}
@@ -224,6 +230,7 @@
 	e.EndpointTransport.Forget(address)
 	e.Loads.Forget(id)
 	e.Limits.Forget(id)
+	e.pacing.forget(id)
 }
 
 // IsReady reports whether this gateway accepts requests of callers.
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -47,17 +47,18 @@
 }
 
 // decide chooses among the candidates. For model requests in a large region, and for
-// those to plain services with few slots, it asks the endpoints' coordinators first. Everything else, including the local region
-// if no coordinator responds, is decided by what this gateway knows of the load.
+// those to plain services with few slots, it asks the endpoints' coordinators first.
+// Everything else, including the local region if no coordinator responds, is decided by
+// what this gateway knows of the load.
 func (s *session) decide(ctx context.Context, req placement.Request, candidates []placement.Candidate, now time.Time) (placement.Decision, grantResult) {
 	hasFewSlots := req.StaleView && req.PromptTokens == 0 && s.hasFewSlots(now)
 	if !req.StaleView || req.PromptTokens == 0 && !hasFewSlots {
-		return placement.Decide(req, candidates), grantResult{}
+		return s.decidePaced(req, candidates, now), grantResult{}
 	}
 	grant := s.requestGrant(ctx, req, candidates, now)
 	if !grant.granted {
 		req.LocalRefused = grant.denied
-		d := placement.Decide(req, candidates)
+		d := s.decidePaced(req, candidates, now)
 		if d.Kind != placement.Serve && grant.denied {
 			s.requestFallbackGrant(ctx, &grant, req, candidates, now)
 			d.RetryAfter = max(d.RetryAfter, grant.retryAfter)
@@ -167,7 +168,7 @@
 	reachable := make(map[string]bool)
 	var out []placement.Candidate
 	best := -1
-	s.heldBack, s.soonestReturn = nil, 0
+	s.heldBack, s.soonestReturn, s.paced = nil, 0, pacedEndpoints{}
 	for _, view := range e.Registry.Usable(s.service.Name, e.heartbeatInterval(), now) {
 		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.permits(view.Region) {
 			continue
@@ -176,6 +177,9 @@
 		if remote && (s.forwarded != nil || !s.canReach(view.Region, reachable, now)) {
 			continue
 		}
+		if !remote {
+			s.checkPace(view, now)
+		}
 		if !remote && (s.isHeldBack(view, now) || !s.mayUseCold(view, now)) {
 			continue
 		}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -75,6 +75,8 @@
 	lengths endpointload.Lengths
 	// grant is the place that a coordinator holds for the next attempt.
 	grant slotGrant
+	// paced is what the last search for candidates found of the pace of endpoints.
+	paced pacedEndpoints
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
 	// reachedEndpoint is set once an endpoint may have received the request, whether it ran
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -93,6 +93,7 @@
 		}
 		now := time.Now()
 		a.activeRequest.RecordOutput(now)
+		a.paced.observeFirstOutput(resp, now)
 		switch {
 		case provenAt.IsZero():
 			provenAt = now
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -37,6 +37,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
@@ -60,6 +61,8 @@
 	Codec          httpmeta.HeaderCodec
 	// MetricsPort is the port on which the counters are served; 0 disables it.
 	MetricsPort int
+	// EndpointPace switches on the pace of endpoints that have just started or recovered.
+	EndpointPace bool
 	// NewDirectoryHandler and NewReadinessHandler return the handlers of the directory
 	// listener and the readiness listener. The addresses function
 	// returns the caller addresses of gateways and how long they may be cached.
@@ -141,9 +144,12 @@
 		Grants:            grantController,
 		Memory:            s.memory,
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
+		Pace:              newPace(p.EndpointPace),
+		PaceReporter:      grantController,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
+	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
 	routeController := routesync.New(routesync.Config{
@@ -180,6 +186,14 @@
 	return s, nil
 }
 
+// newPace returns the tracker of the pace, nil if it is off.
+func newPace(on bool) *pace.Tracker {
+	if !on {
+		return nil
+	}
+	return pace.New()
+}
+
 // openSockets closes what has been opened so far unless all could be opened.
 type openSockets []io.Closer
 
