Read the refusal of an endpoint that closes the connection early

An endpoint that refuses a request before it has read a long body, and closes the connection, resets it while the gateway is still sending.

Cause: the transport of net/http reports a failed write even if the response has arrived.

Change: once a part of a request has been written, a write that fails for a reset connection discards the rest. The response is read if there is one; otherwise the read fails and the request may have run, as before.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -47,6 +47,8 @@
 	// request's first byte is written, refused if that was denied.
 	claimed, refused bool
 	closed           bool
+	// sending is set once a part of the current request has been written.
+	sending bool
 }
 
 func newPooledConn(conn net.Conn) *pooledConn {
@@ -100,7 +102,8 @@
 	if !c.beginWrite() {
 		return 0, &UnsolicitedBytesError{Address: c.RemoteAddr().String()}
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	return c.endWrite(p, n, err)
 }
 
 // beginWrite returns false if a claimed connection has bytes that belong to no
@@ -111,6 +114,9 @@
 	if c.claimed && (!c.waiting || c.hasUnread()) {
 		c.refused = true
 	}
+	if c.claimed {
+		c.sending = false
+	}
 	c.claimed = false
 	return !c.refused
 }
