Learn the speed of engines relative to each other

In the first seconds of a peak the line lags behind, so that all endpoints did, also one alone.

Change: a step is compared with the latest ones of all endpoints of the service.

--- a/internal/endpointload/speed_test.go
+++ b/internal/endpointload/speed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -181,3 +182,36 @@
 		require.Greater(t, both, reported)
 	}
 }
+
+// TestEngineIsSlowRelativeToOthers checks that a slow engine is known by the steps of its
+// streams, and guards against engines that all count as slow because steps take longer than
+// the learned line says, as in the first seconds of a peak.
+func TestEngineIsSlowRelativeToOthers(t *testing.T) {
+	l := New()
+	random := rand.New(rand.NewPCG(5, 0))
+	now := start
+	play := func(rounds int, step time.Duration) {
+		for range rounds * 4 {
+			i, perOutput := random.IntN(4), step
+			if i == 0 {
+				perOutput *= 2
+			}
+			req := l.Begin(strconv.Itoa(i), 0, Job{Service: "llm", PromptTokens: 10, OutputTokens: 10, Streamed: true}, now)
+			for range 6 {
+				req.RecordOutput(now)
+				now = now.Add(perOutput)
+			}
+			req.End(Succeeded, now)
+		}
+	}
+	factor := func(id string) (f float64) {
+		l.withAccount(id, 0, func(a *account) { f = a.speed.at(now) })
+		return f
+	}
+	play(100, 20*time.Millisecond)
+	play(30, 35*time.Millisecond)
+	require.Greater(t, factor("0"), 1.3)
+	for _, id := range []string{"1", "2", "3"} {
+		require.InDelta(t, 1, factor(id), 0.1)
+	}
+}
--- a/internal/endpointload/steptimes.go
+++ b/internal/endpointload/steptimes.go
@@ -31,6 +31,9 @@
 	// maxStepRatio bounds an observation, as a multiple of what the line says: callers
 	// that read slowly and frozen endpoints say nothing of a step.
 	maxStepRatio = 3.0
+	// excessRate is the weight of one observation in stepLine.excess, several times that
+	// in an endpoint's factor.
+	excessRate = 0.2
 	// maxPrefillOfStep is the largest share of time that prefill takes from generation.
 	maxPrefillOfStep = prefillShare
 )
@@ -40,6 +43,8 @@
 type stepLine struct {
 	fit       line
 	updatedAt time.Time
+	// excess is the moving average of the time of all endpoints relative to the line.
+	excess float64
 }
 
 // observe adds one observation: with n requests a step takes t seconds.
@@ -87,6 +92,24 @@
 	l.observe(float64(n), t, now)
 }
 
+// relative returns how much longer an observation took than the latest ones of all
+// endpoints, of which each took ratio times what the line says. A line that is off at the
+// present load makes no endpoint slow.
+func (s *stepTimes) relative(service string, ratio float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.services[service]
+	if !ok {
+		return 1
+	}
+	if l.excess == 0 {
+		l.excess = 1
+	}
+	before := l.excess
+	l.excess += excessRate * (min(ratio, maxStepRatio) - before)
+	return ratio / before
+}
+
 // timePerOutput returns the time that an endpoint takes for each output of a response, 0
 // if unknown.
 func (s *stepTimes) timePerOutput(service string, n int, prefill float64, now time.Time) time.Duration {
@@ -156,7 +179,8 @@
 		prefill = recent.Seconds() / utilizationTimeConstant.Seconds()
 		reported := a.speed.reportedNow(now)
 		if expected := t.steps.timePerOutput(req.job.Service, n, prefill, now); expected > 0 {
-			a.speed.learn(elapsed.Seconds() / float64(outputs) / expected.Seconds() / reported)
+			ratio := elapsed.Seconds() / float64(outputs) / expected.Seconds() / reported
+			a.speed.learn(t.steps.relative(req.job.Service, ratio))
 		}
 		elapsed = scale(elapsed, 1/reported)
 	})
