Keep a coordinator from taking its own words for news of a speed

The age of a report is told in whole milliseconds, rounded down, so that a coordinator that asks itself for grants moved the report's time forward by up to 1 ms each time. The age is rounded up.

--- a/internal/edge/speed.go
+++ b/internal/edge/speed.go
@@ -28,7 +28,8 @@
 		return
 	}
 	if percent, age, ok := s.edge.Loads.ReportedSpeed(view.ID, view.Incarnation, now); ok {
-		req.TimePercent, req.TimePercentAgeMillis = percent, age.Milliseconds()
+		// Rounded up, so that what a gateway tells itself never counts as newer.
+		req.TimePercent, req.TimePercentAgeMillis = percent, (age+time.Millisecond-1).Milliseconds()
 	}
 }
 
--- a/internal/edge/speed_test.go
+++ b/internal/edge/speed_test.go
@@ -40,6 +40,26 @@
 	require.GreaterOrEqual(t, last.TimePercentAgeMillis, int64(0))
 }
 
+// TestOwnGrantsKeepNoSpeedAlive guards against a coordinator that takes its own grant requests
+// for news of an endpoint's speed.
+func TestOwnGrantsKeepNoSpeedAlive(t *testing.T) {
+	c := newCluster(t, "north")
+	c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent})
+	r := c.regions["north"]
+	c.startEndpoint("e", "north-a")
+	now := time.Now()
+	r.edge.Loads.ReportSpeed("e", 0, 300, now)
+	s := r.place(t, "id-1").session
+	for i := range 900 {
+		later := now.Add(time.Duration(i) * 1001 * time.Microsecond)
+		req := grants.Request{Service: "s", OnlyEndpoint: "e"}
+		s.tellSpeed(&req, later)
+		s.edge.applySpeed(req, later)
+	}
+	_, age, _ := r.edge.Loads.ReportedSpeed("e", 0, now.Add(time.Second))
+	require.Equal(t, time.Second, age)
+}
+
 // TestCoordinatorTakesInSpeeds checks what a coordinator makes of the speeds that others tell,
 // and that figures of an earlier version or of a broken gateway do no harm.
 func TestCoordinatorTakesInSpeeds(t *testing.T) {
