--- a/internal/edge/speed.go
+++ b/internal/edge/speed.go
@@ -29,7 +29,7 @@
 	}
 	if percent, age, ok := s.edge.Loads.ReportedSpeed(view.ID, view.Incarnation, now); ok {
 		// Rounded up, so that what a gateway tells itself never counts as newer.
-		req.TimePercent, req.TimePercentAgeMillis = percent, (age+time.Millisecond-1).Milliseconds()
+		req.TimePercent, req.TimePercentAgeMillis = percent, (age + time.Millisecond - 1).Milliseconds()
 	}
 }
 
