--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -49,6 +49,8 @@
 	// refused is set once nothing may be written any more.
 	refused bool
 	closed  bool
+	// sending is set once a part of the current request has been written.
+	sending bool
 }
 
 // claim is the use of a pooledConn by one request. Whether the request was written is a
@@ -118,7 +120,8 @@
 	if !c.beginWrite() {
 		return 0, &UnsolicitedBytesError{Address: c.RemoteAddr().String()}
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	return c.endWrite(p, n, err)
 }
 
 // beginWrite returns false if a claimed connection has bytes that belong to no
@@ -134,6 +137,7 @@
 	}
 	if c.current != nil {
 		c.current.written = true
+		c.sending = false
 		c.current = nil
 	}
 	return true
