--- a/internal/bodyread/bodyread_test.go
+++ b/internal/bodyread/bodyread_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -85,6 +87,31 @@
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
+// deadlineRecorder is a response whose connection records its read deadline.
+type deadlineRecorder struct {
+	http.ResponseWriter
+	deadline time.Time
+}
+
+func (d *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+// TestEvictionInterruptsTheReader guards against an evicted body that stays in memory until
+// its sender goes on or the body timeout ends.
+func TestEvictionInterruptsTheReader(t *testing.T) {
+	account := memory.NewAccount(1000)
+	h := account.Open(memory.Body)
+	require.NoError(t, h.Reserve(900))
+	w := &deadlineRecorder{}
+	InterruptOnEvict(h, w)
+	require.Zero(t, w.deadline)
+	require.NoError(t, account.Open(memory.Head).Reserve(200))
+	require.False(t, w.deadline.IsZero())
+	require.True(t, w.deadline.Before(time.Now()))
+}
+
 // TestReadPassesErrors checks that a broken body is not taken for a whole one.
 func TestReadPassesErrors(t *testing.T) {
 	broken := iotest.ErrReader(io.ErrUnexpectedEOF)
--- a/internal/edge/body_test.go
+++ b/internal/edge/body_test.go
@@ -128,6 +128,15 @@
 	north.waitForNothingHeld()
 }
 
+// stepwise returns the channels of an endpoint's handler that closes begun and waits for
+// goOn. finish closes goOn, at the latest when the test ends.
+func stepwise(t *testing.T) (begun, goOn chan struct{}, finish func()) {
+	begun, goOn = make(chan struct{}), make(chan struct{})
+	finish = sync.OnceFunc(func() { close(goOn) })
+	t.Cleanup(finish)
+	return begun, goOn, finish
+}
+
 // TestBodyIsGivenBackWhenNoResendCanNeedIt stops the response after its header, and checks
 // which requests still hold their bodies then.
 func TestBodyIsGivenBackWhenNoResendCanNeedIt(t *testing.T) {
@@ -135,7 +144,7 @@
 	for path, held := range map[string]bool{"/once/": false, "/last/": false, "/q/": true, "/s/": true} {
 		c := newMemoryCluster(t, "north")
 		north, e := c.regions["north"], c.startEndpoint("e1", "north-a")
-		begun, goOn := make(chan struct{}), make(chan struct{})
+		begun, goOn, finish := stepwise(t)
 		e.setHandler(func(w http.ResponseWriter, _ *http.Request) {
 			close(begun)
 			<-goOn
@@ -155,7 +164,7 @@
 		} else {
 			north.waitForUsage(func(u memory.Usage) bool { return u.Response > 0 && u.Body == 0 })
 		}
-		close(goOn)
+		finish()
 		require.Equal(t, eventText(1, 2), (<-done).body, path)
 		north.waitForNothingHeld()
 	}
@@ -195,7 +204,7 @@
 	const size = 100_000
 	c := newMemoryCluster(t, "north", "south")
 	north, south, e := c.regions["north"], c.regions["south"], c.startEndpoint("e1", "south-a")
-	begun, goOn := make(chan struct{}), make(chan struct{})
+	begun, goOn, finish := stepwise(t)
 	e.setHandler(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-goOn
@@ -211,7 +220,7 @@
 	goOn <- struct{}{}
 	south.waitForUsage(func(u memory.Usage) bool { return u.Response > 0 && u.Forward == 0 })
 	require.Equal(t, int64(size), north.usage().Body)
-	close(goOn)
+	finish()
 	require.Equal(t, eventText(1, 1), (<-done).body)
 	north.waitForNothingHeld()
 	south.waitForNothingHeld()
