--- a/internal/bodyread/bodyread.go
+++ b/internal/bodyread/bodyread.go
@@ -13,12 +13,13 @@
 	"github.com/hickorystage/hickorystage/internal/memory"
 )
 
+// A body of unknown length is read in parts. The first one has firstPart bytes, each further
+// one twice as many as the one before, up to lastPart. Parts are not joined as they come: a
+// buffer that grows would leave several times its size as garbage, and crowds of bodies that
+// are evicted would do so again and again.
 const (
-	// firstStep is the first buffer of a body of unknown length.
-	firstStep = 4 << 10
-	// doublingLimit is the size up to which such a buffer is doubled. Above, it grows by a
-	// quarter, so that at most that part of it stays unused.
-	doublingLimit = 256 << 10
+	firstPart = 4 << 10
+	lastPart  = 64 << 10
 )
 
 // retryDelay is the Retry-After of requests for which there is no memory. Within about that
@@ -70,48 +71,79 @@
 	}
 }
 
-// Read reads r to its end. length is the number of bytes that r has, below 0 if that is not
-// known: a known length is reserved at once, an unknown one step by step. The holder is
-// complete afterwards. If the error is a *memory.ExhaustedError, the bytes that have been read
-// are returned with it; they stay reserved. A *memory.EvictedError takes precedence over that
-// of r.
+// Read reads r to its end as ReadParts does, and returns the bytes in one piece. If there is
+// an error, it returns none.
 func Read(h *memory.Holder, r io.Reader, length int64) ([]byte, error) {
-	buf, err := read(h, r, length)
+	parts, err := ReadParts(h, r, length)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	size, reserved := 0, 0
+	for _, p := range parts {
+		size, reserved = size+len(p), reserved+cap(p)
+	}
+	if err := h.Reserve(int64(size)); err != nil {
+		return nil, err
+	}
+	joined := make([]byte, 0, size)
+	for _, p := range parts {
+		joined = append(joined, p...)
+	}
+	h.Release(int64(reserved))
+	return joined, nil
+}
+
+// ReadParts reads r to its end. length is the number of bytes that r has, below 0 if that is
+// not known: a known length is reserved at once and returned as one part, an unknown one part
+// by part. There is at least one part. The holder is complete afterwards. If the error is a
+// *memory.ExhaustedError, the bytes that have been read are returned with it; they stay
+// reserved. A *memory.EvictedError takes precedence over the error of r.
+func ReadParts(h *memory.Holder, r io.Reader, length int64) ([][]byte, error) {
+	parts, err := readParts(h, r, length)
 	if completeErr := h.Complete(); completeErr != nil {
 		return nil, completeErr
 	}
-	return buf, err
+	return parts, err
 }
 
-func read(h *memory.Holder, r io.Reader, length int64) ([]byte, error) {
-	size := length
-	if size < 0 {
-		size = firstStep
+func readParts(h *memory.Holder, r io.Reader, length int64) ([][]byte, error) {
+	if length >= 0 {
+		part, ended, err := readPart(h, r, length)
+		if err == nil && !ended {
+			err = expectEnd(r)
+		}
+		return [][]byte{part}, err
+	}
+	var parts [][]byte
+	for size := int64(firstPart); ; size = min(2*size, lastPart) {
+		part, ended, err := readPart(h, r, size)
+		parts = append(parts, part)
+		if err != nil || ended {
+			return parts, err
+		}
 	}
+}
+
+// readPart reserves size bytes and reads until they are used up or r has ended.
+func readPart(h *memory.Holder, r io.Reader, size int64) (part []byte, ended bool, err error) {
 	if err := h.Reserve(size); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	buf := make([]byte, 0, size)
-	for {
-		if len(buf) == cap(buf) && length >= 0 {
-			return buf, expectEnd(r)
-		}
-		if len(buf) == cap(buf) {
-			grown, err := grow(h, buf)
-			if err != nil {
-				return buf, err
-			}
-			buf = grown
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+	part = make([]byte, 0, size)
+	for len(part) < cap(part) {
+		n, err := r.Read(part[len(part):cap(part)])
+		part = part[:len(part)+n]
 		if errors.Is(err, io.EOF) {
-			return buf, nil
+			return part, true, nil
 		}
 		if err != nil {
-			return buf, err
+			return part, false, err
 		}
 	}
+	return part, false, nil
 }
 
 // errTooLong reports a body that is longer than was said.
@@ -130,19 +162,3 @@
 		return err
 	}
 }
-
-// grow returns buf with room for more. While the bytes are copied, both buffers are reserved.
-func grow(h *memory.Holder, buf []byte) ([]byte, error) {
-	size := int64(cap(buf))
-	target := max(2*size, firstStep)
-	if size >= doublingLimit {
-		target = size + size/4
-	}
-	if err := h.Reserve(target); err != nil {
-		return nil, err
-	}
-	grown := make([]byte, len(buf), target)
-	copy(grown, buf)
-	h.Release(size)
-	return grown, nil
-}
--- a/internal/bodyread/bodyread_test.go
+++ b/internal/bodyread/bodyread_test.go
@@ -27,7 +27,7 @@
 		"end with data": iotest.DataErrReader,
 	}
 	for name, wrap := range readers {
-		for _, size := range []int{0, 1, firstStep - 1, firstStep, firstStep + 1, doublingLimit, doublingLimit + 1, 1_000_000} {
+		for _, size := range []int{0, 1, firstPart - 1, firstPart, firstPart + 1, lastPart, 3 * lastPart, 1_000_000} {
 			want := bytes.Repeat([]byte("x"), size)
 			for _, length := range []int64{-1, int64(size)} {
 				account := memory.NewAccount(0)
@@ -55,14 +55,25 @@
 	require.Equal(t, 2*limit, body.Len())
 	account := memory.NewAccount(limit)
 	h := account.Open(memory.Response)
-	got, err := Read(h, body, -1)
+	parts, err := ReadParts(h, body, -1)
 	require.ErrorAs(t, err, &exhausted)
-	require.Equal(t, 2*limit-len(got), body.Len(), "what was read is returned")
+	require.Equal(t, 2*limit-len(bytes.Join(parts, nil)), body.Len(), "what was read is returned")
 	require.LessOrEqual(t, account.Usage().InUse, int64(limit))
 	h.Close()
 	require.Zero(t, account.Usage().InUse)
 }
 
+// TestUnknownLengthLeavesLittleUnused guards against a crowd of bodies of unknown length that
+// holds, or leaves as garbage, a multiple of what it has sent.
+func TestUnknownLengthLeavesLittleUnused(t *testing.T) {
+	account := memory.NewAccount(0)
+	body := bytes.Repeat([]byte("0123456789"), 100_000)
+	parts, err := ReadParts(account.Open(memory.Body), bytes.NewReader(body), -1)
+	require.NoError(t, err)
+	require.Equal(t, body, bytes.Join(parts, nil))
+	require.LessOrEqual(t, account.Usage().InUse, int64(len(body)+lastPart))
+}
+
 // TestReadReportsTheEviction guards against an eviction that is taken for a broken
 // connection, or is not noticed because the body was whole by then.
 func TestReadReportsTheEviction(t *testing.T) {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -228,7 +228,10 @@
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	header := a.header.Clone()
 	httpmeta.StripHopByHop(header)
-	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header, Body: a.body.bytes}
+	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header}
+	if len(a.body.parts) > 0 {
+		call.Body, call.BodyTail = a.body.parts[0], a.body.parts[1:]
+	}
 	if a.gateway != nil {
 		a.writeForwardHeader(header)
 		call.Address = a.gateway.PeerAddress
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -27,7 +27,7 @@
 
 // requestBody is the body of a request with the memory that it holds.
 type requestBody struct {
-	bytes []byte
+	parts [][]byte
 	// hold is nil for a request without a body.
 	hold *memory.Holder
 	// released is set once the body has been given back. The request must not be sent
@@ -67,12 +67,12 @@
 	}
 	s.body.hold = s.edge.Memory.Open(class)
 	bodyread.InterruptOnEvict(s.body.hold, s.writer)
-	body, err := bodyread.Read(s.body.hold, http.MaxBytesReader(s.writer, r.Body, limit), r.ContentLength)
+	parts, err := bodyread.ReadParts(s.body.hold, http.MaxBytesReader(s.writer, r.Body, limit), r.ContentLength)
 	if err != nil {
 		s.releaseBody()
 		return s.bodyRefusal(err, limit)
 	}
-	s.body.bytes = body
+	s.body.parts = parts
 	return setReadDeadline(rc, time.Time{})
 }
 
@@ -118,7 +118,7 @@
 	a.mayHaveRun = true
 	hold := a.edge.Memory.Open(memory.Response)
 	defer hold.Close()
-	body, err := bodyread.Read(hold, io.LimitReader(resp.Body, maxBufferedBytes), min(resp.ContentLength, maxBufferedBytes))
+	parts, err := bodyread.ReadParts(hold, io.LimitReader(resp.Body, maxBufferedBytes), min(resp.ContentLength, maxBufferedBytes))
 	var exhausted *memory.ExhaustedError
 	isCut := errors.As(err, &exhausted)
 	if err != nil && !isCut {
@@ -129,16 +129,22 @@
 	// The response is whole, or so much of it goes to the caller now that no other can follow.
 	a.releaseBody()
 	a.startResponse(resp)
-	if _, err := a.writer.Write(body); err != nil {
-		a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
-		return outcome{done: true}, endpointload.Abandoned
+	sent := int64(0)
+	for _, part := range parts {
+		sent += int64(len(part))
+		if _, err := a.writer.Write(part); err != nil {
+			a.log("caller_gone", "endpoint", a.endpoint.ID, "err", err)
+			return outcome{done: true}, endpointload.Abandoned
+		}
 	}
-	if isCut || len(body) == maxBufferedBytes {
-		if _, err := io.Copy(a.writer, resp.Body); err != nil {
+	if isCut || sent == maxBufferedBytes {
+		n, err := io.Copy(a.writer, resp.Body)
+		sent += n
+		if err != nil {
 			return outcome{refusal: failure.New(failure.CodeIncompleteResponse, failure.Unknown, "the response was truncated").WithCause(err)}, endpointload.Failed
 		}
 	}
-	a.log("done", "endpoint", a.endpoint.ID, "status", resp.StatusCode, "bytes", len(body))
+	a.log("done", "endpoint", a.endpoint.ID, "status", resp.StatusCode, "bytes", sent)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return outcome{done: true}, endpointload.Failed
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -87,6 +87,8 @@
 	// sets an empty one, which is not sent.
 	Header http.Header
 	Body   []byte
+	// BodyTail are the parts of the body that follow Body, which has the first one.
+	BodyTail [][]byte
 	// DedicatedConnection sends the request on a new connection, which is
 	// closed after the response.
 	DedicatedConnection bool
@@ -268,7 +270,7 @@
 		Header:        r.Header,
 		Host:          r.Host,
 		Body:          r.body(),
-		ContentLength: int64(len(r.Body)),
+		ContentLength: r.contentLength(),
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// Without an empty value net/http sends its default User-Agent.
@@ -284,7 +286,22 @@
 	if len(r.Body) == 0 && !r.isReplayable() {
 		return http.NoBody
 	}
-	return io.NopCloser(readerOnly{bytes.NewReader(r.Body)})
+	if len(r.BodyTail) == 0 {
+		return io.NopCloser(readerOnly{bytes.NewReader(r.Body)})
+	}
+	parts := []io.Reader{bytes.NewReader(r.Body)}
+	for _, part := range r.BodyTail {
+		parts = append(parts, bytes.NewReader(part))
+	}
+	return io.NopCloser(readerOnly{io.MultiReader(parts...)})
+}
+
+func (r *Request) contentLength() int64 {
+	n := len(r.Body)
+	for _, part := range r.BodyTail {
+		n += len(part)
+	}
+	return int64(n)
 }
 
 // isReplayable reports whether net/http would resend the request if it had no
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -76,6 +76,20 @@
 	require.Equal(t, int64(3), conns.Load())
 }
 
+// TestBodyInPartsIsSentWithItsLength guards against a body in parts that is sent without a
+// length, cut off or out of order.
+func TestBodyInPartsIsSentWithItsLength(t *testing.T) {
+	address, _, _ := startServer(t, echo)
+	req := newRequest(address, http.MethodPut, "one")
+	req.BodyTail = [][]byte{[]byte("two"), nil, []byte(strings.Repeat("three", 50_000))}
+	for _, dedicated := range []bool{false, true} {
+		req.DedicatedConnection = dedicated
+		got, err := send(t, newTransport(), req)
+		require.NoError(t, err)
+		require.Equal(t, "PUT|/a%2Fb?x=1|a.example|onetwo"+strings.Repeat("three", 50_000)+"|||", got)
+	}
+}
+
 // TestRequestIsNeverResent guards against net/http resending a request on its
 // own, which it does for safe methods and idempotency keys when a reused
 // connection breaks. The server closes the connection after it has received the
