--- a/internal/controller/routesync/proof.go
+++ b/internal/controller/routesync/proof.go
@@ -56,8 +56,9 @@
 	return nil
 }
 
-// Fetch adopts the configuration of another gateway, and reports whether it could be
-// fetched and decoded. It may be called while the controller runs.
-func (c *Controller) Fetch(ctx context.Context, gateway string) bool {
-	return c.fetchFromPeer(ctx, gateway)
+// Fetch adopts the configuration of another gateway that has the given version, and
+// reports whether it could be fetched and decoded. It may be called while the controller
+// runs.
+func (c *Controller) Fetch(ctx context.Context, gateway string, version uint64) bool {
+	return c.fetchFromPeer(ctx, gateway, version)
 }
--- a/internal/controller/routesync/proof_test.go
+++ b/internal/controller/routesync/proof_test.go
@@ -128,3 +128,12 @@
 		require.Zero(t, age)
 	})
 }
+
+// TestVersionsInForceAreNotFetched guards against two fetches of each new version, of
+// which heartbeats and proofs tell at about the same time.
+func TestVersionsInForceAreNotFetched(t *testing.T) {
+	c := newController(t, newFakeSource())
+	c.Board.Routes.Set(table(5))
+	require.True(t, c.Fetch(t.Context(), "unknown", 5))
+	require.False(t, c.Fetch(t.Context(), "unknown", 6))
+}
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -9,6 +9,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -93,6 +94,9 @@
 // Controller keeps the configuration and evacuations of the blackboard up to date.
 type Controller struct {
 	Config
+	// fetching is held during a fetch from a peer: a new version is heard of in heartbeats
+	// and from proofs at about the same time.
+	fetching sync.Mutex
 	// watchFrom is the revision to watch from; zero requires a read of everything.
 	watchFrom store.Revision
 	// era is the era of the store that this gateway knows of, here or by the store reader; 0
@@ -157,7 +161,7 @@
 	c.watchFrom = store.Revision{}
 	c.observeEra(status.Era)
 	c.applyEvacuations(status)
-	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from) {
+	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from, status.ConfigVersion) {
 		return
 	}
 	c.recordStoreReachable()
@@ -182,7 +186,7 @@
 func (c *Controller) adoptFromPeer(ctx context.Context, status fleet.StoreStatus, from string) bool {
 	// This gateway serves as soon as it has the configuration.
 	c.applyEvacuations(status)
-	return c.fetchFromPeer(ctx, from)
+	return c.fetchFromPeer(ctx, from, status.ConfigVersion)
 }
 
 // staleAfter returns the age of the last known response of the store from which on a
@@ -202,9 +206,15 @@
 	}
 }
 
-// fetchFromPeer fetches and adopts the configuration of a peer, and reports whether
-// it could be fetched and decoded.
-func (c *Controller) fetchFromPeer(ctx context.Context, id string) bool {
+// fetchFromPeer fetches and adopts the configuration of a peer that has at least the given
+// version, and reports whether it could be fetched and decoded. It fetches nothing if the
+// version has come into force meanwhile.
+func (c *Controller) fetchFromPeer(ctx context.Context, id string, version uint64) bool {
+	c.fetching.Lock()
+	defer c.fetching.Unlock()
+	if routes := c.Board.Routes.Get(); routes != nil && routes.Version >= version {
+		return true
+	}
 	gw, ok := c.Gateways.Get(id)
 	if !ok {
 		return false
