--- a/internal/controller/grants/proof_test.go
+++ b/internal/controller/grants/proof_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +56,15 @@
 // later than the age was stated.
 func TestResponsesToAnotherProcessProveNothing(t *testing.T) {
 	requester, _ := start(t, &fakeCoordinator{})
+	var noResponse *NoResponseError
+	_, err := requester.RequestProof(t.Context(), "g2", answerOnce(t, func(m message) string {
+		return fmt.Sprintf(`{"n":%d,"fa":{"r":%d,"a":0,"v":1}}`, m.RequestID, m.ProofRequest.Nonce+1)
+	}))
+	require.ErrorAs(t, err, &noResponse)
+}
+
+// answerOnce answers one message by the function and returns its address.
+func answerOnce(t *testing.T, answer func(m message) string) string {
 	conn := listen(t)
 	go func() {
 		buffer := make([]byte, maxDatagramBytes)
@@ -62,22 +73,37 @@
 		if err != nil || json.Unmarshal(buffer[:n], &m) != nil {
 			return
 		}
-		reply, _ := json.Marshal(message{RequestID: m.RequestID, ProofResponse: &ProofResponse{Nonce: m.ProofRequest.Nonce + 1, Proved: true}})
-		_, _ = conn.WriteTo(reply, from)
+		_, _ = conn.WriteTo([]byte(answer(m)), from)
 	}()
-	var noResponse *NoResponseError
-	_, err := requester.RequestProof(t.Context(), "g2", conn.LocalAddr().String())
-	require.ErrorAs(t, err, &noResponse)
+	return conn.LocalAddr().String()
+}
+
+// TestDamagedProofsProveNothing guards against a response that counts as younger, or as one
+// of another version, since one of its fields is missing or can't be read.
+func TestDamagedProofsProveNothing(t *testing.T) {
+	requester, _ := start(t, &fakeCoordinator{})
+	for fields, sound := range map[string]bool{
+		`"a":5,"v":7`: true, `"a":0,"v":7,"e":2`: true, `"a":5,"v":7,"other":[]`: true,
+		``: false, `"a":5`: false, `"v":7`: false, `"a":null,"v":7`: false,
+		`"a":"5","v":7`: false, `"a":1.5,"v":7`: false, `"a":1e30,"v":7`: false, `"a":5,"v":"7"`: false, `"a":5,"v":-7`: false,
+		`"a":5,"v":7,"e":"x"`: false, `"a":-5,"v":7`: false, `"a":9000000000000000000,"v":7`: false,
+	} {
+		got, err := requester.RequestProof(t.Context(), "g2", answerOnce(t, func(m message) string {
+			return strings.Replace(fmt.Sprintf(`{"n":%d,"fa":{"r":%d,%s}}`, m.RequestID, m.ProofRequest.Nonce, fields), ",}", "}", 1)
+		}))
+		_, ok := got.Age()
+		require.Equal(t, sound, err == nil && ok, fields)
+	}
 }
 
 func TestAgesAreRoundedUp(t *testing.T) {
 	for age, micros := range map[time.Duration]int64{0: 0, 1: 1, time.Microsecond: 1, 1001: 2} {
 		var r ProofResponse
 		r.SetAge(age)
-		require.Equal(t, micros, r.AgeMicros)
+		require.Equal(t, micros, *r.AgeMicros)
 	}
 	for _, age := range []time.Duration{-1, 2 * time.Hour} {
-		var r ProofResponse
+		r := ProofResponse{Version: 1}
 		r.SetAge(age)
 		_, ok := r.Age()
 		require.False(t, ok)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -25,11 +25,14 @@
 	activeRequest *endpointload.ActiveRequest
 	// sentAt is when the request was sent.
 	sentAt time.Time
+	// paced is nil for forwarded requests and if the pace of endpoints is off.
+	paced *pacedRequest
 }
 
 // attempt sends the request to the endpoint of the decision, or to a gateway of
 // its region, and records it in Loads until it ends.
 func (s *session) attempt(ctx context.Context, d placement.Decision) outcome {
+	defer s.releaseGrant()
 	now := time.Now()
 	view, ok := s.edge.Registry.Get(d.Candidate.ID)
 	if !ok {
@@ -55,8 +58,10 @@
 		return outcome{mayRetry: true, refusal: notSentRefusal(reason)}
 	}
 	a.activeRequest = s.edge.Loads.Begin(view.ID, view.Incarnation, a.loadJob(d), time.Now())
+	a.paced = a.beginPaced(d)
 	out, result := a.run(ctx)
 	a.activeRequest.End(result, time.Now())
+	a.paced.end(result)
 	return out
 }
 
@@ -105,9 +110,14 @@
 	j := endpointload.Job{
 		Service: a.service.Name, CachedTokens: d.Candidate.CachedTokens, Priority: a.priority(),
 		Segments: a.segments, SharedPrefix: a.sharedPrefix, Forwarded: a.gateway != nil,
+		Ahead: a.grant.ahead, Slots: a.grant.slots,
 	}
 	if p := a.req.Prompt; p != nil {
 		j.PromptTokens, j.OutputTokens = p.Tokens, expectedOutputTokens(p)
+		j.Streamed, j.Class, j.Deadline = a.isWholeStream(), a.lengthClass(), a.deadline
+		if j.Streamed {
+			j.Lengths = a.lengths
+		}
 	}
 	return j
 }
@@ -121,6 +131,7 @@
 		return a.handleSendError(ctx, err)
 	}
 	defer resp.Body.Close()
+	a.reachedEndpoint = true
 	if a.gateway != nil && resp.Header.Get(headerOutcome) != "" {
 		return a.handleRemoteRefusal(resp)
 	}
@@ -134,6 +145,7 @@
 		return a.handleAddressTaken()
 	}
 	a.observeLeaving(meta)
+	a.observeSpeed(meta)
 	a.observePause(resp)
 	a.observeRequestLimit(meta)
 	a.attempts++
@@ -186,9 +198,13 @@
 
 // relayResponse relays the response of an endpoint, or handles it as a failure.
 func (a *attempt) relayResponse(ctx context.Context, resp *http.Response, meta httpmeta.Response) (outcome, endpointload.Result) {
-	switch {
-	case meta.NotExecuted:
+	if meta.NotExecuted {
 		return a.handleShed(resp)
+	}
+	if !a.mayRetry() {
+		a.releaseBody()
+	}
+	switch {
 	case meta.AttemptID != a.req.AttemptID || resp.Header.Get("Content-Encoding") != "":
 		return a.handleFailure(ctx, &ResponseMismatchError{Want: a.req.AttemptID, Got: meta.AttemptID})
 	case resp.StatusCode >= http.StatusInternalServerError && a.mayRetry():
@@ -224,7 +240,7 @@
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	header := a.header.Clone()
 	httpmeta.StripHopByHop(header)
-	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header, Body: a.body}
+	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header, Body: a.body.bytes}
 	if a.gateway != nil {
 		a.writeForwardHeader(header)
 		call.Address = a.gateway.PeerAddress
@@ -289,7 +305,7 @@
 
 // handleFailure handles a request that may have run and whose response is lost.
 func (a *attempt) handleFailure(ctx context.Context, err error) (outcome, endpointload.Result) {
-	a.mayHaveRun = true
+	a.mayHaveRun, a.reachedEndpoint = true, true
 	refusal := failure.New(failure.CodeEndpointFailed, failure.Unknown, "no complete response from the endpoint").WithCause(err)
 	if ctx.Err() != nil {
 		a.log("abandoned", "endpoint", a.endpoint.ID, "cause", ctx.Err())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,14 +5,12 @@
 package edge
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/backoff"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
@@ -22,6 +20,8 @@
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
+	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
@@ -45,6 +45,7 @@
 	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
+	forecastRefusals = telemetry.NewCounter("route_forecast_refusals", "requests", "route requests refused since their response would end too late or delay others")
 	requestTime      = telemetry.NewHistogram("route_time")
 )
 
@@ -70,9 +71,16 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
+	// Memory is the account of the bodies and responses that requests hold. If it is
+	// nil, nothing is refused for them.
+	Memory *memory.Account
 	// Freshness is used only where the settings ask for strict revocation.
 	Freshness Freshness
-	Logger    *log.Logger
+	// Pace holds the windows of endpoints that have just started or recovered; nil if their
+	// pace is off. PaceReporter tells other gateways of them; it may be nil.
+	Pace         *pace.Tracker
+	PaceReporter PaceReporter
+	Logger       *log.Logger
 }
 
 // Edge serves the requests of callers and those forwarded by other gateways. It
@@ -88,13 +96,19 @@
 	// that may still run, send to cold endpoints and give out permits.
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
+	pacing                                *pacing
 	stopping                              *stopping
+	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
+	streamBacklog atomic.Int64
 }
 
 // New returns an Edge that measures the round trips to other regions on the
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
-	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
+	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping(), pacing: newPacing(c.Pace)}
+	if e.Memory == nil {
+		e.Memory = memory.NewAccount(0)
+	}
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -107,9 +121,6 @@
 	}
 }
 
-// bodyTimeout limits the time that a caller may take to send the request body.
-const bodyTimeout = 10 * time.Second
-
 // CallerHandler returns the handler of the callers' listener.
 func (e *Edge) CallerHandler() http.Handler { return http.HandlerFunc(e.serveCaller) }
 
@@ -119,6 +130,7 @@
 	defer e.inFlight.End()
 	requestsReceived.Inc()
 	s, err := e.openSession(w, r, arrived)
+	defer s.releaseBody()
 	if err != nil {
 		e.refuse(s, failure.AsRefusal(err))
 		return
@@ -170,6 +182,9 @@
 	if s.route == nil {
 		return failure.Refuse(failure.CodeNotFound, "no route matches the request")
 	}
+	if !transport.IsTargetSendable(s.target) {
+		return failure.Refuse(failure.CodeBadRequest, "the request target is invalid")
+	}
 	if err := s.identify(isCurrent); err != nil {
 		return err
 	}
@@ -209,43 +224,13 @@
 // sets a timeout.
 const defaultTimeout = 60 * time.Second
 
-func (s *session) readBody(r *http.Request) error {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	rc := http.NewResponseController(s.writer)
-	if err := rc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	limit := s.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(s.writer, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return failure.Refuse(failure.CodeBodyTooLarge, "the request body exceeds %d bytes", limit)
-		}
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	s.body = body
-	if err := rc.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return failure.Refuse(failure.CodeBadRequest, "read the request body").WithCause(err)
-	}
-	return nil
-}
-
-// defaultMaxBodyBytes is the largest request body where the configuration sets no
-// limit.
-const defaultMaxBodyBytes = 1 << 20
-
 // Forget closes the idle connections to a removed endpoint and drops what is recorded
 // of its load.
 func (e *Edge) Forget(id, address string) {
 	e.EndpointTransport.Forget(address)
 	e.Loads.Forget(id)
 	e.Limits.Forget(id)
+	e.pacing.forget(id)
 }
 
 // IsReady reports whether this gateway accepts requests of callers.
@@ -264,6 +249,17 @@
 	} else {
 		requestsFailed.Inc()
 	}
+	fields := []any{"code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r}
+	if s.account != nil {
+		s.countAccountRefusal()
+		fields = append(fields, "account", s.account.Name)
+	}
+	s.log("refused", fields...)
+	e.writeRefusal(s, r)
+}
+
+// writeRefusal sends the response to a request that is refused or has failed.
+func (e *Edge) writeRefusal(s *session, r *failure.Refusal) {
 	h := s.writer.Header()
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
@@ -273,12 +269,7 @@
 	}
 	if s.forwarded != nil {
 		h.Set(headerOutcome, string(r.Outcome))
+		h.Set(headerReachedEndpoint, strconv.FormatBool(s.reachedEndpoint))
 	}
-	fields := []any{"code", r.Code, "outcome", r.Outcome, "retry_after_ms", r.RetryAfter.Milliseconds(), "err", r}
-	if s.account != nil {
-		s.countAccountRefusal()
-		fields = append(fields, "account", s.account.Name)
-	}
-	s.log("refused", fields...)
 	s.writer.WriteHeader(r.Status())
 }
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -28,7 +28,7 @@
 	host   string
 	path   string
 	header http.Header
-	body   []byte
+	body   requestBody
 	// arrived is when the caller's request arrived. For a forwarded request it is
 	// computed from the time left until the latency objective.
 	arrived time.Time
@@ -71,10 +71,21 @@
 	// them is back.
 	heldBack      []string
 	soonestReturn time.Duration
+	// lengths are those that the response of a model request is expected to have.
+	lengths endpointload.Lengths
+	// grant is the place that a coordinator holds for the next attempt.
+	grant slotGrant
+	// paced is what the last search for candidates found of the pace of endpoints.
+	paced pacedEndpoints
 	// attempts counts the attempts that may have reached an endpoint.
 	attempts int
+	// reachedEndpoint is set once an endpoint may have received the request, whether it ran
+	// it or not.
+	reachedEndpoint bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// out writes the events of the stream to the caller; nil until there is one.
+	out *streamWriter
 	// stream is the part of the response that the caller has been sent.
 	stream streamState
 }
@@ -87,7 +98,7 @@
 	mayRetry bool
 	// countsAsRetry is set if another attempt counts against the route's maximum
 	// and the retry budget. Attempts that reached no endpoint don't count, nor do
-	// those that a gateway of another region refused without running them.
+	// those that a gateway of another region refused before they reached one.
 	countsAsRetry bool
 	// refusal is what the caller is answered if no other attempt follows.
 	refusal *failure.Refusal
@@ -97,6 +108,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	defer s.closeStream()
 	s.tried = make(map[string]bool)
 	s.edge.RetryBudget.RecordRequest(s.service.Name, time.Now())
 	for {
@@ -144,7 +156,7 @@
 // mayContinue reports whether another attempt may follow one that failed. A
 // permitted retry is charged to the service's retry budget.
 func (s *session) mayContinue(ctx context.Context, out outcome) bool {
-	if !out.mayRetry || ctx.Err() != nil || s.forwarded != nil && out.countsAsRetry {
+	if !out.mayRetry || s.body.released || ctx.Err() != nil || s.forwarded != nil && out.countsAsRetry {
 		return false
 	}
 	if out.countsAsRetry {
@@ -184,21 +196,28 @@
 }
 
 // fail answers a request that failed. If part of the response has been sent, it
-// aborts the connection, so that the caller can't take that part for all of it. A
-// caller that has disconnected is not answered.
+// aborts the connection, so that the caller can't take that part for all of it.
 func (s *session) fail(ctx context.Context, r *failure.Refusal) {
-	if context.Cause(ctx) == context.Canceled {
+	isCallerGone := context.Cause(ctx) == context.Canceled
+	if isCallerGone {
 		s.log("caller_gone")
-		return
 	}
 	if s.stream.started {
-		s.log("broken_off", "err", r)
-		responsesAborted.Inc()
+		if !isCallerGone {
+			s.log("broken_off", "err", r)
+			responsesAborted.Inc()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if s.mayHaveRun && r.Outcome == failure.NotRun {
 		r = failure.New(failure.CodeEndpointFailed, failure.Unknown, "%s", r.Message)
 	}
+	if isCallerGone {
+		// A caller that has only closed its sending direction still reads. Without an
+		// answer net/http would send it an empty 200.
+		s.edge.writeRefusal(s, r)
+		return
+	}
 	isInterrupted := errors.Is(context.Cause(ctx), errInterrupted)
 	if isInterrupted && r.Outcome != failure.NotRun {
 		r = failure.New(failure.CodeEndpointFailed, r.Outcome, "the gateway stopped before the response")
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -36,6 +36,8 @@
 	"github.com/hickorystage/hickorystage/internal/freshness"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
+	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
@@ -59,6 +61,8 @@
 	Codec          httpmeta.HeaderCodec
 	// MetricsPort is the port on which the counters are served; 0 disables it.
 	MetricsPort int
+	// EndpointPace switches on the pace of endpoints that have just started or recovered.
+	EndpointPace bool
 	// NewDirectoryHandler and NewReadinessHandler return the handlers of the directory
 	// listener and the readiness listener. The addresses function
 	// returns the caller addresses of gateways and how long they may be cached.
@@ -74,6 +78,8 @@
 	edge     *edge.Edge
 	registry *fleet.Registry
 	gateways *fleet.Gateways
+	// memory is the account of what requests hold.
+	memory *memory.Account
 
 	controllers  []controller.Controller
 	servers      []*listeningServer
@@ -91,7 +97,7 @@
 // New assembles a gateway and opens its listeners. Nothing is served before Run. The
 // error is a ListenError if a listener can't be opened.
 func New(site *settings.PlatformSettings, p Platform, logger *log.Logger) (*Server, error) {
-	s := &Server{platform: p, logger: logger, board: blackboard.NewEdge(site)}
+	s := &Server{platform: p, logger: logger, board: blackboard.NewEdge(site), memory: memory.NewAccount(memory.Limit(site.MemoryBytes))}
 	heartbeatAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort))
 	grantAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort+1))
 	s.gateways = fleet.NewGateways(fleet.Gateway{
@@ -136,10 +142,14 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Memory:            s.memory,
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
+		Pace:              newPace(p.EndpointPace),
+		PaceReporter:      grantController,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
+	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
 	routeController := routesync.New(routesync.Config{
@@ -176,6 +186,14 @@
 	return s, nil
 }
 
+// newPace returns the tracker of the pace, nil if it is off.
+func newPace(on bool) *pace.Tracker {
+	if !on {
+		return nil
+	}
+	return pace.New()
+}
+
 // openSockets closes what has been opened so far unless all could be opened.
 type openSockets []io.Closer
 
@@ -295,6 +313,7 @@
 		s.edge.RetryBudget.Configure(retrySettings(site))
 		s.edge.ColdStarts.Configure(coldSettings(site))
 		s.registry.SetRegions(site.Regions)
+		s.memory.SetLimit(memory.Limit(site.MemoryBytes))
 		select {
 		case <-s.tomb.Dying():
 			return nil
--- a/internal/endpointload/candidate.go
+++ b/internal/endpointload/candidate.go
@@ -22,8 +22,10 @@
 	// reports.
 	Remote       bool
 	MaxReportAge time.Duration
-	// Coordinated is set if this gateway is the endpoint's coordinator.
+	// Coordinated is set if this gateway is the endpoint's coordinator. HoldsSlots is set
+	// in addition if it holds a slot for each request that the endpoint is granted.
 	Coordinated bool
+	HoldsSlots  bool
 }
 
 // Candidate returns the endpoint with its estimated current load. ok is false
@@ -50,6 +52,13 @@
 	t.withAccount(q.ID, q.Incarnation, func(a *account) {
 		ok = !now.Before(a.ejectedUntil)
 		c.FailureRate = a.failureRateNow(now)
+		a.slots = q.Slots
+		factor := a.speed.at(now)
+		c.PrefillTimePerToken = scale(c.PrefillTimePerToken, factor)
+		if q.KVCapacity == 0 {
+			c.ServiceTime = scale(c.ServiceTime, factor)
+		}
+		defer t.forecastLoad(a, &c, q, now)
 		if q.Remote {
 			recentPrefill += a.addUnreported(&c, q, now)
 			c.PrefillUtilization = recentPrefill.Seconds() / utilizationTimeConstant.Seconds()
@@ -62,7 +71,10 @@
 		c.QueuedPrefill += a.queuedPrefill(q.Priority, now)
 		recentPrefill += a.recentPrefillNow(now)
 		c.PrefillUtilization = recentPrefill.Seconds() / utilizationTimeConstant.Seconds()
-		if q.Coordinated {
+		switch {
+		case q.HoldsSlots:
+			a.heldSlots.adjust(&c, now)
+		case q.Coordinated:
 			a.grantedLoad.adjust(&c, q.Priority, now)
 		}
 		c.CachedTokens = a.cachedTokens(&c, q, now)
@@ -85,7 +97,7 @@
 			continue
 		}
 		c.Waiting++
-		c.KVTokens += req.job.PromptTokens + req.job.OutputTokens
+		c.KVTokens += req.job.maxTokens()
 		if req.job.Priority <= q.Priority {
 			c.QueuedPrefill += req.prefill
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,9 +34,9 @@
 	TCPUserTimeout = 1500 * time.Millisecond
 	// keepAliveIdle is the idle time after which a connection is probed.
 	keepAliveIdle = time.Second
-	// idleTimeout is the time after which an unused connection is closed. It is
-	// shorter than the usual idle timeouts of endpoints, so that they rarely
-	// close a connection that is about to be reused.
+	// idleTimeout is the time after which an unused connection is closed where the
+	// server doesn't state one. It is shorter than the usual idle timeouts of servers, so
+	// that they rarely close a connection that is about to be reused.
 	idleTimeout = 3 * time.Second
 	// maxIdleConnsPerAddress is the maximum number of idle connections to one
 	// address.
@@ -107,6 +108,9 @@
 	shards      [shardCount]shard
 	// onConnect, if not nil, is called for each new connection.
 	onConnect func(address string, took time.Duration)
+	// lastKeepAlive is the time for which idle connections are kept at the last server
+	// that stated one, in nanoseconds; 0 if none has.
+	lastKeepAlive atomic.Int64
 }
 
 type shard struct {
@@ -116,7 +120,10 @@
 
 // pool holds the connections to one address: keepAlive reuses them, dedicated
 // uses each for one request.
-type pool struct{ keepAlive, dedicated *http.Transport }
+type pool struct {
+	keepAlive *reusedPool
+	dedicated *http.Transport
+}
 
 // New returns a Transport that opens connections with dial, each within timeout.
 func New(dial DialFunc, timeout time.Duration) *Transport {
@@ -142,7 +149,7 @@
 	defer sh.mu.Unlock()
 	p, ok := sh.pools[address]
 	if !ok {
-		p = &pool{keepAlive: t.newHTTPTransport(), dedicated: t.newHTTPTransport()}
+		p = &pool{keepAlive: t.newReusedPool(), dedicated: t.newHTTPTransport()}
 		p.dedicated.DisableKeepAlives = true
 		sh.pools[address] = p
 	}
@@ -186,13 +193,13 @@
 	delete(sh.pools, address)
 	sh.mu.Unlock()
 	if ok {
-		p.keepAlive.CloseIdleConnections()
+		p.keepAlive.current.Load().CloseIdleConnections()
 	}
 }
 
 // CloseIdleConnections closes the idle connections to an address.
 func (t *Transport) CloseIdleConnections(address string) {
-	t.pool(address).keepAlive.CloseIdleConnections()
+	t.pool(address).keepAlive.current.Load().CloseIdleConnections()
 }
 
 // IsRefused reports whether the server at an address refuses connections at once, as one
@@ -219,10 +226,13 @@
 		resp, _, err := r.send(ctx, p.dedicated)
 		return resp, err
 	}
-	resp, unusable, err := r.send(ctx, p.keepAlive)
+	resp, unusable, err := r.send(ctx, p.keepAlive.current.Load().Transport)
 	if unusable {
 		resp, _, err = r.send(ctx, p.dedicated)
 	}
+	if err == nil && !unusable {
+		t.observe(p.keepAlive, resp.Header, time.Now())
+	}
 	return resp, err
 }
 
@@ -230,18 +240,17 @@
 // connection taken from the pool could not be reused.
 func (r *Request) send(ctx context.Context, ht *http.Transport) (resp *http.Response, unusable bool, err error) {
 	var gotConn, reused atomic.Bool
-	var claimed atomic.Pointer[pooledConn]
+	var claimed atomic.Pointer[claim]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		gotConn.Store(true)
 		reused.Store(info.Reused)
 		claimed.Store(nil)
 		if conn, ok := info.Conn.(*pooledConn); ok && info.Reused {
-			conn.claim()
-			claimed.Store(conn)
+			claimed.Store(conn.claim())
 		}
 	}})
 	resp, err = ht.RoundTrip(r.httpRequest(ctx))
-	if conn := claimed.Load(); conn != nil && conn.wasRefused() {
+	if cl := claimed.Load(); cl != nil && cl.abandon() {
 		if err == nil {
 			_ = resp.Body.Close()
 			err = &UnsolicitedBytesError{Address: r.Address}
@@ -261,7 +270,7 @@
 func (r *Request) httpRequest(ctx context.Context) *http.Request {
 	req := &http.Request{
 		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Target},
+		URL:           r.url(),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -277,6 +286,27 @@
 	return req.WithContext(ctx)
 }
 
+// url returns the URL for which net/http sends the target unchanged.
+func (r *Request) url() *url.URL {
+	u := &url.URL{Scheme: "http", Host: r.Address}
+	if path, query, hasQuery := strings.Cut(r.Target, "?"); strings.HasPrefix(path, "//") {
+		// net/http takes what follows "//" in an opaque target for a host.
+		u.RawPath, u.RawQuery, u.ForceQuery = path, query, hasQuery
+		if unescaped, err := url.PathUnescape(path); err == nil {
+			u.Path = unescaped
+			return u
+		}
+	}
+	u.RawPath, u.RawQuery, u.ForceQuery, u.Opaque = "", "", false, r.Target
+	return u
+}
+
+// IsTargetSendable reports whether a request target can be sent unchanged. Only targets
+// that begin with "//" and hold characters that a path must not hold can't.
+func IsTargetSendable(target string) bool {
+	return (&Request{Target: target}).url().RequestURI() == target
+}
+
 // body returns the body as a reader that net/http can't rewind, which keeps
 // net/http from resending the request when a reused connection breaks. It would
 // do so for safe methods and for requests with an idempotency key.
