Ask a hub of another region for a proof when the own region has none

A region that was cut from the store refused requests with keys after the bound although gateways of another region, which it hears, were answered by the store. The hubs, and gateways that no hub answers, now ask a hub of another region from the age on at which they read the store themselves.

TestAnotherRegionHelps: 13 gateways, of which 12 are cut from the store for 20 s, serve all the time; it fails without the request.

--- a/internal/controller/configproof/configproof.go
+++ b/internal/controller/configproof/configproof.go
@@ -4,8 +4,8 @@
 //
 // The store reader of the region has a proof from its own calls. The other gateways ask it
 // for the age of that proof, by datagrams, and a second hub if it doesn't answer or has
-// only an old one itself. A gateway whose proof grows old all the same reads the
-// configuration from the store.
+// only an old one itself. A gateway whose proof grows old all the same asks a hub of another
+// region and reads the configuration from the store.
 package configproof
 
 import (
@@ -102,6 +102,8 @@
 	// lastReadAt is when the last read was started; hasRead is set then.
 	hasRead    bool
 	lastReadAt freshness.Instant
+	// asksElsewhere is the number of requests to gateways of other regions.
+	asksElsewhere int
 	// lapsed is set while the proof is too old.
 	lapsed bool
 
@@ -160,8 +162,12 @@
 	hubs := c.Gateways.Hubs(c.Gateways.Self().Region, now)
 	rank := slices.Index(hubs, c.Gateways.Self().ID)
 	enough, readAfter := shareOf(bound, readerReadShare), shareOf(bound, c.readShare(rank))
+	answered := false
 	if rank != 0 || c.age() >= enough {
-		c.askHubs(ctx, hubs, enough)
+		answered = c.askHubs(ctx, hubs, enough)
+	}
+	if c.age() >= readAfter && (rank >= 0 || !answered) {
+		c.askOtherRegion(ctx)
 	}
 	if age := c.age(); age >= readAfter && ctx.Err() == nil && c.Tracker.MayProve(c.Clock.Now()) {
 		c.startRead(ctx, age, bound)
@@ -187,37 +193,60 @@
 	}
 }
 
-// askHubs asks the hubs one after the other, until the proof is younger than enough.
-func (c *Controller) askHubs(ctx context.Context, hubs []string, enough time.Duration) {
+// askHubs asks the hubs one after the other, until the proof is younger than enough. It
+// reports whether one of them answered.
+func (c *Controller) askHubs(ctx context.Context, hubs []string, enough time.Duration) (answered bool) {
 	for _, id := range hubs {
 		gw, ok := c.Gateways.Get(id)
 		if !ok || gw.GrantAddress == "" {
 			continue
 		}
-		c.ask(ctx, gw)
+		answered = c.ask(ctx, gw) || answered
 		if age, ok := c.Tracker.Age(c.Clock.Now()); ok && age < enough {
-			return
+			break
 		}
 	}
+	return answered
+}
+
+// askOtherRegion asks a hub of another region, the regions and their hubs in turn: the
+// store may answer there while this region has no path to it.
+func (c *Controller) askOtherRegion(ctx context.Context) {
+	self := c.Gateways.Self().Region
+	regions := slices.DeleteFunc(c.Gateways.Regions(), func(r string) bool { return r == self })
+	if len(regions) == 0 {
+		return
+	}
+	n := c.asksElsewhere
+	c.asksElsewhere++
+	hubs := c.Gateways.Hubs(regions[n%len(regions)], time.Now())
+	if len(hubs) == 0 {
+		return
+	}
+	if gw, ok := c.Gateways.Get(hubs[n/len(regions)%len(hubs)]); ok && gw.GrantAddress != "" {
+		c.ask(ctx, gw)
+	}
 }
 
-// ask takes over the proof of another gateway, and its configuration if that is newer.
-func (c *Controller) ask(ctx context.Context, gw fleet.GatewayStatus) {
+// ask takes over the proof of another gateway, and its configuration if that is newer. It
+// reports whether the other gateway answered.
+func (c *Controller) ask(ctx context.Context, gw fleet.GatewayStatus) (answered bool) {
 	startedAt := c.Clock.Now()
 	response, err := c.Peers.RequestProof(ctx, gw.ID, gw.GrantAddress)
 	if err != nil {
 		c.Logger.Debug("no proof from gateway", "gateway", gw.ID, "err", err)
-		return
+		return false
 	}
 	age, ok := response.Age()
 	if !ok {
-		return
+		return true
 	}
 	if response.Version > c.inForce() {
 		c.Configs.Fetch(ctx, gw.ID, response.Version)
 	}
 	// The other gateway stated its age after this one had started to ask.
 	c.Tracker.Observe(freshness.Observation{AsOf: startedAt.Add(-age), Version: response.Version, Era: response.Era}, c.inForce(), c.Clock.Now())
+	return true
 }
 
 // Prove implements grants.Prover.
--- a/internal/controller/configproof/configproof_test.go
+++ b/internal/controller/configproof/configproof_test.go
@@ -17,7 +17,7 @@
 // spread.
 func bubble(t *testing.T, gateways int, fn func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, gateways)
+		w := newWorld(t, gateways, 0)
 		time.Sleep(10 * time.Second)
 		fn(t, w)
 	})
@@ -159,6 +159,25 @@
 	}
 }
 
+// TestAnotherRegionHelps cuts a whole region from the store, but not from another region
+// whose store reader is answered.
+func TestAnotherRegionHelps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 12, 1)
+		w.pass(10*time.Second, nil)
+		for _, n := range w.nodes[:12] {
+			w.cutStore(n, true)
+		}
+		serveAll := func() { require.Equal(t, 13, w.check()) }
+		w.pass(10*time.Second, serveAll)
+		w.write()
+		w.pass(10*time.Second, serveAll)
+		for _, n := range w.nodes {
+			require.Equal(t, w.version, n.version())
+		}
+	})
+}
+
 // TestLossAndSlowStoreRefuseNothing loses three of ten datagrams and then slows the store
 // down by some hundreds of milliseconds.
 func TestLossAndSlowStoreRefuseNothing(t *testing.T) {
@@ -254,7 +273,7 @@
 		w := &world{t: t, start: time.Now(), version: 1, era: 1, ackedAt: make(map[uint64]time.Duration), cuts: make(map[string]bool), changed: make(chan struct{})}
 		ctx, cancel := context.WithCancel(t.Context())
 		w.ctx = ctx
-		w.nodes = []*node{w.newNode("a", 2), w.newNode("b", 1)}
+		w.nodes = []*node{w.newNode("a", "r", 2), w.newNode("b", "r", 1)}
 		lax := &settings.PlatformSettings{Limits: settings.Limits{Revocation: testBound}}
 		strict := w.nodes[1].board.Settings.Get()
 		w.nodes[0].board.Settings.Set(lax)
@@ -290,7 +309,7 @@
 			return event{rapid.IntRange(0, 5).Draw(rt, "kind"), rapid.IntRange(0, 4).Draw(rt, "node"), rapid.IntRange(0, 4).Draw(rt, "other"), rapid.IntRange(0, 3000).Draw(rt, "wait")}
 		}), 5, 30).Draw(rt, "events")
 		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 5)
+			w := newWorld(t, 4, 1)
 			for _, e := range events {
 				n, o := w.nodes[e.node], w.nodes[e.other]
 				switch e.kind {
--- a/internal/controller/configproof/world_test.go
+++ b/internal/controller/configproof/world_test.go
@@ -79,13 +79,16 @@
 	return freshness.Instant(time.Since(n.world.start) + time.Duration(len(n.id))*time.Hour)
 }
 
-// newWorld starts a region of gateways, all of which have version 1.
-func newWorld(t *testing.T, gateways int) *world {
+// newWorld starts a region of gateways, and another one with some more. All have version 1.
+func newWorld(t *testing.T, gateways, elsewhere int) *world {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &world{t: t, start: time.Now(), version: 1, era: 1, ackedAt: map[uint64]time.Duration{1: 0}, cuts: make(map[string]bool), changed: make(chan struct{}), ctx: ctx}
 	w.storeDelay.Store(int64(storeDelay))
 	for i := range gateways {
-		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("g%d", i), gateways-i))
+		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("g%d", i), "r", gateways-i))
+	}
+	for i := range elsewhere {
+		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("o%d", i), "other", 1))
 	}
 	for _, n := range w.nodes {
 		n.run()
@@ -102,11 +105,11 @@
 	return w
 }
 
-func (w *world) newNode(id string, capacity int) *node {
+func (w *world) newNode(id, region string, capacity int) *node {
 	site := &settings.PlatformSettings{Limits: settings.Limits{RevokeStrict: true, Revocation: testBound}}
 	n := &node{
 		world: w, id: id, board: blackboard.NewEdge(site), tracker: freshness.NewTracker(testRewrite), tomb: new(tomb.Tomb), thawed: make(chan struct{}),
-		gateways: fleet.NewGateways(fleet.Gateway{ID: id, Region: "r", GrantAddress: id, MachineCapacity: capacity}, time.Now()),
+		gateways: fleet.NewGateways(fleet.Gateway{ID: id, Region: region, GrantAddress: id, MachineCapacity: capacity}, time.Now()),
 	}
 	close(n.thawed)
 	n.adopt(1)
