--- a/internal/controller/configproof/configproof.go
+++ b/internal/controller/configproof/configproof.go
@@ -4,8 +4,8 @@
 //
 // The store reader of the region has a proof from its own calls. The other gateways ask it
 // for the age of that proof, by datagrams, and a second hub if it doesn't answer or has
-// only an old one itself. A gateway whose proof grows old all the same reads the
-// configuration from the store.
+// only an old one itself. A gateway whose proof grows old all the same asks a hub of another
+// region and reads the configuration from the store.
 package configproof
 
 import (
@@ -34,6 +34,13 @@
 	// askJitter is the share by which rounds are shifted at random, so that the gateways
 	// of a region don't ask at the same time.
 	askJitter = 0.1
+	// firstInterval is the time between two rounds before there is a proof, for at most
+	// firstRoundsTime: after the start the hubs become known one by one.
+	firstInterval   = 100 * time.Millisecond
+	firstRoundsTime = 2 * time.Second
+	// startTime is how long the store reader waits after the start for its first proof, from
+	// its own calls, before it makes another one.
+	startTime = 300 * time.Millisecond
 	// minPause is the time between two rounds if the first took long, since nobody
 	// answered.
 	minPause = 50 * time.Millisecond
@@ -71,8 +78,8 @@
 type Configs interface {
 	// ReadConfig reads the configuration from the store, and observes the proof.
 	ReadConfig(ctx context.Context) error
-	// Fetch fetches the configuration of another gateway.
-	Fetch(ctx context.Context, gateway string) bool
+	// Fetch fetches the configuration of another gateway that has the given version.
+	Fetch(ctx context.Context, gateway string, version uint64) bool
 }
 
 // Config holds what the controller uses.
@@ -95,6 +102,8 @@
 	// lastReadAt is when the last read was started; hasRead is set then.
 	hasRead    bool
 	lastReadAt freshness.Instant
+	// asksElsewhere is the number of requests to gateways of other regions.
+	asksElsewhere int
 	// lapsed is set while the proof is too old.
 	lapsed bool
 
@@ -127,7 +136,7 @@
 			}
 			continue
 		}
-		next := time.Now().Add(time.Duration(float64(askInterval) * (1 - askJitter + 2*askJitter*rand.Float64())))
+		next := time.Now().Add(time.Duration(float64(c.interval()) * (1 - askJitter + 2*askJitter*rand.Float64())))
 		c.refresh(ctx, site.Limits.Revocation)
 		select {
 		case <-ctx.Done():
@@ -137,6 +146,15 @@
 	return nil
 }
 
+// interval returns the time from the start of this round to that of the next.
+func (c *Controller) interval() time.Duration {
+	_, ok := c.Tracker.AsOf()
+	if !ok && (!c.began || c.Clock.Now().Sub(c.beganAt) < firstRoundsTime) {
+		return firstInterval
+	}
+	return askInterval
+}
+
 // refresh makes one round: it asks other gateways, and reads the store if the proof is old
 // all the same.
 func (c *Controller) refresh(ctx context.Context, bound time.Duration) {
@@ -144,8 +162,12 @@
 	hubs := c.Gateways.Hubs(c.Gateways.Self().Region, now)
 	rank := slices.Index(hubs, c.Gateways.Self().ID)
 	enough, readAfter := shareOf(bound, readerReadShare), shareOf(bound, c.readShare(rank))
+	answered := false
 	if rank != 0 || c.age() >= enough {
-		c.askHubs(ctx, hubs, enough)
+		answered = c.askHubs(ctx, hubs, enough)
+	}
+	if c.age() >= readAfter && (rank >= 0 || !answered) {
+		c.askOtherRegion(ctx)
 	}
 	if age := c.age(); age >= readAfter && ctx.Err() == nil && c.Tracker.MayProve(c.Clock.Now()) {
 		c.startRead(ctx, age, bound)
@@ -171,37 +193,60 @@
 	}
 }
 
-// askHubs asks the hubs one after the other, until the proof is younger than enough.
-func (c *Controller) askHubs(ctx context.Context, hubs []string, enough time.Duration) {
+// askHubs asks the hubs one after the other, until the proof is younger than enough. It
+// reports whether one of them answered.
+func (c *Controller) askHubs(ctx context.Context, hubs []string, enough time.Duration) (answered bool) {
 	for _, id := range hubs {
 		gw, ok := c.Gateways.Get(id)
 		if !ok || gw.GrantAddress == "" {
 			continue
 		}
-		c.ask(ctx, gw)
+		answered = c.ask(ctx, gw) || answered
 		if age, ok := c.Tracker.Age(c.Clock.Now()); ok && age < enough {
-			return
+			break
 		}
 	}
+	return answered
+}
+
+// askOtherRegion asks a hub of another region, the regions and their hubs in turn: the
+// store may answer there while this region has no path to it.
+func (c *Controller) askOtherRegion(ctx context.Context) {
+	self := c.Gateways.Self().Region
+	regions := slices.DeleteFunc(c.Gateways.Regions(), func(r string) bool { return r == self })
+	if len(regions) == 0 {
+		return
+	}
+	n := c.asksElsewhere
+	c.asksElsewhere++
+	hubs := c.Gateways.Hubs(regions[n%len(regions)], time.Now())
+	if len(hubs) == 0 {
+		return
+	}
+	if gw, ok := c.Gateways.Get(hubs[n/len(regions)%len(hubs)]); ok && gw.GrantAddress != "" {
+		c.ask(ctx, gw)
+	}
 }
 
-// ask takes over the proof of another gateway, and its configuration if that is newer.
-func (c *Controller) ask(ctx context.Context, gw fleet.GatewayStatus) {
+// ask takes over the proof of another gateway, and its configuration if that is newer. It
+// reports whether the other gateway answered.
+func (c *Controller) ask(ctx context.Context, gw fleet.GatewayStatus) (answered bool) {
 	startedAt := c.Clock.Now()
 	response, err := c.Peers.RequestProof(ctx, gw.ID, gw.GrantAddress)
 	if err != nil {
 		c.Logger.Debug("no proof from gateway", "gateway", gw.ID, "err", err)
-		return
+		return false
 	}
 	age, ok := response.Age()
 	if !ok {
-		return
+		return true
 	}
 	if response.Version > c.inForce() {
-		c.Configs.Fetch(ctx, gw.ID)
+		c.Configs.Fetch(ctx, gw.ID, response.Version)
 	}
 	// The other gateway stated its age after this one had started to ask.
 	c.Tracker.Observe(freshness.Observation{AsOf: startedAt.Add(-age), Version: response.Version, Era: response.Era}, c.inForce(), c.Clock.Now())
+	return true
 }
 
 // Prove implements grants.Prover.
@@ -224,8 +269,8 @@
 	return 0
 }
 
-// age returns the age of the proof. A gateway without one counts from when it first needed
-// one.
+// age returns the age of the proof. Without one it is a time that rises from when a proof
+// was first needed, so that the store reader makes a call after startTime.
 func (c *Controller) age() time.Duration {
 	now := c.Clock.Now()
 	if !c.began {
@@ -235,7 +280,7 @@
 		return age
 	}
 	bound := c.Board.Settings.Get().Limits.Revocation
-	return now.Sub(c.beganAt) + shareOf(bound, hubReadShare)
+	return now.Sub(c.beganAt) + shareOf(bound, readerReadShare) - startTime
 }
 
 // startRead starts a read of the configuration from the store, unless one was started a
@@ -275,6 +320,8 @@
 	proofAge.Set(age.Milliseconds())
 	lapsed := !ok || age > bound
 	switch {
+	case !ok && c.Clock.Now().Sub(c.beganAt) < startTime:
+		return
 	case lapsed && !c.lapsed:
 		lapses.Inc()
 		c.Logger.Warn("the configuration isn't proved current; requests with keys are refused", "version", c.inForce(), "age_ms", age.Milliseconds(), "bound_ms", bound.Milliseconds())
