Name the store's era, and close keys whose claims it may have lost

The chat half took the claim in the store for the only proof that a caller's own key is new. A store restored from an older copy has lost the newest claims, and a repeated key ran again.

Each response of the store names its era and the time since the restore; writes can be bound to an era, leases belong to one. A key without a claim in a store that was restored within the time for which claims are kept is closed as unknown (store_restored, with a ticket) and doesn't run, also if its outcome is asked. If the gateway has ended, the outcome stays unknown; a seal says no not_run then.

--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -40,8 +40,9 @@
 	// confirmed reports whether the store is known to hold the claim for this
 	// attempt.
 	confirmed bool
-	// version is the claim's version in the store, set once confirmed.
-	version uint64
+	// version is the claim's version in the store, era the era of the store in which it
+	// has that version. Both are set once confirmed.
+	version, era uint64
 	// maybeWritten reports whether an unacknowledged write of the claim may
 	// have taken effect.
 	maybeWritten bool
@@ -180,14 +181,40 @@
 // the claim of another attempt if there is one. If the response to the write is
 // lost, it reads the claim back to see who holds it. A claim that is missing
 // then may still be written later, so only a write that is acknowledged or read
-// back counts.
+// back counts. In a store that may lack claims after a restore it closes the key instead
+// and returns the claim that does so.
 func (m *Manager) tryClaim(ctx context.Context, k recordKey, rec *record, outcome claimValue) (*claimValue, error) {
+	era, err := m.storeEra(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if m.mayLackClaims(era) {
+		return m.closeLostKey(ctx, k, rec, era)
+	}
 	absent := uint64(0)
-	entry, err := m.storePut(ctx, rec.claim.storeKey, m.encodeRecordClaim(rec, outcome), platform.PutOptions{IfVersion: &absent})
+	entry, err := m.storePut(ctx, rec.claim.storeKey, m.encodeRecordClaim(rec, outcome), platform.PutOptions{IfVersion: &absent, Era: era.Number})
 	if err == nil {
-		m.setConfirmed(k, rec, entry.Version, outcome.Outcome != "")
+		m.setConfirmed(k, rec, entry.Version, era.Number, outcome.Outcome != "")
 		return nil, nil
 	}
+	return m.settleClaim(ctx, k, rec, era, err)
+}
+
+// closeLostKey is tryClaim for a store that may lack claims. A claim that is there is good.
+func (m *Manager) closeLostKey(ctx context.Context, k recordKey, rec *record, era platform.Era) (*claimValue, error) {
+	absent := uint64(0)
+	v := m.newClosedClaim(rec)
+	_, err := m.storePut(ctx, rec.claim.storeKey, m.encodeRecordClaim(rec, v), platform.PutOptions{IfVersion: &absent, Era: era.Number, Lease: m.getClaimLease(ctx)})
+	if err == nil {
+		claimsClosedAfterRestore.Inc()
+		return &v, nil
+	}
+	return m.settleClaim(ctx, k, rec, era, err)
+}
+
+// settleClaim returns the claim of another attempt, or that closes the key, after a write in
+// the given era that failed with err. It returns nil if rec's attempt holds the claim.
+func (m *Manager) settleClaim(ctx context.Context, k recordKey, rec *record, era platform.Era, err error) (*claimValue, error) {
 	var conflict *platform.ConflictError
 	var unavailable *platform.UnavailableError
 	maybeWritten := errors.As(err, &unavailable) && unavailable.MaybeApplied
@@ -195,24 +222,25 @@
 		m.records.withLock(k, func(bool) { rec.claim.maybeWritten = true })
 	}
 	if !maybeWritten && !errors.As(err, &conflict) {
+		m.forgetEndedLease(err)
 		return nil, err
 	}
 	entry, found, err := m.readClaim(ctx, rec.claim.storeKey)
 	if err != nil {
 		return nil, err
 	}
-	if found.Attempt != rec.attemptID {
+	if found.Attempt != rec.attemptID || found.isClosedByRestore() {
 		return found, nil
 	}
-	m.setConfirmed(k, rec, entry.Version, found.Outcome != "")
+	m.setConfirmed(k, rec, entry.Version, era.Number, found.Outcome != "")
 	return nil, nil
 }
 
 // setConfirmed notes that the store holds the claim for rec's attempt.
-func (m *Manager) setConfirmed(k recordKey, rec *record, version uint64, outcomeStored bool) {
+func (m *Manager) setConfirmed(k recordKey, rec *record, version, era uint64, outcomeStored bool) {
 	m.records.withLock(k, func(bool) {
 		rec.claim.confirmed = true
-		rec.claim.version = version
+		rec.claim.version, rec.claim.era = version, era
 		rec.claim.outcomeStored = outcomeStored
 	})
 }
--- a/internal/action/claimoutcome.go
+++ b/internal/action/claimoutcome.go
@@ -59,10 +59,14 @@
 // storedOutcome returns the outcome of a key as the store has it. A key that
 // was never claimed is closed by a claim with the outcome failure.NotRun.
 func (m *Manager) storedOutcome(ctx context.Context, q Query, storeKey string) (Record, error) {
-	_, found, err := m.readClaim(ctx, storeKey)
+	era, err := m.storeEra(ctx)
+	var found *claimValue
+	if err == nil {
+		_, found, err = m.readClaim(ctx, storeKey)
+	}
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		found, err = m.closeKey(ctx, storeKey)
+		found, err = m.closeKey(ctx, storeKey, era)
 	}
 	if err != nil {
 		return Record{}, failure.New(failure.CodeStoreUnavailable, failure.Unknown, "the store is away; whether the action ran is not known").WithRetryAfter(time.Second).WithCause(err)
@@ -77,8 +81,8 @@
 
 // closeKey claims a key without running it, so that it can't be run any more.
 // It returns the claim that the store holds, which may be that of another
-// attempt.
-func (m *Manager) closeKey(ctx context.Context, storeKey string) (*claimValue, error) {
+// attempt. era is that of the store before the claim was found to be missing.
+func (m *Manager) closeKey(ctx context.Context, storeKey string, era platform.Era) (*claimValue, error) {
 	absent := uint64(0)
 	v := claimValue{
 		Attempt:       newAttemptID(),
@@ -87,10 +91,15 @@
 		Reason:        resultClosedByQuery.code,
 		WrittenAtUnix: m.cfg.Now().Unix(),
 	}
-	opts := platform.PutOptions{IfVersion: &absent, Lease: m.getClaimLease(ctx)}
-	if _, err := m.storePut(ctx, storeKey, encodeClaim(v), opts); err == nil {
+	if m.mayLackClaims(era) {
+		v = closedClaim(v)
+	}
+	opts := platform.PutOptions{IfVersion: &absent, Era: era.Number, Lease: m.getClaimLease(ctx)}
+	_, err := m.storePut(ctx, storeKey, encodeClaim(v), opts)
+	if err == nil {
 		return &v, nil
 	}
+	m.forgetEndedLease(err)
 	_, found, err := m.readClaim(ctx, storeKey)
 	return found, err
 }
--- a/internal/action/cluster_test.go
+++ b/internal/action/cluster_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/platform"
 )
 
 // faultKind is a kind of fault at a step.
@@ -82,6 +83,8 @@
 	checksFencing  bool
 	store          *countingStore
 	storeDownUntil time.Time
+	// storeCopy is what a restore of the store brings back.
+	storeCopy []platform.Entry
 	// ended is closed at the end of the history.
 	ended      chan struct{}
 	limits     action.Limits
@@ -98,6 +101,8 @@
 	refusesNext   bool
 	pausedUntil   time.Time
 	isolatedUntil time.Time
+	// era is the era of the store that the node knows.
+	era platform.Era
 }
 
 // lostError reports a lost request or response. sent reports whether the
@@ -220,6 +225,21 @@
 	c.storeDownUntil = time.Now().Add(d)
 }
 
+// copyStore makes the copy of the store for later restores.
+func (c *cluster) copyStore() {
+	entries := c.store.kv.Dump()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeCopy = entries
+}
+
+// restoreStore replaces the content of the store by the last copy, or by none.
+func (c *cluster) restoreStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.kv.Restore(c.storeCopy)
+}
+
 func (c *cluster) isStoreDown() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/action/history_test.go
+++ b/internal/action/history_test.go
@@ -32,6 +32,8 @@
 	storeDownEvent     eventKind = "store down"
 	stopEvent          eventKind = "graceful stop"
 	startEvent         eventKind = "start"
+	storeCopyEvent     eventKind = "copy of the store"
+	storeRestoreEvent  eventKind = "restore of the store"
 	maintenanceEvent   eventKind = "write pending outcomes and remove expired records"
 )
 
@@ -39,7 +41,7 @@
 // more often is drawn more often.
 var eventKinds = []eventKind{
 	callEvent, callEvent, callEvent, callEvent, callEvent, callEvent, differentCallEvent, cancelledCallEvent, outcomeEvent, outcomeEvent,
-	killEvent, pauseEvent, isolateEvent, storeDownEvent, stopEvent, startEvent, maintenanceEvent, maintenanceEvent,
+	killEvent, pauseEvent, isolateEvent, storeDownEvent, stopEvent, startEvent, maintenanceEvent, maintenanceEvent, storeCopyEvent, storeRestoreEvent,
 }
 
 // eventTimes are the times at which events of random histories happen. There
@@ -213,6 +215,10 @@
 		n.isolate(e.duration)
 	case storeDownEvent:
 		p.cluster.failStore(e.duration)
+	case storeCopyEvent:
+		p.cluster.copyStore()
+	case storeRestoreEvent:
+		p.cluster.restoreStore()
 	case stopEvent:
 		p.stop(n, e.duration)
 	case startEvent:
--- a/internal/action/manager.go
+++ b/internal/action/manager.go
@@ -46,6 +46,10 @@
 	seals            sealCache
 	claimLease       claimLeaseCache
 	pendingOutcomes  pendingClaims
+	// isEraAsked is set once the store has had the chance to name its era. lastEra is the
+	// era for which the claims that this gateway holds were last checked.
+	isEraAsked atomic.Bool
+	lastEra    atomic.Uint64
 	tomb             tomb.Tomb
 	// runCtx is cancelled when the manager is stopped.
 	runCtx context.Context
--- a/internal/action/matrix_test.go
+++ b/internal/action/matrix_test.go
@@ -181,6 +181,14 @@
 			}},
 			want: []string{"executions 0"},
 		},
+		"an outcome that the store lost after the seal": {
+			history: history{nodes: 2, keys: callerKey, events: []event{
+				call(0, 0), {at: 5 * networkDelay, kind: storeCopyEvent}, stop(time.Second, time.Second),
+				{at: 3 * time.Second, kind: storeRestoreEvent}, call(10*time.Second, 1),
+			}},
+			want:     []string{"executions 1", "unknown owner_unreachable "},
+			unwanted: []string{"not_run draining "},
+		},
 		"the seal holds outcomes that the store didn't accept": {
 			history: history{nodes: 2, keys: callerKey, events: []event{
 				call(0, 0), storeDown(3*networkDelay, 30*time.Second), stop(20*networkDelay, time.Second), call(time.Minute, 1),
--- a/internal/action/pendingoutcomes.go
+++ b/internal/action/pendingoutcomes.go
@@ -120,6 +120,9 @@
 	if v.Reason != "" {
 		res.message = "the action ended so at another gateway"
 	}
+	if v.isClosedByRestore() {
+		res.message = resultStoreRestored.message
+	}
 	return res
 }
 
@@ -158,8 +161,10 @@
 
 // WritePendingOutcomes writes the outcomes of up to limit pending claims to the
 // store, with a few store calls for each. It returns how many claims are no
-// longer pending.
+// longer pending. If the store has been restored, the claims that this gateway holds are
+// pending again; one more call asks for that.
 func (m *Manager) WritePendingOutcomes(ctx context.Context, limit int) int {
+	m.noteRestore(ctx)
 	n := 0
 	for k, rec := range m.pendingOutcomes.upTo(limit) {
 		if m.storeOutcome(ctx, k, rec) {
@@ -177,6 +182,11 @@
 	m.records.withLock(k, func(bool) { claim, res = *rec.claim, rec.result })
 	switch {
 	case claim.outcomeStored:
+	case claim.confirmed && claim.era < m.cfg.Store.Era().Number:
+		if !m.writeClaimAgain(ctx, k, rec, claim.resultToStore(res)) {
+			return false
+		}
+	case claim.confirmed && res == nil:
 	case claim.confirmed:
 		if !m.addOutcomeToClaim(ctx, k, rec, claim, res) {
 			return false
@@ -190,21 +200,35 @@
 	return true
 }
 
+// resultToStore returns the result to be stored for a claim whose record has the result res.
+func (c *claimState) resultToStore(res *result) *result {
+	if c.abandoned {
+		return resultAbandoned
+	}
+	return res
+}
+
 // addOutcomeToClaim adds res to a claim that the store holds. It reports
 // whether nothing is left to be written.
 func (m *Manager) addOutcomeToClaim(ctx context.Context, k recordKey, rec *record, claim claimState, res *result) bool {
-	if claim.abandoned {
-		res = resultAbandoned
-	}
+	res = claim.resultToStore(res)
 	v := claimValue{Outcome: res.outcome, Status: res.status, Reason: res.code}
-	opts := platform.PutOptions{IfVersion: &claim.version, Lease: m.getClaimLease(ctx)}
+	opts := platform.PutOptions{IfVersion: &claim.version, Era: claim.era, Lease: m.getClaimLease(ctx)}
 	entry, err := m.storePut(ctx, claim.storeKey, m.encodeRecordClaim(rec, v), opts)
 	if err == nil {
 		m.setOutcomeStored(k, rec, entry.Version, res)
 		return true
 	}
-	entry, found, err := m.readClaim(ctx, claim.storeKey)
+	var restored *platform.RestoredError
+	if errors.As(err, &restored) {
+		return m.writeClaimAgain(ctx, k, rec, res)
+	}
 	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		m.forgetEndedLease(err)
+		return false
+	}
+	entry, found, err := m.readClaim(ctx, claim.storeKey)
 	if errors.As(err, &missing) {
 		m.setOutcomeStored(k, rec, 0, res)
 		return true
@@ -213,7 +237,7 @@
 		return false
 	}
 	if found.Attempt == rec.attemptID && found.Outcome == "" {
-		m.setConfirmed(k, rec, entry.Version, false)
+		m.setConfirmed(k, rec, entry.Version, claim.era, false)
 		return false
 	}
 	// Either the store holds the outcome, or the claim was removed and the key
@@ -272,6 +296,15 @@
 // claimLeaseReuseTime is how long new claims are attached to one lease.
 const claimLeaseReuseTime = time.Hour
 
+// forget drops the lease if it is the shared one.
+func (l *claimLeaseCache) forget(id platform.LeaseID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.id == id {
+		l.id = ""
+	}
+}
+
 // current returns the lease, or none if it is too old for new claims at now.
 func (l *claimLeaseCache) current(now time.Duration) platform.LeaseID {
 	l.mu.Lock()
--- a/internal/action/reap.go
+++ b/internal/action/reap.go
@@ -46,6 +46,7 @@
 // ClaimPartitionPrefix.
 func (m *Manager) ReapClaims(ctx context.Context, prefix string, limit int) (ReapReport, error) {
 	claimStoreCalls.Inc()
+	era := m.cfg.Store.Era()
 	entries, err := m.cfg.Store.List(ctx, prefix)
 	if err != nil {
 		return ReapReport{}, err
@@ -60,7 +61,7 @@
 			continue
 		}
 		claimStoreCalls.Inc()
-		if m.cfg.Store.Delete(ctx, e.Key, &e.Version) == nil {
+		if m.cfg.Store.Delete(ctx, e.Key, platform.DeleteOptions{IfVersion: &e.Version, Era: era.Number}) == nil {
 			report.Removed++
 		}
 	}
--- a/internal/action/recordtable.go
+++ b/internal/action/recordtable.go
@@ -206,6 +206,30 @@
 	}
 }
 
+// hasClaims reports whether there is a record of a caller key.
+func (t *recordTable) hasClaims() bool {
+	found := false
+	t.forEachClaim(func(recordKey, *record) { found = true })
+	return found
+}
+
+// forEachClaim calls fn for each record of a caller key under its shard's lock.
+func (t *recordTable) forEachClaim(fn func(k recordKey, rec *record)) {
+	for i := range t.shards {
+		t.shards[i].forEachClaim(fn)
+	}
+}
+
+func (sh *recordShard) forEachClaim(fn func(k recordKey, rec *record)) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for k, rec := range sh.records {
+		if rec.claim != nil {
+			fn(k, rec)
+		}
+	}
+}
+
 // isOwned reports whether it is certain that no other gateway may run the key.
 // The caller holds the shard's lock.
 func (r *record) isOwned() bool { return r.claim == nil || r.claim.confirmed }
--- a/internal/action/result.go
+++ b/internal/action/result.go
@@ -94,7 +94,7 @@
 func (m *Manager) toResponse(c Call, res *result, exec *execution, source OutcomeSource) (Response, error) {
 	if !res.hasResponse() {
 		r := res.refusal()
-		if res.outcome == failure.NotRun || res == resultStoreUnavailable {
+		if res.outcome == failure.NotRun || res == resultStoreUnavailable || res.code == failure.CodeStoreRestored {
 			r = m.withNewTicket(c.Customer, r)
 		}
 		return Response{}, r
--- a/internal/action/sealcache.go
+++ b/internal/action/sealcache.go
@@ -167,6 +167,10 @@
 	if outcome, ok := seal.claims[v.Attempt]; ok {
 		return &result{outcome: outcome, code: reasonOf(outcome), message: "the gateway that ran the action has stopped", bodyDropped: true}
 	}
+	if m.cfg.Store == nil || m.mayLackClaims(m.cfg.Store.Era()) {
+		// The owner may have written the outcome before its seal, and the store lost it.
+		return nil
+	}
 	_, current, err := m.readClaim(ctx, claimStoreKey(claimHash(q.Customer, q.Key)))
 	if err != nil || current.Attempt != v.Attempt || seal.ClaimsTruncated {
 		return nil
--- a/internal/action/store_test.go
+++ b/internal/action/store_test.go
@@ -40,11 +40,13 @@
 	return s.kv.List(prefix), nil
 }
 
-func (s *countingStore) Delete(_ context.Context, key string, ifVersion *uint64) error {
+func (s *countingStore) Delete(_ context.Context, key string, opts platform.DeleteOptions) error {
 	s.calls.Add(1)
-	return s.kv.Delete(key, ifVersion)
+	return s.kv.Delete(key, opts)
 }
 
+func (s *countingStore) Era() platform.Era { return s.kv.Era() }
+
 // nodeStore is a node's connection to the cluster's store.
 type nodeStore struct {
 	*countingStore
@@ -54,23 +56,45 @@
 // storeCall runs one store call and injects the fault of its step, if any.
 func storeCall[T any](ctx context.Context, s nodeStore, step action.Step, write bool, effect func() (T, error)) (out T, err error) {
 	results := make(chan T, 2)
+	eras := make(chan platform.Era, 2)
 	err = s.n.callRemote(ctx, step, func() error {
 		if s.n.cluster.isStoreDown() || s.n.isUnreachable() {
 			return &platform.UnavailableError{Op: string(step)}
 		}
 		v, err := effect()
+		eras <- s.countingStore.Era()
 		results <- v
 		return err
 	})
 	if _, lost := err.(*lostError); lost {
 		return out, &platform.UnavailableError{Op: string(step), MaybeApplied: write, Cause: err}
 	}
+	select {
+	case era := <-eras:
+		s.n.learnEra(era)
+	default:
+	}
 	if err != nil {
 		return out, err
 	}
 	return <-results, nil
 }
 
+// learnEra records the era that a response has named.
+func (n *node) learnEra(era platform.Era) {
+	n.withLock(func() {
+		if era.Number > n.era.Number {
+			n.era = era
+		}
+	})
+}
+
+// Era returns the era that the node's last call has seen.
+func (s nodeStore) Era() (era platform.Era) {
+	s.n.withLock(func() { era = s.n.era })
+	return era
+}
+
 func (s nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
 	return storeCall(ctx, s, action.StepClaimRead, false, func() (platform.Entry, error) {
 		return s.countingStore.Get(ctx, key)
--- a/internal/controller/configsync/configsync_test.go
+++ b/internal/controller/configsync/configsync_test.go
@@ -254,7 +254,7 @@
 		},
 		"content missing": func(f *fleet) {
 			f.write(2, f.parent, "good")
-			require.NoError(f.t, f.store.Delete(revision.BlobKey(revision.Digest([]byte("good"))), nil))
+			require.NoError(f.t, f.store.Delete(revision.BlobKey(revision.Digest([]byte("good"))), platform.DeleteOptions{}))
 		},
 		"intent not valid": func(f *fleet) { f.write(2, f.parent, "invalid") },
 		"same revision, other digest": func(f *fleet) {
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -46,6 +46,7 @@
 	CodeNotReady              Code = "not_ready"
 	CodeForwardingLoop        Code = "forwarding_loop"
 	CodeStoreUnavailable      Code = "store_unavailable"
+	CodeStoreRestored         Code = "store_restored"
 	CodeOwnerUnreachable      Code = "owner_unreachable"
 	CodeEndpointFailed        Code = "endpoint_failed"
 	CodeIncompleteResponse    Code = "incomplete_answer"
@@ -75,6 +76,7 @@
 	CodeNotReady:              http.StatusServiceUnavailable,
 	CodeForwardingLoop:        http.StatusLoopDetected,
 	CodeStoreUnavailable:      http.StatusServiceUnavailable,
+	CodeStoreRestored:         http.StatusServiceUnavailable,
 	CodeOwnerUnreachable:      http.StatusServiceUnavailable,
 	CodeEndpointFailed:        http.StatusBadGateway,
 	CodeIncompleteResponse:    http.StatusBadGateway,
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -58,13 +58,13 @@
 
 		_, err = store.Put(ctx, e.Key, []byte("two"), platform.PutOptions{IfVersion: version(0)})
 		require.Equal(t, &platform.ConflictError{Key: e.Key, ActualVersion: 1}, err)
-		require.Equal(t, &platform.ConflictError{Key: e.Key, ActualVersion: 1}, store.Delete(ctx, e.Key, version(7)))
+		require.Equal(t, &platform.ConflictError{Key: e.Key, ActualVersion: 1}, store.Delete(ctx, e.Key, platform.DeleteOptions{IfVersion: version(7)}))
 
 		entries, err := store.List(ctx, "config/")
 		require.NoError(t, err)
 		require.Len(t, entries, 1)
 
-		require.NoError(t, store.Delete(ctx, e.Key, version(1)))
+		require.NoError(t, store.Delete(ctx, e.Key, platform.DeleteOptions{IfVersion: version(1)}))
 		_, err = store.Get(ctx, e.Key)
 		require.Equal(t, &platform.NotFoundError{Key: e.Key}, err)
 	})
@@ -344,3 +344,81 @@
 		require.Equal(t, []platform.Instance{{ID: "e1", Address: "10.0.0.1:80"}, {ID: "e2", Address: "host:80"}}, instances, "%.60s", odd)
 	}
 }
+
+// TestStoreNamesItsEra guards against a restore of the store that its users don't notice, and
+// against writes that rest on what was read before it.
+func TestStoreNamesItsEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		server, store, _ := newStore(t)
+		require.Zero(t, store.Era(), "no response has named one")
+		_, err := store.Put(ctx, "k", []byte("one"), platform.PutOptions{})
+		require.NoError(t, err)
+		require.Equal(t, platform.Era{Number: 1}, store.Era())
+		copied := server.Store.Dump()
+		_, err = store.Put(ctx, "k", []byte("two"), platform.PutOptions{IfVersion: version(1), Era: 1})
+		require.NoError(t, err)
+		lease, err := store.Grant(ctx, time.Hour)
+		require.NoError(t, err)
+
+		server.Store.Restore(copied)
+		restoredAt := time.Now()
+		time.Sleep(5 * time.Second)
+		restored := &platform.RestoredError{Want: 1, Got: 2}
+		_, err = store.Put(ctx, "k", []byte("three"), platform.PutOptions{IfVersion: version(1), Era: 1})
+		require.Equal(t, restored, err)
+		require.Equal(t, restored, store.Delete(ctx, "k", platform.DeleteOptions{IfVersion: version(1), Era: 1}))
+		require.Equal(t, platform.Era{Number: 2, BeganAt: restoredAt}, store.Era())
+		require.Equal(t, &platform.NotFoundError{Key: string(lease)}, store.KeepAlive(ctx, lease))
+		next, err := store.Grant(ctx, time.Hour)
+		require.NoError(t, err)
+		require.NotEqual(t, lease, next)
+		e, err := store.Put(ctx, "k", []byte("three"), platform.PutOptions{IfVersion: version(1), Era: 2})
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), e.Version, "versions are given out again")
+		_, err = store.Get(ctx, "missing")
+		require.Error(t, err)
+
+		other := platform.NewHTTPStore("http://store", platform.Options{Dial: dialerOf(t, server)})
+		_, err = other.Get(ctx, "missing")
+		require.Equal(t, &platform.NotFoundError{Key: "missing"}, err)
+		require.Equal(t, platform.Era{Number: 2, BeganAt: restoredAt}, other.Era(), "also to one that comes later")
+	})
+}
+
+// dialerOf returns a function that connects to a server of its own for the same store.
+func dialerOf(t *testing.T, server *kv.Server) func(context.Context, string, string) (net.Conn, error) {
+	opts, _ := serveInMemory(t, server.Handler(), server.Faults)
+	return opts.Dial
+}
+
+// TestResponsesOfAnEraThatIsOver guards against taking the content of a store from before a
+// restore for its present one.
+func TestResponsesOfAnEraThatIsOver(t *testing.T) {
+	era := "7"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(platform.HeaderEra, era)
+		_, _ = io.WriteString(w, `{"key":"k","version":1}`)
+	}))
+	t.Cleanup(server.Close)
+	store := platform.NewHTTPStore(server.URL, platform.Options{})
+	before := time.Now()
+	_, err := store.Get(t.Context(), "k")
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), store.Era().Number)
+	require.False(t, store.Era().BeganAt.Before(before), "a restore whose time isn't told counts from now")
+	era = "6"
+	_, err = store.Put(t.Context(), "k", nil, platform.PutOptions{})
+	var unavailable *platform.UnavailableError
+	require.ErrorAs(t, err, &unavailable)
+	require.True(t, unavailable.MaybeApplied)
+	var restored *platform.RestoredError
+	require.ErrorAs(t, err, &restored)
+	require.Equal(t, uint64(7), store.Era().Number)
+	for _, odd := range []string{"", "x", "-1", "99999999999999999999999"} {
+		era = odd
+		_, err = store.Get(t.Context(), "k")
+		require.NoError(t, err, odd)
+		require.Equal(t, uint64(7), store.Era().Number)
+	}
+}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -21,6 +21,15 @@
 	return fmt.Sprintf("key %q has version %d", e.Key, e.ActualVersion)
 }
 
+// RestoredError says that the service has been restored from an older copy: its era is
+// Got, not Want.
+type RestoredError struct{ Want, Got uint64 }
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the store was restored: era %d instead of %d", e.Got, e.Want)
+}
+
 // UnavailableError says that a call got no usable response.
 type UnavailableError struct {
 	// Op names the call that failed, such as "store get".
--- a/internal/platform/httpclient.go
+++ b/internal/platform/httpclient.go
@@ -71,6 +71,8 @@
 	baseURL   string
 	opts      Options
 	transport *http.Transport
+	// eras holds the eras that the service's responses name.
+	eras eraTracker
 }
 
 func newClient(baseURL string, o Options) *client {
@@ -107,6 +109,8 @@
 	// isWrite says that the call changes state on the service, so that it must
 	// not be sent twice.
 	isWrite bool
+	// era is the era in which a write may take effect, 0 for any.
+	era uint64
 	// etag is the entity tag of the cached response, sent as If-None-Match. The
 	// service responds 304 without a body if its response would be the same.
 	etag string
@@ -120,6 +124,8 @@
 	status int
 	etag   string
 	body   []byte
+	// restored is set if the response is from an era that is over.
+	restored *RestoredError
 }
 
 // do makes the call and decodes the body of a 200 response into out, unless out
@@ -200,7 +206,12 @@
 		return response{}, err
 	}
 	defer resp.Body.Close()
-	return readResponse(resp, k.maxBytes)
+	era, newest := c.eras.observe(resp.Header, time.Now())
+	r, err := readResponse(resp, k.maxBytes)
+	if era != 0 && era < newest {
+		r.restored = &RestoredError{Want: newest, Got: era}
+	}
+	return r, err
 }
 
 // readResponse reads a body of at most limit bytes, or of maxErrorBodyBytes for a
@@ -224,9 +235,17 @@
 	Actual uint64 `json:"actual"`
 }
 
+// eraBody is the body of a 412 response.
+type eraBody struct {
+	Era uint64 `json:"era"`
+}
+
 // decode decodes the body of a successful response into out, unless out is nil,
 // and returns the typed error of any other response.
 func (k call) decode(r response, out any) error {
+	if r.restored != nil {
+		return newUnavailableError(k, true, r.restored)
+	}
 	switch r.status {
 	case http.StatusOK, http.StatusNoContent:
 		return k.decodeBody(r.body, out)
@@ -238,6 +257,12 @@
 			return newUnavailableError(k, false, err)
 		}
 		return &ConflictError{Key: k.target(), ActualVersion: c.Actual}
+	case http.StatusPreconditionFailed:
+		var e eraBody
+		if err := json.Unmarshal(r.body, &e); err != nil {
+			return newUnavailableError(k, false, err)
+		}
+		return &RestoredError{Want: k.era, Got: e.Era}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		overloadedCalls.Inc()
 		return newUnavailableError(k, false, newStatusError(r))
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -21,6 +21,17 @@
 // LeaseID identifies a lease of the key-value service.
 type LeaseID string
 
+// Era is an era of the key-value service. One ends when the service is restored from an
+// older copy: what was written after the copy is lost, leases have ended, and versions are
+// given out again. So versions of different eras can't be compared.
+type Era struct {
+	// Number rises with each restore. It is 0 if the service doesn't name its eras.
+	Number uint64
+	// BeganAt is when the service was restored, by the clock of this process; zero in the
+	// first era.
+	BeganAt time.Time
+}
+
 // PutOptions are the conditions and the lease of a write.
 type PutOptions struct {
 	// IfVersion makes the write a compare-and-swap: it takes effect only if
@@ -29,16 +40,26 @@
 	IfVersion *uint64
 	// Lease, if set, is the lease with whose end the key is removed.
 	Lease LeaseID
+	// Era, if not 0, makes the write take effect in that era only: the one in which
+	// IfVersion was read.
+	Era uint64
+}
+
+// DeleteOptions are the conditions of a deletion, as in PutOptions.
+type DeleteOptions struct {
+	IfVersion *uint64
+	Era       uint64
 }
 
 // Store is the key-value service. Each method is one call that the service counts
 // against its rate limits. Errors are *NotFoundError, *ConflictError (the compare
-// failed, nothing was written) and *UnavailableError (with MaybeApplied, if a
-// write may have taken effect).
+// failed, nothing was written), *RestoredError (the era is over, nothing was written)
+// and *UnavailableError (with MaybeApplied, if a write may have taken effect; its cause
+// is a *RestoredError if the response is from an era that is over).
 type Store interface {
 	Get(ctx context.Context, key string) (Entry, error)
 	Put(ctx context.Context, key string, value []byte, opts PutOptions) (Entry, error)
-	Delete(ctx context.Context, key string, ifVersion *uint64) error
+	Delete(ctx context.Context, key string, opts DeleteOptions) error
 	List(ctx context.Context, prefix string) ([]Entry, error)
 	// Watch waits until key has a version above after, and returns its entry.
 	// Once wait has passed, it returns the current entry, or a
@@ -47,6 +68,8 @@
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	KeepAlive(ctx context.Context, id LeaseID) error
 	Revoke(ctx context.Context, id LeaseID) error
+	// Era returns the newest era that a response has named. It makes no call.
+	Era() Era
 }
 
 // Registration is a gateway's entry in the directory for callers.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -64,7 +64,7 @@
 // *UnavailableError with MaybeApplied set.
 func (s *HTTPStore) Put(ctx context.Context, key string, value []byte, opts PutOptions) (Entry, error) {
 	storePuts.Inc()
-	query := ifVersionQuery(opts.IfVersion)
+	query := conditionQuery(opts.IfVersion, opts.Era)
 	if opts.Lease != "" {
 		query.Set("lease", string(opts.Lease))
 	}
@@ -76,6 +76,7 @@
 		query:    query,
 		body:     value,
 		isWrite:  true,
+		era:      opts.Era,
 		timeout:  s.client.opts.ResponseTimeout,
 		maxBytes: maxEntryBytes,
 	}, &e)
@@ -83,14 +84,15 @@
 }
 
 // Delete implements Store. It is sent once.
-func (s *HTTPStore) Delete(ctx context.Context, key string, ifVersion *uint64) error {
+func (s *HTTPStore) Delete(ctx context.Context, key string, opts DeleteOptions) error {
 	storeDeletes.Inc()
 	return s.client.do(ctx, call{
 		op:       "store delete",
 		method:   http.MethodDelete,
 		path:     kvPath + escapePath(key),
-		query:    ifVersionQuery(ifVersion),
+		query:    conditionQuery(opts.IfVersion, opts.Era),
 		isWrite:  true,
+		era:      opts.Era,
 		timeout:  s.client.opts.ResponseTimeout,
 		maxBytes: maxEntryBytes,
 	}, nil)
@@ -184,10 +186,16 @@
 	return strings.Join(segments, "/")
 }
 
-// ifVersionQuery returns the query of a write that is conditional on v, or an
-// empty one if v is nil.
-func ifVersionQuery(v *uint64) url.Values {
+// Era implements Store.
+func (s *HTTPStore) Era() Era { return s.client.eras.get() }
+
+// conditionQuery returns the query of a write that is conditional on v, unless v is nil,
+// and on the era, unless it is 0.
+func conditionQuery(v *uint64, era uint64) url.Values {
 	query := url.Values{}
+	if era != 0 {
+		query.Set("era", strconv.FormatUint(era, 10))
+	}
 	if v != nil {
 		query.Set("if_version", strconv.FormatUint(*v, 10))
 	}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -45,7 +45,30 @@
 	mux.HandleFunc(pat.Post("/v1/leases"), s.countCalls(CallLease, s.handleGrant))
 	mux.HandleFunc(pat.Put("/v1/leases/:id"), s.countCalls(CallLease, s.handleKeepAlive))
 	mux.HandleFunc(pat.Delete("/v1/leases/:id"), s.countCalls(CallLease, s.handleRevoke))
-	return s.Faults.Middleware(mux)
+	return s.Faults.Middleware(s.nameEra(mux))
+}
+
+// nameEra returns a handler whose responses name the era of the store.
+func (s *Server) nameEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, store: s.Store}, r)
+	})
+}
+
+// eraWriter adds the era at the time of the response.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	era := w.store.Era()
+	w.Header().Set(platform.HeaderEra, strconv.FormatUint(era.Number, 10))
+	if !era.BeganAt.IsZero() {
+		w.Header().Set(platform.HeaderRestoredMillis, strconv.FormatInt(time.Since(era.BeganAt).Milliseconds(), 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // AdminHandler serves the admin routes of the fault switches and GET /calls.
@@ -81,7 +104,7 @@
 }
 
 func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
-	ifVersion, err := ifVersionParam(r)
+	ifVersion, era, err := conditionParams(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -92,17 +115,17 @@
 		return
 	}
 	lease := platform.LeaseID(r.URL.Query().Get("lease"))
-	e, err := s.Store.Put(keyFromPath(r, "/v1/kv/"), value, platform.PutOptions{IfVersion: ifVersion, Lease: lease})
+	e, err := s.Store.Put(keyFromPath(r, "/v1/kv/"), value, platform.PutOptions{IfVersion: ifVersion, Lease: lease, Era: era})
 	writeResult(w, e, err)
 }
 
 func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
-	ifVersion, err := ifVersionParam(r)
+	ifVersion, era, err := conditionParams(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeNoContent(w, s.Store.Delete(keyFromPath(r, "/v1/kv/"), ifVersion))
+	writeNoContent(w, s.Store.Delete(keyFromPath(r, "/v1/kv/"), platform.DeleteOptions{IfVersion: ifVersion, Era: era}))
 }
 
 // handleWatch responds when the key has a version above the parameter after, at the
@@ -163,14 +186,21 @@
 	return strings.TrimPrefix(r.URL.Path, prefix)
 }
 
-// ifVersionParam returns the parameter if_version, nil if it isn't set.
-func ifVersionParam(r *http.Request) (*uint64, error) {
-	param := r.URL.Query().Get("if_version")
+// conditionParams returns the parameters if_version, nil if it isn't set, and era, 0 if it
+// isn't set.
+func conditionParams(r *http.Request) (ifVersion *uint64, era uint64, err error) {
+	q := r.URL.Query()
+	if param := q.Get("era"); param != "" {
+		if era, err = strconv.ParseUint(param, 10, 64); err != nil {
+			return nil, 0, err
+		}
+	}
+	param := q.Get("if_version")
 	if param == "" {
-		return nil, nil
+		return nil, era, nil
 	}
 	v, err := strconv.ParseUint(param, 10, 64)
-	return &v, err
+	return &v, era, err
 }
 
 // writeNoContent writes status 204, or the status that stands for err.
@@ -187,11 +217,19 @@
 	Actual uint64 `json:"actual"`
 }
 
+// eraResponse is the body of a response with status 412.
+type eraResponse struct {
+	Era uint64 `json:"era"`
+}
+
 // writeResult writes the entry, or the status that stands for err.
 func writeResult(w http.ResponseWriter, e platform.Entry, err error) {
 	var conflict *platform.ConflictError
 	var missing *platform.NotFoundError
+	var restored *platform.RestoredError
 	switch {
+	case errors.As(err, &restored):
+		writeJSON(w, http.StatusPreconditionFailed, eraResponse{restored.Got})
 	case err == nil:
 		writeJSON(w, http.StatusOK, e)
 	case errors.As(err, &conflict):
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -30,6 +30,7 @@
 	items     map[string]item
 	leases    map[platform.LeaseID]lease
 	lastLease int
+	era       platform.Era
 	// changed is closed and replaced at every change of any key.
 	changed chan struct{}
 }
@@ -51,6 +52,7 @@
 	return &Store{
 		items:   map[string]item{},
 		leases:  map[platform.LeaseID]lease{},
+		era:     platform.Era{Number: 1},
 		changed: make(chan struct{}),
 	}
 }
@@ -71,9 +73,25 @@
 	return platform.Entry{Key: key, Value: it.value, Version: it.version}, nil
 }
 
+// Era returns the present era.
+func (s *Store) Era() platform.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// checkEra returns a *platform.RestoredError if want is neither 0 nor the present era. The
+// caller holds the lock.
+func (s *Store) checkEra(want uint64) error {
+	if want == 0 || want == s.era.Number {
+		return nil
+	}
+	return &platform.RestoredError{Want: want, Got: s.era.Number}
+}
+
 // Put writes key under the conditions of opts. The error is a *ValueTooLargeError,
-// a *platform.ConflictError if the version differs, or a *platform.NotFoundError if
-// the lease has ended.
+// a *platform.RestoredError if the era is over, a *platform.ConflictError if the version
+// differs, or a *platform.NotFoundError if the lease has ended.
 func (s *Store) Put(key string, value []byte, opts platform.PutOptions) (platform.Entry, error) {
 	if len(value) > MaxValueBytes {
 		return platform.Entry{}, &ValueTooLargeError{Bytes: len(value)}
@@ -81,6 +99,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endExpiredLeases()
+	if err := s.checkEra(opts.Era); err != nil {
+		return platform.Entry{}, err
+	}
 	if _, ok := s.leases[opts.Lease]; opts.Lease != "" && !ok {
 		return platform.Entry{}, &platform.NotFoundError{Key: string(opts.Lease)}
 	}
@@ -93,13 +114,16 @@
 	return s.entry(key)
 }
 
-// Delete removes key. A non-nil ifVersion has to match its version, otherwise the
-// error is a *platform.ConflictError; if there is no such key, it is a
-// *platform.NotFoundError.
-func (s *Store) Delete(key string, ifVersion *uint64) error {
+// Delete removes key under the conditions of opts. The error is as that of Put; if there
+// is no such key, it is a *platform.NotFoundError.
+func (s *Store) Delete(key string, opts platform.DeleteOptions) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endExpiredLeases()
+	if err := s.checkEra(opts.Era); err != nil {
+		return err
+	}
+	ifVersion := opts.IfVersion
 	old, ok := s.items[key]
 	if ifVersion != nil && *ifVersion != old.version {
 		return &platform.ConflictError{Key: key, ActualVersion: old.version}
@@ -139,7 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	id := platform.LeaseID("lease-" + strconv.Itoa(s.lastLease))
+	id := platform.LeaseID("lease-" + strconv.FormatUint(s.era.Number, 10) + "-" + strconv.Itoa(s.lastLease))
 	s.leases[id] = lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
 	return id
 }
@@ -202,11 +226,13 @@
 // Dump returns every entry, as a backup for Restore.
 func (s *Store) Dump() []platform.Entry { return s.List("") }
 
-// Restore replaces the whole content by a backup. Versions go back to those of the
-// backup, and restored keys have no lease.
+// Restore replaces the whole content by a backup and begins an era. Versions go back to
+// those of the backup, all leases have ended, and restored keys have no lease.
 func (s *Store) Restore(entries []platform.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.era = platform.Era{Number: s.era.Number + 1, BeganAt: time.Now()}
+	s.leases = map[platform.LeaseID]lease{}
 	s.items = make(map[string]item, len(entries))
 	for _, e := range entries {
 		s.items[e.Key] = item{value: e.Value, version: e.Version}
