--- a/internal/action/manager.go
+++ b/internal/action/manager.go
@@ -50,7 +50,7 @@
 	// era for which the claims that this gateway holds were last checked.
 	isEraAsked atomic.Bool
 	lastEra    atomic.Uint64
-	tomb             tomb.Tomb
+	tomb       tomb.Tomb
 	// runCtx is cancelled when the manager is stopped.
 	runCtx context.Context
 }
--- a/internal/action/matrix_test.go
+++ b/internal/action/matrix_test.go
@@ -183,8 +183,11 @@
 		},
 		"an outcome that the store lost after the seal": {
 			history: history{nodes: 2, keys: callerKey, events: []event{
-				call(0, 0), {at: 5 * networkDelay, kind: storeCopyEvent}, stop(time.Second, time.Second),
-				{at: 3 * time.Second, kind: storeRestoreEvent}, call(10*time.Second, 1),
+				call(0, 0),
+				{at: 5 * networkDelay, kind: storeCopyEvent},
+				stop(time.Second, time.Second),
+				{at: 3 * time.Second, kind: storeRestoreEvent},
+				call(10*time.Second, 1),
 			}},
 			want:     []string{"executions 1", "unknown owner_unreachable "},
 			unwanted: []string{"not_run draining "},
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -42,7 +42,11 @@
 
 // start runs a controller on a loopback address and returns the address.
 func start(t *testing.T, coordinator Coordinator) (*Controller, string) {
-	conn := listen(t)
+	return startOn(t, listen(t), coordinator)
+}
+
+// startOn is start with the given connection.
+func startOn(t *testing.T, conn net.PacketConn, coordinator Coordinator) (*Controller, string) {
 	c := New(conn, log.New(io.Discard))
 	c.SetCoordinator(coordinator)
 	tb := new(tomb.Tomb)
--- a/internal/controller/grants/unreadable_test.go
+++ b/internal/controller/grants/unreadable_test.go
@@ -41,9 +41,8 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			requester, _ := start(t, &fakeCoordinator{})
+			requester, _ := startOn(t, &rewriteConn{listen(t), tt.old, tt.new}, &fakeCoordinator{})
 			_, address := start(t, &fakeCoordinator{})
-			requester.conn = &rewriteConn{requester.conn, tt.old, tt.new}
 			before := refused.Value()
 			resp, err := requester.RequestGrant(t.Context(), "g2", address, req)
 			if tt.decided {
@@ -62,9 +61,8 @@
 // TestUnreadablePermitRequestIsNotPermitted guards against a permit for another limit than
 // the one that was asked for.
 func TestUnreadablePermitRequestIsNotPermitted(t *testing.T) {
-	requester, _ := start(t, &fakeCoordinator{})
+	requester, _ := startOn(t, &rewriteConn{listen(t), `"inc":0`, `"inc":"x"`}, &fakeCoordinator{})
 	_, address := start(t, &fakeCoordinator{})
-	requester.conn = &rewriteConn{requester.conn, `"inc":0`, `"inc":"x"`}
 	var noResponse *NoResponseError
 	_, err := requester.RequestPermit(t.Context(), "g2", address, PermitRequest{Limit: requestlimit.Limit{ID: "e", PerSecond: 2}})
 	require.ErrorAs(t, err, &noResponse)
@@ -85,8 +83,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			requester, _ := start(t, &fakeCoordinator{})
-			coordinator, address := start(t, &fakeCoordinator{})
-			coordinator.conn = &rewriteConn{coordinator.conn, tt.old, tt.new}
+			_, address := startOn(t, &rewriteConn{listen(t), tt.old, tt.new}, &fakeCoordinator{})
 			resp, err := requester.RequestGrant(t.Context(), "g2", address, Request{Service: "s", RankKey: "k", EstimateLimitMillis: 40, Segments: []endpointload.Segment{{}}})
 			require.Equal(t, tt.granted, err == nil)
 			require.Equal(t, tt.granted, resp.Endpoint == "at k")
