--- a/internal/controller/grants/unreadable.go
+++ b/internal/controller/grants/unreadable.go
@@ -48,10 +48,9 @@
 	case m.Request != nil || m.PermitRequest != nil:
 		m.Unreadable = report
 		c.handle(m, from)
-	case m.isResponse() || !hasRequestProblem(problems) && c.deliver(message{RequestID: m.RequestID, isDamaged: true}):
-		if m.isResponse() {
-			c.handle(m, from)
-		}
+	case m.isResponse():
+		c.handle(m, from)
+	case !hasRequestProblem(problems) && c.deliver(message{RequestID: m.RequestID, isDamaged: true}):
 	default:
 		c.respond(message{RequestID: m.RequestID, Unreadable: report}, from)
 	}
