Process tests of hostile clients on the listeners of both halves

Package internal/hostile sends crowds of such clients to real gateway processes, on the listeners of callers and of other gateways of both halves: heads of short lines, heads without end, empty lines, whole and unfinished bodies, more connections than descriptors. It checks that the process lives, that its memory peak stays under its 144 MB and its descriptors under 1,000, and that an ordinary request is answered afterwards. Crowds and bounds are fixed from here on.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test fmt lint race virtual faults size fuzz clean
+.PHONY: build run test fmt lint race virtual faults size hostile fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/hickorystage ./cmd/standin
@@ -23,9 +23,12 @@
 # does not end the run.
 KNOWN_RED := $(shell sed -n 's/^  test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+# internal/hostile runs apart from other load.
+RACE_PACKAGES = $$($(GO) list ./... | grep -v /internal/hostile)
+
 race:
-	$(GO) test -race -timeout 15m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
-	$(if $(KNOWN_RED),-$(GO) test -race -timeout 15m -run '^($(KNOWN_RED))$$' ./...)
+	$(GO) test -race -timeout 15m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(RACE_PACKAGES)
+	$(if $(KNOWN_RED),-$(GO) test -race -timeout 15m -run '^($(KNOWN_RED))$$' $(RACE_PACKAGES))
 
 # virtual runs all tests of the whole system without the race detector.
 virtual:
@@ -41,7 +44,12 @@
 size:
 	$(GO) test -timeout 15m -run 'TestHundreds' ./internal/controller/heartbeat
 
-test: lint race faults size fuzz
+# hostile attacks real gateway processes, one test at a time.
+hostile:
+	$(GO) test -timeout 15m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./internal/hostile
+	$(if $(KNOWN_RED),-$(GO) test -timeout 15m -run '^($(KNOWN_RED))$$' ./internal/hostile)
+
+test: lint race faults size hostile fuzz
 
 # A short run with a fixed seed, one worker and no corpus of earlier runs, so
 # that it is the same every time. By hand: make fuzz FUZZ_RUNS=30s FUZZ_SEED=7
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/processtest"
 )
 
 // gracePeriod is the time that a gateway gets to exit after SIGTERM; SIGKILL
@@ -38,8 +38,7 @@
 	storeProxy  *proxy
 
 	mu      sync.Mutex
-	process *exec.Cmd
-	exited  chan struct{}
+	process *processtest.Process
 	// reserved is set while a fault holds the process.
 	reserved bool
 }
@@ -76,21 +75,10 @@
 
 // start starts the gateway process.
 func (g *gateway) start() {
-	cmd := exec.Command(g.binary, "gateway", "--metrics-port", "0")
-	cmd.Env = append(os.Environ(), "HICKORYSTAGE_SETTINGS="+g.settingsFile)
-	cmd.Stdout, cmd.Stderr = g.log, g.log
-	// The kernel kills the process when the test process ends, however that ends.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	require.NoError(g.t, cmd.Start())
-	exited := make(chan struct{})
+	p := processtest.Start(g.t, g.log, []string{"HICKORYSTAGE_SETTINGS=" + g.settingsFile}, g.binary, "gateway", "--metrics-port", "0")
 	g.mu.Lock()
-	g.process, g.exited = cmd, exited
-	g.mu.Unlock()
-	go func() {
-		// The exit code is read from the process state.
-		_ = cmd.Wait()
-		close(exited)
-	}()
+	defer g.mu.Unlock()
+	g.process = p
 }
 
 // signal sends a signal to the most recently started process.
@@ -98,14 +86,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// An error means that the process has exited already.
-	_ = g.process.Process.Signal(s)
+	_ = g.process.Cmd.Process.Signal(s)
 }
 
 // waitExit waits for the process to exit and reports whether it did within the
 // timeout.
 func (g *gateway) waitExit(timeout time.Duration) bool {
 	g.mu.Lock()
-	exited := g.exited
+	exited := g.process.Ended
 	g.mu.Unlock()
 	select {
 	case <-exited:
@@ -119,7 +107,7 @@
 func (g *gateway) exitCode() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.process.ProcessState.ExitCode()
+	return g.process.Cmd.ProcessState.ExitCode()
 }
 
 func (g *gateway) isReady() bool {
@@ -131,11 +119,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-// buildGateway builds the hickorystage command and returns its path.
-func buildGateway(t *testing.T) string {
-	path := filepath.Join(t.TempDir(), "hickorystage")
-	out, err := exec.Command("go", "build", "-o", path, "../../cmd/hickorystage").CombinedOutput()
-	require.NoError(t, err, string(out))
-	return path
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/processtest"
 	"github.com/hickorystage/hickorystage/platform/platformtest"
 )
 
@@ -38,7 +40,7 @@
 // callers send requests. It guards the guarantees that history.checkCalls checks,
 // and the recovery of the deployment after the last fault.
 func TestSoak(t *testing.T) {
-	binary := buildGateway(t)
+	binary := filepath.Join(processtest.Build(t, "hickorystage"), "hickorystage")
 	runSeeds := ciSeeds
 	if *seedCount > 0 {
 		runSeeds = nil
--- a/internal/soak/testrun_test.go
+++ b/internal/soak/testrun_test.go
@@ -109,7 +109,7 @@
 	}
 	t.Cleanup(func() {
 		for _, g := range r.gateways {
-			_ = g.process.Process.Kill()
+			_ = g.process.Cmd.Process.Kill()
 			g.waitExit(gracePeriod)
 			_ = g.log.Close()
 		}
