httpserver: bounds on connections, heads and receive buffers

Clients that open connections without end, or send heads without end or of very many short lines, used descriptors and memory without a bound. A pool that servers share now bounds the connections, closes those that have been at an unfinished head or body for the longest time to make room, reserves what heads cost in the memory account as they arrive, and sizes the kernel's receive buffers. Which connection goes and how large the buffers are is decided in internal/connlimit, without I/O. Limits are asked for at each request, so that they can change.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/connlimit"
 )
 
 const (
@@ -27,30 +30,48 @@
 // made by one goroutine at a time, as net/http does.
 type conn struct {
 	net.Conn
+	server     *Server
 	acceptedAt time.Time
-
-	mu sync.Mutex
+	// entry and receiveBuffer are the connection's place in the pool and its share of the
+	// kernel's receive buffers. Both are unset without a pool.
+	entry         *connlimit.Conn
+	receiveBuffer int
+
+	mu      sync.Mutex
+	request request
+	// hasLargeBuffer is set while the receive buffer is larger than receiveBuffer.
+	hasLargeBuffer bool
 	// idle is set while no byte of another request has been read.
 	idle bool
 	// served is set once a request has been answered.
 	served bool
 	// ending is set once the connection has to end when it is idle.
 	ending bool
-	// deadline is the read deadline that net/http has asked for.
+	// deadline is the read deadline that net/http or a handler has asked for.
 	deadline time.Time
 }
 
-func newConn(accepted net.Conn) *conn {
-	return &conn{Conn: accepted, acceptedAt: time.Now(), idle: true}
+func (s *Server) newConn(accepted net.Conn) *conn {
+	return &conn{Conn: accepted, server: s, acceptedAt: time.Now(), idle: true}
+}
+
+// begin prepares the connection for its first request.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiveBuffer > 0 {
+		c.setReadBuffer(c.receiveBuffer)
+	}
+	c.setRequestDeadline(c.server.limits().HeaderTimeout)
 }
 
-// SetReadDeadline implements net.Conn. The deadline applies while the connection
-// is not about to end.
+// SetReadDeadline implements net.Conn. The deadline applies while a request is read
+// or answered.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.idle && c.ending {
+	if c.request.isAwaitingHead() || c.idle && c.ending {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -75,10 +96,27 @@
 		if resumeErr := c.becomeActive(); resumeErr != nil && err == nil {
 			err = resumeErr
 		}
+		if refusedErr := c.noteReceived(p[:n], len(p)); refusedErr != nil {
+			return 0, refusedErr
+		}
 	}
+	c.noteTimeout(err)
 	return n, err
 }
 
+// Write implements net.Conn. A request that is being answered without its whole body is
+// not taken for an unfinished one any more.
+func (c *conn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, []byte("HTTP/1.1 100")) {
+		c.endBody()
+	}
+	return c.Conn.Write(p)
+}
+
+// closeNow closes the connection without waiting for anything. net/http ends it as one
+// that the caller has closed.
+func (c *conn) closeNow() { _ = c.Conn.Close() }
+
 // CloseWrite ends the sending direction, which net/http does after a response to a
 // request that was not read to its end, so that the caller can still read it.
 func (c *conn) CloseWrite() error {
@@ -113,6 +151,9 @@
 	if !wasEnding {
 		return nil
 	}
+	if c.request.isAwaitingHead() {
+		return c.Conn.SetReadDeadline(c.request.deadline)
+	}
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
@@ -121,6 +162,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.served = true, true
+	c.endRequest()
 	c.interruptIfEnding()
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,22 +16,47 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hickorystage/hickorystage/internal/connlimit"
 )
 
 // Limits are the limits of a server on what callers send. Zero means no limit,
 // except for MaxHeaderBytes, where it stands for the default of net/http.
 type Limits struct {
-	// HeaderTimeout limits the reading of a header, ReadTimeout that of a whole
-	// request, IdleTimeout the wait for the next request on a connection.
+	// HeaderTimeout limits the reading of a header, IdleTimeout the wait for the next
+	// request on a connection.
 	HeaderTimeout  time.Duration
-	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
 }
 
+// WithMargin returns the timeout that applies where clients are told the given one: a
+// quarter more, so that no client within it reaches the timeout.
+func WithMargin(timeout time.Duration) time.Duration { return timeout + timeout/4 }
+
+// unusedAfter returns the time after which clients don't use an idle connection again,
+// where timeout is WithMargin of what they are told: four fifths of that.
+func unusedAfter(timeout time.Duration) time.Duration { return timeout * 16 / 25 }
+
+// Config configures a Server.
+type Config struct {
+	// Limits returns the current limits. They apply to a connection from its next request
+	// on.
+	Limits func() Limits
+	// ReadTimeout limits the reading of a whole request. Zero means no limit.
+	ReadTimeout time.Duration
+	// Pool bounds the connections, together with those of other servers. It may be nil.
+	Pool *Pool
+	// Group is the group of the connections in the pool.
+	Group connlimit.Group
+	// RefusalHeader is added to the refusals that the server makes itself: whole lines.
+	RefusalHeader string
+}
+
 // Server serves one listener. All methods are safe for concurrent use.
 type Server struct {
-	http *http.Server
+	http   *http.Server
+	config Config
 	// keepAlivesDisabled is set once each response has to end its connection.
 	keepAlivesDisabled atomic.Bool
 
@@ -43,20 +68,30 @@
 	empty chan struct{}
 }
 
+// ignoredHeadLimit keeps net/http from applying a limit of its own, which would not
+// follow a changed configuration.
+const ignoredHeadLimit = 1 << 30
+
 // New returns a server that answers requests by h.
-func New(h http.Handler, limits Limits) *Server {
-	s := &Server{conns: make(map[*conn]struct{}), empty: make(chan struct{})}
+func New(h http.Handler, config Config) *Server {
+	s := &Server{config: config, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
 	s.http = &http.Server{
-		Handler:           s.endConnections(h),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		ReadTimeout:       limits.ReadTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ConnState:         s.connStateChanged,
+		Handler:        s.wrap(h),
+		ReadTimeout:    config.ReadTimeout,
+		MaxHeaderBytes: ignoredHeadLimit,
+		ConnState:      s.connStateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func (s *Server) limits() Limits { return s.config.Limits() }
+
 // Serve accepts connections from l until Shutdown or Close, after which it returns
 // nil. It closes l and may be called once.
 func (s *Server) Serve(l net.Listener) error {
@@ -79,10 +114,18 @@
 // its connection. Idle connections stay open.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// endConnections returns h with responses that end their connection while keep-alives
-// are disabled.
-func (s *Server) endConnections(h http.Handler) http.Handler {
+// wrap returns h with the progress of each request noted at its connection, and with
+// responses that end their connection while keep-alives are disabled.
+func (s *Server) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if !c.beginRequest(r) {
+				panic(http.ErrAbortHandler)
+			}
+			if r.Body != nil && r.Body != http.NoBody {
+				r.Body = &body{ReadCloser: r.Body, conn: c, isLarge: r.ContentLength < 0 || r.ContentLength > largeBody}
+			}
+		}
 		if s.keepAlivesDisabled.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -141,11 +184,16 @@
 }
 
 // track returns the accepted connection as one that the server can end while it is
-// idle.
+// idle, or nil if it has refused it because there is no room.
 func (s *Server) track(accepted net.Conn) *conn {
+	c := s.newConn(accepted)
+	if pool := s.config.Pool; pool != nil && !pool.admit(c, s.config.Group, s.limits().IdleTimeout) {
+		refuse(accepted, refusal(s.config.RefusalHeader))
+		return nil
+	}
+	c.begin()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := newConn(accepted)
 	s.conns[c] = struct{}{}
 	if s.draining {
 		c.endWhenIdle()
@@ -168,6 +216,12 @@
 }
 
 func (s *Server) forget(c *conn) {
+	if s.config.Pool != nil {
+		s.config.Pool.remove(c)
+	}
+	c.mu.Lock()
+	c.closeHead()
+	c.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.conns[c]; !ok {
@@ -201,9 +255,13 @@
 
 // Accept implements net.Listener.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.server.track(accepted); c != nil {
+			return c, nil
+		}
 	}
-	return l.server.track(c), nil
 }
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -20,7 +20,7 @@
 func start(t *testing.T, h http.HandlerFunc) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := New(h, Limits{HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute})
+	s := New(h, Config{Limits: func() Limits { return Limits{HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute} }})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -261,7 +261,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	lingering := &lingeringListener{Listener: l, released: make(chan struct{})}
-	s := New(http.NotFoundHandler(), Limits{})
+	s := New(http.NotFoundHandler(), Config{Limits: func() Limits { return Limits{} }})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(lingering) }()
 	// An answer shows that Serve has registered the listener.
