Bound connections and heads on all listeners; configured timeouts apply

Both halves let in any number of connections, with fixed timeouts of 10 and 60 s and heads of 64 kB whatever the configuration said, and counted nothing of what heads take.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -59,6 +59,9 @@
 	peerServer   *httpserver.Server
 	adminServer  *httpserver.Server
 
+	// pool bounds the connections of all listeners.
+	pool *httpserver.Pool
+
 	// closers close idle connections at the end of the shutdown.
 	closers        []func()
 	drainRequested chan struct{}
@@ -140,6 +143,8 @@
 		dispatcher,
 		memory.New(a.board),
 	}
+	a.pool = httpserver.NewPool(nil, logger)
+	a.pool.SetBounds(s.MaxOpenFiles, 0)
 	a.newServers(signer)
 	return a
 }
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/hickorystage/hickorystage/internal/connlimit"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
@@ -11,12 +12,14 @@
 
 // Limits of the HTTP servers.
 const (
-	maxHeaderBytes       = 32 << 10
-	keepAliveIdleTimeout = 2 * time.Minute
-	// peerReadTimeout and adminReadTimeout limit the time to read the headers, and
-	// the time to read a whole request.
-	peerReadTimeout  = 5 * time.Second
-	adminReadTimeout = 5 * time.Second
+	maxHeaderBytes = 32 << 10
+	// peerHeaderBytes covers what a head grows by when it is forwarded.
+	peerHeaderBytes = 2 * maxHeaderBytes
+	// internalIdleTimeout is longer than gateways and operators keep unused connections.
+	internalIdleTimeout = 2 * time.Minute
+	// peerReadTimeout limits the time to read the headers, and the time to read a whole
+	// request, of other gateways and of operators.
+	peerReadTimeout = 5 * time.Second
 )
 
 // listeners holds the open listeners of a gateway.
@@ -33,18 +36,19 @@
 		Owner:   a.gateway.OwnerHandlers(),
 		Forward: a.gateway.ForwardHandler(),
 	})
-	a.callerServer = httpserver.New(a.gateway.CallerHandler(), limits(a.settings.HeaderTimeout, 0))
-	a.peerServer = httpserver.New(peers.Handler(), limits(peerReadTimeout, peerReadTimeout))
-	a.adminServer = httpserver.New(a.gateway.AdminHandler(), limits(adminReadTimeout, adminReadTimeout))
+	callers := a.limits(httpserver.WithMargin(a.settings.HeaderTimeout), httpserver.WithMargin(a.settings.IdleTimeout), maxHeaderBytes)
+	callers.Group = connlimit.Callers
+	internal := a.limits(peerReadTimeout, internalIdleTimeout, peerHeaderBytes)
+	internal.ReadTimeout = peerReadTimeout
+	a.callerServer = httpserver.New(a.gateway.CallerHandler(), callers)
+	a.peerServer = httpserver.New(peers.Handler(), internal)
+	a.adminServer = httpserver.New(a.gateway.AdminHandler(), internal)
 }
 
-func limits(headerTimeout, readTimeout time.Duration) httpserver.Limits {
-	return httpserver.Limits{
-		HeaderTimeout:  headerTimeout,
-		ReadTimeout:    readTimeout,
-		IdleTimeout:    keepAliveIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
+// limits returns the configuration of a server that shares the pool with the others.
+func (a *App) limits(headerTimeout, idleTimeout time.Duration, maxHeader int) httpserver.Config {
+	l := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	return httpserver.Config{Limits: func() httpserver.Limits { return l }, Pool: a.pool, Group: connlimit.Internal}
 }
 
 func (a *App) snapshot() ([]byte, uint64) {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -164,3 +164,12 @@
 	t.open[c.group]--
 	return true
 }
+
+// CountReceiving returns the number of connections that are receiving.
+func (t *Table) CountReceiving() int {
+	n := 0
+	for g := range t.receiving {
+		n += t.receiving[g].Len()
+	}
+	return n
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -19,6 +19,10 @@
 	headerOutcome = "X-Gateway-Outcome"
 )
 
+// NotRunHeader is the header line of responses that a gateway makes itself, to requests of
+// other gateways that it has not run.
+const NotRunHeader = headerOutcome + ": " + string(failure.NotRun) + "\r\n"
+
 // forwardInfo is what a gateway tells the gateway of another region about a request
 // that it forwards.
 type forwardInfo struct {
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,7 +39,6 @@
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
-	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
@@ -75,6 +73,8 @@
 	gateways *fleet.Gateways
 	// memory is the account of what requests hold.
 	memory *memory.Account
+	// pool bounds the connections of all listeners.
+	pool *httpserver.Pool
 
 	controllers  []controller.Controller
 	servers      []*listeningServer
@@ -83,16 +83,12 @@
 	tomb         tomb.Tomb
 }
 
-// listeningServer is an HTTP server with its open listener.
-type listeningServer struct {
-	*httpserver.Server
-	listener net.Listener
-}
-
 // New assembles a gateway and opens its listeners. Nothing is served before Run. The
 // error is a ListenError if a listener can't be opened.
 func New(site *settings.PlatformSettings, p Platform, logger *log.Logger) (*Server, error) {
 	s := &Server{platform: p, logger: logger, board: blackboard.NewEdge(site), memory: memory.NewAccount(memory.Limit(site.MemoryBytes))}
+	s.pool = httpserver.NewPool(s.memory, logger)
+	s.pool.SetBounds(site.MaxOpenFiles, site.MemoryBytes)
 	heartbeatAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort))
 	grantAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort+1))
 	s.gateways = fleet.NewGateways(fleet.Gateway{
@@ -289,6 +285,7 @@
 		s.edge.ColdStarts.Configure(coldSettings(site))
 		s.registry.SetRegions(site.Regions)
 		s.memory.SetLimit(memory.Limit(site.MemoryBytes))
+		s.pool.SetBounds(site.MaxOpenFiles, site.MemoryBytes)
 		select {
 		case <-s.tomb.Dying():
 			return nil
@@ -297,72 +294,6 @@
 	}
 }
 
-// ListenError reports a listener that could not be opened.
-type ListenError struct {
-	Address string
-	Cause   error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Address, e.Cause) }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
-// Limits of the listeners.
-const (
-	// headerTimeout and idleTimeout must not be below the limits that operators
-	// configure for callers.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
-// openListeners opens the servers of callers, readiness, other gateways, metrics and
-// the directory. The last two are optional.
-func (s *Server) openListeners(site *settings.PlatformSettings) error {
-	var err error
-	if s.callerServer, err = s.openServer(site.CallerAddress, s.edge.CallerHandler()); err != nil {
-		return err
-	}
-	if _, err = s.openServer(site.ReadyAddress, s.platform.NewReadinessHandler(s.edge.IsReady)); err != nil {
-		return err
-	}
-	if s.peerServer, err = s.openServer(site.PeerAddress, s.edge.PeerHandler(peerfetch.Handler(peerfetch.Sources{
-		Endpoints:   s.endpointEntries,
-		Routes:      s.rawRoutes,
-		StoreStatus: s.knownStoreStatus,
-	}))); err != nil {
-		return err
-	}
-	if s.platform.MetricsPort > 0 {
-		address := net.JoinHostPort(site.IP, strconv.Itoa(s.platform.MetricsPort))
-		if _, err = s.openServer(address, telemetry.MetricsHandler()); err != nil {
-			return err
-		}
-	}
-	if site.DirectoryAddress == "" {
-		return nil
-	}
-	_, err = s.openServer(site.DirectoryAddress, s.platform.NewDirectoryHandler(s.edge.Addresses))
-	return err
-}
-
-// openServer adds a server for h that listens on the TCP address (host:port).
-func (s *Server) openServer(address string, h http.Handler) (*listeningServer, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{Address: address, Cause: err}
-	}
-	srv := &listeningServer{listener: l, Server: httpserver.New(h, httpserver.Limits{
-		HeaderTimeout:  headerTimeout,
-		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	})}
-	s.servers = append(s.servers, srv)
-	return srv, nil
-}
-
 // Run serves until ctx ends and then shuts down gracefully, or until a server or
 // controller fails, whose error it returns.
 func (s *Server) Run(ctx context.Context) error {
--- /dev/null
+++ b/internal/httpserver/hostile_test.go
@@ -0,0 +1,208 @@
+package httpserver
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/memory"
+)
+
+// startBounded serves h with a pool of two callers' connections and the given limits.
+func startBounded(t *testing.T, account *memory.Account, limits Limits, h http.HandlerFunc) (*Pool, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	pool := NewPool(account, nil)
+	pool.SetBounds(reservedAndThree, 64<<20)
+	s := New(h, Config{Limits: func() Limits { return limits }, Pool: pool, RefusalHeader: "Mark: 1\r\n"})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		require.NoError(t, <-done)
+		require.Eventually(t, func() bool { return account.Usage().InUse == 0 && pool.open() == 0 }, time.Minute, time.Millisecond, "all is given back")
+	})
+	return pool, l.Addr().String()
+}
+
+// reservedAndThree are the descriptors for three connections, two of them for callers.
+const reservedAndThree = 206
+
+func (p *Pool) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Open()
+}
+
+// close closes a caller's connection and waits until the given number are open.
+func (p *Pool) close(t *testing.T, c *caller, open int) {
+	require.NoError(t, c.conn.Close())
+	require.Eventually(t, func() bool { return p.open() == open }, time.Minute, time.Millisecond)
+}
+
+func calmLimits() Limits {
+	return Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+}
+
+func ok(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(w, "ok")
+}
+
+// write writes raw bytes and returns the status line of the response, "" if there is none.
+func (c *caller) write(raw string) string {
+	_, _ = io.WriteString(c.conn, raw)
+	line, _ := c.reader.ReadString('\n')
+	return strings.TrimSpace(line)
+}
+
+func requireClosed(t *testing.T, c *caller) {
+	t.Helper()
+	_, err := c.reader.ReadByte()
+	require.Error(t, err)
+	var timeout net.Error
+	require.False(t, errors.As(err, &timeout) && timeout.Timeout(), "open")
+}
+
+// TestRoomAtTheBound guards against a crowd that shuts out others: at the bound the longest
+// unfinished head gives way, then the unfinished body, and never an answered request.
+func TestRoomAtTheBound(t *testing.T) {
+	answer := make(chan struct{})
+	pool, address := startBounded(t, memory.NewAccount(0), calmLimits(), func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-answer
+		_, _ = io.WriteString(w, "ok")
+	})
+	unfinishedBody := dial(t, address)
+	_, err := io.WriteString(unfinishedBody.conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbod")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return pool.open() == 1 }, time.Minute, time.Millisecond)
+	answered := dial(t, address)
+	require.NoError(t, answered.send(1))
+	require.Eventually(t, func() bool { return pool.receivingCount() == 1 }, time.Minute, time.Millisecond)
+
+	second := dial(t, address)
+	requireClosed(t, unfinishedBody)
+	require.NoError(t, second.send(2))
+	require.Eventually(t, func() bool { return pool.receivingCount() == 0 }, time.Minute, time.Millisecond)
+	refused := dial(t, address)
+	require.Equal(t, "HTTP/1.1 503 Service Unavailable", refused.write(""))
+	raw, _ := io.ReadAll(refused.reader)
+	require.Contains(t, string(raw), "Retry-After: 1\r\n")
+	require.Contains(t, string(raw), "Mark: 1\r\n")
+	close(answer)
+	for _, c := range []*caller{answered, second} {
+		_, err = c.receive()
+		require.NoError(t, err)
+	}
+}
+
+// receivingCount returns how many connections are at an unfinished head or body.
+func (p *Pool) receivingCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.CountReceiving()
+}
+
+// TestHeadLimits guards against heads that are not bounded: over the limit, without a line,
+// or more than the memory account has room for.
+func TestHeadLimits(t *testing.T) {
+	account := memory.NewAccount(1 << 20)
+	pool, address := startBounded(t, account, calmLimits(), ok)
+	once := func(raw string) string {
+		c := dial(t, address)
+		defer pool.close(t, c, 0)
+		return c.write(raw)
+	}
+	head := func(line string, size int) string {
+		return "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat(line, size/len(line))
+	}
+	require.Equal(t, "HTTP/1.1 200 OK", once(head("a: bbbbbbbbbbbb\r\n", 16<<10)+"\r\n"))
+	require.Equal(t, "HTTP/1.1 431 Request Header Fields Too Large", once(head("a: bbbbbbbbbbbb\r\n", 21<<10)))
+	require.Contains(t, []string{"HTTP/1.1 400 Bad Request", "HTTP/1.1 431 Request Header Fields Too Large", ""}, once(strings.Repeat("\r\n", 16<<10)))
+	require.Equal(t, "HTTP/1.1 503 Service Unavailable", once(head("a:\r\n", 16<<10)), "lines of 4 bytes cost over 1 MB")
+	account.SetLimit(2 << 20)
+	require.Equal(t, "HTTP/1.1 200 OK", once(head("a:\r\n", 16<<10)+"\r\n"))
+}
+
+// TestHeadsAreReserved checks that an unfinished head holds memory, that a larger head gives
+// way to a smaller one, and that a part of a head that comes with a request counts too.
+func TestHeadsAreReserved(t *testing.T) {
+	account := memory.NewAccount(300 << 10)
+	pool, address := startBounded(t, account, calmLimits(), ok)
+	large := dial(t, address)
+	_, err := io.WriteString(large.conn, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 1000))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return account.Usage().Head > 256*1000 }, time.Minute, time.Millisecond)
+	small := dial(t, address)
+	require.Equal(t, "HTTP/1.1 200 OK", small.write("GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 200)+"\r\n"))
+	requireClosed(t, large)
+	require.Eventually(t, func() bool { return account.Usage().InUse == 0 }, time.Minute, time.Millisecond, "given back with the response")
+	pool.close(t, small, 0)
+
+	for _, first := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		c := dial(t, address)
+		require.Equal(t, "HTTP/1.1 200 OK", c.write(first+"GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 100)))
+		require.Eventually(t, func() bool { return account.Usage().Head > 256*100 }, time.Minute, time.Millisecond, first)
+		_, err = io.WriteString(c.conn, "\r\n")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return account.Usage().InUse == 0 }, time.Minute, time.Millisecond, first)
+		pool.close(t, c, 0)
+	}
+}
+
+// TestKeptConnectionsHoldNothing guards against memory that stays reserved between the
+// requests of a connection, and against taking its next request for an unfinished one.
+func TestKeptConnectionsHoldNothing(t *testing.T) {
+	account := memory.NewAccount(1 << 20)
+	pool, address := startBounded(t, account, calmLimits(), ok)
+	c := dial(t, address)
+	for n := range 20 {
+		request := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", n)
+		if n%2 == 0 {
+			request = fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", n)
+		}
+		for _, part := range []string{request[:len(request)-2], request[len(request)-2:]} {
+			_, err := io.WriteString(c.conn, part)
+			require.NoError(t, err)
+		}
+		closes, err := c.receive()
+		require.NoError(t, err)
+		require.False(t, closes)
+		require.Eventually(t, func() bool { return account.Usage().InUse == 0 && pool.receivingCount() == 0 }, time.Minute, time.Millisecond)
+	}
+}
+
+// TestUnreadBytesAreBounded guards against a client that fills the kernel's memory behind a
+// request that is being answered: it can send no more than the receive buffer takes.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	answer := make(chan struct{})
+	defer close(answer)
+	_, address := startBounded(t, memory.NewAccount(0), calmLimits(), func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-answer
+	})
+	c := dial(t, address)
+	require.NoError(t, c.conn.(*net.TCPConn).SetWriteBuffer(4<<10))
+	_, err := fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 4<<20, strings.Repeat("a", 4<<20))
+	require.NoError(t, err)
+	sent := 0
+	require.NoError(t, c.conn.SetWriteDeadline(time.Now().Add(time.Second)))
+	for err == nil {
+		var n int
+		n, err = c.conn.Write(make([]byte, 4<<10))
+		sent += n
+	}
+	require.Less(t, sent, 1<<20)
+}
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// optionalCountOption is a number above zero, or empty, which is stored as 0.
+func optionalCountOption(dst *int) func(string) string {
+	return func(s string) string {
+		if s == "" {
+			return ""
+		}
+		n, err := strconv.Atoi(s)
+		if err != nil || n <= 0 {
+			return "a number above zero"
+		}
+		*dst = n
+		return ""
+	}
+}
+
 func gatewayOptions(g *Gateway) []option {
 	return []option{
 		{"id", "", "name of this instance, unique in the fleet", stringOption(&g.ID)},
@@ -98,7 +113,9 @@
 		{"log-level", "info", "debug, info, warn or error", stringOption(&g.LogLevel)},
 		{"trace-file", "", "file that trace spans are written to, as JSON lines", stringOption(&g.TraceFile)},
 		{"max-body", "1048576", "maximum size of a request body, in bytes", sizeOption(&g.MaxBodyBytes)},
+		{"max-open-files", "", "file descriptors that the process may open; default: the limit of the process", optionalCountOption(&g.MaxOpenFiles)},
 		{"header-timeout", "5s", "maximum time to read a request's headers", durationOption(&g.HeaderTimeout)},
+		{"idle-timeout", "2m", "maximum time between two requests of a caller's connection", durationOption(&g.IdleTimeout)},
 		{"body-timeout", "15s", "maximum time to read a request's body", durationOption(&g.BodyTimeout)},
 		{"drain-timeout", "60s", "maximum duration of a graceful shutdown", durationOption(&g.DrainTimeout)},
 		{"dial-timeout", "1s", "timeout for connecting to an endpoint", durationOption(&g.DialTimeout)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,9 +47,14 @@
 
 	// MaxBodyBytes is the maximum size of a caller's request body.
 	MaxBodyBytes int64
+	// MaxOpenFiles is the number of file descriptors that the process may open. 0 stands
+	// for the limit of the process.
+	MaxOpenFiles int
 	// HeaderTimeout is the maximum time to read a request's headers,
-	// BodyTimeout to read its body.
+	// BodyTimeout to read its body, IdleTimeout the maximum time between two
+	// requests of a caller's connection. Connections are closed a quarter later.
 	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 	BodyTimeout   time.Duration
 	// DrainTimeout is the maximum duration of a graceful shutdown.
 	DrainTimeout time.Duration
