--- a/cmd/hickorystage/memory.go
+++ b/cmd/hickorystage/memory.go
@@ -31,3 +31,13 @@
 	}
 	return int64(uint64(info.Totalram) * uint64(info.Unit))
 }
+
+// openFilesLimit returns the number of file descriptors that the process may open, 0 if it
+// is not known or not limited.
+func openFilesLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -26,15 +26,16 @@
 type listeners struct{ callers, peers, admin net.Listener }
 
 func (a *App) newServers(signer *peer.Signer) {
-	peers := peer.NewServer(signer, a.settings.PeerAdvertise, peer.Handlers{
+	peers := peer.NewServer(signer, a.settings.PeerAdvertise, a.memory, peer.Handlers{
 		Exchange:  a.gossip.HandleExchange,
 		Snapshot:  a.snapshot,
 		Endpoints: func() []peer.Endpoint { return a.gateway.Membership.Endpoints(time.Now()) },
 		Announce: func(list []datastore.PrefillAnnouncement) {
 			a.gateway.SchedulerData.ApplyAnnouncements(list, time.Now())
 		},
-		Owner:   a.gateway.OwnerHandlers(),
-		Forward: a.gateway.ForwardHandler(),
+		Owner:         a.gateway.OwnerHandlers(),
+		RefuseForward: a.gateway.RefuseForward,
+		Forward:       a.gateway.ForwardHandler(),
 	})
 	callers := a.limits(httpserver.WithMargin(a.settings.HeaderTimeout), httpserver.WithMargin(a.settings.IdleTimeout), maxHeaderBytes)
 	callers.Group = connlimit.Callers
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// optionalSizeOption is sizeOption for a setting that may be empty, which is stored as 0.
+func optionalSizeOption(dst *int64) func(string) string {
+	return func(s string) string {
+		if s == "" {
+			return ""
+		}
+		return sizeOption(dst)(s)
+	}
+}
+
 // optionalCountOption is a number above zero, or empty, which is stored as 0.
 func optionalCountOption(dst *int) func(string) string {
 	return func(s string) string {
@@ -113,6 +123,7 @@
 		{"log-level", "info", "debug, info, warn or error", stringOption(&g.LogLevel)},
 		{"trace-file", "", "file that trace spans are written to, as JSON lines", stringOption(&g.TraceFile)},
 		{"max-body", "1048576", "maximum size of a request body, in bytes", sizeOption(&g.MaxBodyBytes)},
+		{"memory-limit", "", "memory that the process may use, in bytes; default: that of the machine", optionalSizeOption(&g.MemoryLimit)},
 		{"max-open-files", "", "file descriptors that the process may open; default: the limit of the process", optionalCountOption(&g.MaxOpenFiles)},
 		{"header-timeout", "5s", "maximum time to read a request's headers", durationOption(&g.HeaderTimeout)},
 		{"idle-timeout", "2m", "maximum time between two requests of a caller's connection", durationOption(&g.IdleTimeout)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,9 @@
 
 	// MaxBodyBytes is the maximum size of a caller's request body.
 	MaxBodyBytes int64
+	// MemoryLimit is the memory in bytes that the process may use. 0 stands for that of
+	// the machine.
+	MemoryLimit int64
 	// MaxOpenFiles is the number of file descriptors that the process may open. 0 stands
 	// for the limit of the process.
 	MaxOpenFiles int
