Connections take a second place while a request is handled; heads give way with bodies

Half of the descriptors for all that comes in, at 32 kB of memory each, left 864 connections to the callers of a machine of 144 MB and 3,075 descriptors, which callers who keep unused connections could come near. A connection now takes one place of the descriptors left after the reserve, and a second one only while its request is handled; a request that finds none is refused with 503 before that. The same machine has 2,304 places, 1,728 of them for callers.

The head of a request with an unfinished body could not be evicted, so that some 65 heads of 16 kB with a small body that stalls held the whole account for the body timeout. It now gives way until the body is complete.

--- a/internal/connlimit/bounds.go
+++ b/internal/connlimit/bounds.go
@@ -4,22 +4,22 @@
 	// reservedDescriptors are kept for listeners, the store, datagrams and logs, as the
 	// operators' settings require.
 	reservedDescriptors = 200
-	// connectionMemory is what a connection costs beside the heads, bodies and responses
-	// that the memory account holds: two stacks of 8 KB, buffers of 4 KB each way, and the
-	// structures of the runtime and the kernel. Connections get a quarter of the memory.
-	connectionMemory = 32 << 10
-	memoryShare      = 4
+	// placeMemory is what a place costs beside the heads, bodies and responses that the
+	// memory account holds. An open connection took 6 KB of resident memory (1,500 at an
+	// unfinished head); the kernel's structures and the stack of a handler come on top.
+	// Connections get a quarter of the memory.
+	placeMemory = 16 << 10
+	memoryShare = 4
 )
 
-// MaxConnections returns the bound of the connections that a process accepts. Each may need
-// another one to an endpoint or a gateway, so that they get half of the descriptors that
-// are left. A figure of 0 or less is unknown and doesn't bind; the result is 0 if both are.
-func MaxConnections(descriptors int, memory int64) int {
+// Places returns the number of places for connections of a process. A figure of 0 or less is
+// unknown and doesn't bind; the result is 0 if both are.
+func Places(descriptors int, memory int64) int {
 	limit := 0
 	if descriptors > 0 {
-		limit = max((descriptors-reservedDescriptors)/2, 1)
+		limit = max(descriptors-reservedDescriptors, 1)
 	}
-	if byMemory := int(memory / memoryShare / connectionMemory); memory > 0 && (limit == 0 || byMemory < limit) {
+	if byMemory := int(memory / memoryShare / placeMemory); memory > 0 && (limit == 0 || byMemory < limit) {
 		limit = max(byMemory, 1)
 	}
 	return limit
--- a/internal/httpserver/pool.go
+++ b/internal/httpserver/pool.go
@@ -14,7 +14,7 @@
 
 var (
 	openConns    = telemetry.NewCounter("connections_open", "connections", "connections that are open now, on all listeners")
-	refusedConns = telemetry.NewCounter("connections_refused", "connections", "new connections refused because the process has as many as it takes")
+	refusedConns = telemetry.NewCounter("connections_refused", "connections", "new connections and requests refused because the process has as many connections as it takes")
 	evictedConns = telemetry.NewCounter("connections_evicted", "connections", "connections closed at an unfinished head or body, or unused, to make room for others")
 	largeHeads   = telemetry.NewCounter("heads_too_large", "requests", "heads of requests refused as larger than the limit")
 	lateHeads    = telemetry.NewCounter("heads_timed_out", "requests", "connections closed because the head of a request was not complete in time")
@@ -45,7 +45,7 @@
 func (p *Pool) SetBounds(descriptors int, memoryBytes int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetLimit(connlimit.MaxConnections(descriptors, memoryBytes))
+	p.table.SetLimit(connlimit.Places(descriptors, memoryBytes))
 	p.buffers.SetMemory(memoryBytes)
 }
 
@@ -53,42 +53,62 @@
 // no room for it.
 func (p *Pool) admit(c *conn, group connlimit.Group, idleTimeout time.Duration) bool {
 	now := time.Now()
-	idleSince := now.Add(-unusedAfter(idleTimeout))
-	if idleTimeout <= 0 {
-		idleSince = time.Time{}
-	}
 	p.mu.Lock()
-	entry, evicted := p.table.Add(group, now, idleSince)
-	for _, e := range evicted {
-		p.returnBuffer(e.Owner.(*conn))
-	}
+	entry, evicted := p.table.Add(group, now, idleSince(now, idleTimeout))
 	if entry != nil {
+		openConns.Inc()
 		entry.Owner, c.entry, c.receiveBuffer = c, entry, p.buffers.Take()
 	}
 	p.count(evicted, entry == nil, now)
 	p.mu.Unlock()
-	for _, e := range evicted {
+	closeAll(evicted)
+	return entry != nil
+}
+
+// begin notes that a request is handled from now on. It returns false if there is no room
+// for the connection that it may need.
+func (p *Pool) begin(c *conn, hasBody bool, idleTimeout time.Duration) bool {
+	now := time.Now()
+	p.mu.Lock()
+	evicted, ok := p.table.Begin(c.entry, hasBody, now, idleSince(now, idleTimeout))
+	p.count(evicted, !ok, now)
+	p.mu.Unlock()
+	closeAll(evicted)
+	return ok
+}
+
+// idleSince returns the time since which connections must have been idle so that their
+// clients don't use them again.
+func idleSince(now time.Time, idleTimeout time.Duration) time.Time {
+	if idleTimeout <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-unusedAfter(idleTimeout))
+}
+
+func closeAll(conns []*connlimit.Conn) {
+	for _, e := range conns {
 		e.Owner.(*conn).closeNow()
 	}
-	return entry != nil
 }
 
 // logInterval limits the log lines of a crowd.
 const logInterval = time.Second
 
-// count counts what a new connection led to, and logs it from time to time.
+// count counts what a connection or request led to, and logs it from time to time.
 func (p *Pool) count(evicted []*connlimit.Conn, refused bool, now time.Time) {
+	for _, e := range evicted {
+		p.buffers.Give(e.Owner.(*conn).receiveBuffer)
+	}
 	openConns.Add(int64(-len(evicted)))
 	evictedConns.Add(int64(len(evicted)))
 	p.evicted += len(evicted)
 	if refused {
 		refusedConns.Inc()
 		p.refused++
-	} else {
-		openConns.Inc()
 	}
 	if p.evicted+p.refused > 0 && now.Sub(p.loggedAt) >= logInterval && p.logger != nil {
-		p.logger.Warn("connections_bounded", "evicted", p.evicted, "refused", p.refused, "open", p.table.Open(), "limit", p.table.Limit())
+		p.logger.Warn("connections_bounded", "evicted", p.evicted, "refused", p.refused, "open", p.table.Open(), "taken", p.table.Taken(), "limit", p.table.Limit())
 		p.evicted, p.refused, p.loggedAt = 0, 0, now
 	}
 }
@@ -97,21 +117,21 @@
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.entry != nil && p.table.Remove(c.entry) {
+	if p.table.Remove(c.entry) {
 		openConns.Add(-1)
-		p.returnBuffer(c)
+		p.buffers.Give(c.receiveBuffer)
 	}
 }
 
-func (p *Pool) returnBuffer(c *conn) { p.buffers.Give(c.receiveBuffer) }
-
-// receiving, answering and idle note the progress of a connection.
+// receiving, answering, end and idle note the progress of a connection.
 func (p *Pool) receiving(c *conn) {
 	p.note(c, func(entry *connlimit.Conn) { p.table.Receiving(entry, time.Now()) })
 }
 
 func (p *Pool) answering(c *conn) { p.note(c, p.table.Answering) }
 
+func (p *Pool) end(c *conn) { p.note(c, p.table.End) }
+
 func (p *Pool) idle(c *conn) {
 	p.note(c, func(entry *connlimit.Conn) { p.table.Idle(entry, time.Now()) })
 }
@@ -119,9 +139,7 @@
 func (p *Pool) note(c *conn, change func(*connlimit.Conn)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.entry != nil {
-		change(c.entry)
-	}
+	change(c.entry)
 }
 
 // openHead returns a holder for a head, nil without an account.
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -109,9 +109,9 @@
 	c.setRequestDeadline(c.server.limits().HeaderTimeout)
 }
 
-// beginRequest notes that the head of r has been read. It returns false if the connection
-// has been closed because others needed its memory.
-func (c *conn) beginRequest(r *http.Request) bool {
+// beginRequest notes that the head of r has been read. An isClosed connection was closed
+// because others needed its memory. If there is no room for the request, hasRoom is false.
+func (c *conn) beginRequest(r *http.Request) (hasRoom, isClosed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hasBody := r.Body != nil && r.Body != http.NoBody
@@ -121,10 +121,12 @@
 		c.request.phase = readingBody
 	}
 	_ = c.Conn.SetReadDeadline(c.deadline)
-	if c.server.config.Pool != nil && !hasBody {
-		c.server.config.Pool.answering(c)
+	if pool := c.server.config.Pool; pool != nil && !pool.begin(c, hasBody, c.server.limits().IdleTimeout) {
+		return false, false
 	}
-	return c.request.head == nil || c.request.head.Complete() == nil
+	// The head of a request with a body gives way until that is complete.
+	isClosed = !hasBody && c.request.head != nil && c.request.head.Complete() != nil
+	return true, isClosed
 }
 
 // endBody notes that the body has been read, or that it isn't needed for the response.
@@ -135,6 +137,10 @@
 		return
 	}
 	c.request.phase = answering
+	if c.request.head != nil {
+		// If the head was evicted before, the connection is closed.
+		_ = c.request.head.Complete()
+	}
 	if pool := c.server.config.Pool; pool != nil {
 		pool.answering(c)
 	}
@@ -150,6 +156,9 @@
 		next = min(next, c.request.received-c.request.contentLength)
 	}
 	c.request = request{}
+	if c.server.config.Pool != nil {
+		c.server.config.Pool.end(c)
+	}
 	if next > 0 {
 		// A part of the next head has been read with this request.
 		c.beginHead()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,8 @@
 	Pool *Pool
 	// Group is the group of the connections in the pool.
 	Group connlimit.Group
-	// RefusalHeader is added to the refusals that the server makes itself: whole lines.
+	// RefusalHeader is added to the refusals that the server makes itself: one line with its
+	// end, or empty.
 	RefusalHeader string
 }
 
@@ -119,9 +121,14 @@
 func (s *Server) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			if !c.beginRequest(r) {
+			hasRoom, isClosed := c.beginRequest(r)
+			if isClosed {
 				panic(http.ErrAbortHandler)
 			}
+			if !hasRoom {
+				s.refuseRequest(w)
+				return
+			}
 			if r.Body != nil && r.Body != http.NoBody {
 				r.Body = &body{ReadCloser: r.Body, conn: c, isLarge: r.ContentLength < 0 || r.ContentLength > largeBody}
 			}
@@ -133,6 +140,16 @@
 	})
 }
 
+// refuseRequest answers a request for which there is no room, before it is handled.
+func (s *Server) refuseRequest(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Connection", "close")
+	if name, value, ok := strings.Cut(strings.TrimSpace(s.config.RefusalHeader), ": "); ok {
+		w.Header().Set(name, value)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Shutdown stops accepting connections, ends the idle ones, and waits until the
 // requests in flight have been answered and all connections have ended. If ctx ends
 // first it returns the error of ctx; the remaining connections stay open until Close.
