--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -62,6 +62,9 @@
 	peerServer   *httpserver.Server
 	adminServer  *httpserver.Server
 
+	// pool bounds the connections of all listeners.
+	pool *httpserver.Pool
+
 	// closers close idle connections at the end of the shutdown.
 	closers        []func()
 	drainRequested chan struct{}
@@ -145,6 +148,8 @@
 		dispatcher,
 		memorycontroller.New(a.board),
 	}
+	a.pool = httpserver.NewPool(a.memory, logger)
+	a.pool.SetBounds(s.MaxOpenFiles, s.MemoryLimit)
 	a.newServers(signer)
 	return a
 }
