gateway: at most ten log lines a second about memory; settings test

The chat half's log isn't limited, and a crowd may be refused hundreds of times a second. Responses to HEAD, which state a length and have no body, reserve nothing.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -118,7 +118,11 @@
 	a.mayHaveRun = true
 	hold := a.edge.Memory.Open(memory.Response)
 	defer hold.Close()
-	parts, err := bodyread.ReadParts(hold, io.LimitReader(resp.Body, maxBufferedBytes), min(resp.ContentLength, maxBufferedBytes))
+	length := min(resp.ContentLength, maxBufferedBytes)
+	if resp.Body == http.NoBody {
+		length = 0 // A response to HEAD states a length and has no body.
+	}
+	parts, err := bodyread.ReadParts(hold, io.LimitReader(resp.Body, maxBufferedBytes), length)
 	var exhausted *memory.ExhaustedError
 	isCut := errors.As(err, &exhausted)
 	if err != nil && !isCut {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,10 +83,39 @@
 	return nil
 }
 
-// logMemory writes the line of a refused reservation or an eviction, if err is one.
+// memoryLogInterval is the shortest time between two lines about the memory of requests. This
+// half's log isn't limited otherwise, and a crowd may be refused hundreds of times a second.
+const memoryLogInterval = 100 * time.Millisecond
+
+// memoryLog limits the lines about the memory of requests.
+type memoryLog struct {
+	mu       sync.Mutex
+	lastAt   time.Time
+	leftOut  int
+	interval time.Duration
+}
+
+// next reports whether a line may be written now, and how many were left out before it.
+func (l *memoryLog) next(now time.Time) (leftOut int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.lastAt.IsZero() && now.Sub(l.lastAt) < l.interval {
+		l.leftOut++
+		return 0, false
+	}
+	leftOut, l.leftOut, l.lastAt = l.leftOut, 0, now
+	return leftOut, true
+}
+
+// logMemory writes the line of a refused reservation or an eviction, if err is one and the
+// last such line is old enough.
 func (g *Gateway) logMemory(err error, requestID string) {
-	if msg, keyvals, ok := bodyread.LogFields(err); ok {
-		g.Logger.Info(msg, append([]any{"request", requestID}, keyvals...)...)
+	msg, keyvals, isMemory := bodyread.LogFields(err)
+	if !isMemory {
+		return
+	}
+	if leftOut, ok := g.memoryLog.next(time.Now()); ok {
+		g.Logger.Info(msg, append([]any{"request", requestID, "left_out", leftOut}, keyvals...)...)
 	}
 }
 
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -125,3 +125,16 @@
 	require.Equal(t, failure.NotRun, readRefusal(t, resp).Outcome)
 	waitForBodies(t, account, 0)
 }
+
+// TestMemoryLinesAreLimited guards against a crowd of refused requests that fills the log.
+func TestMemoryLinesAreLimited(t *testing.T) {
+	l, now := memoryLog{interval: time.Second}, time.Now()
+	written, leftOut := 0, 0
+	for i := range 50 {
+		if n, ok := l.next(now.Add(time.Duration(i) * 100 * time.Millisecond)); ok {
+			written++
+			leftOut += n
+		}
+	}
+	require.Equal(t, []int{5, 36}, []int{written, leftOut})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,8 @@
 // be called concurrently.
 type Gateway struct {
 	Config
-	inFlight *inflight.Counter
+	inFlight  *inflight.Counter
+	memoryLog memoryLog
 }
 
 // New returns a gateway with the dependencies and limits of cfg.
@@ -72,7 +73,7 @@
 	if cfg.Memory == nil {
 		cfg.Memory = memory.NewAccount(0)
 	}
-	return &Gateway{Config: cfg, inFlight: inflight.New()}
+	return &Gateway{Config: cfg, inFlight: inflight.New(), memoryLog: memoryLog{interval: memoryLogInterval}}
 }
 
 // handler serves one authenticated request. A returned error is sent to the
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -107,7 +107,11 @@
 		return io.ReadAll(r)
 	}
 	c.req.Hold.Release(math.MaxInt64) // What an earlier attempt has left.
-	body, err := bodyread.Read(c.req.Hold, r, min(resp.ContentLength, limit))
+	length := min(resp.ContentLength, limit)
+	if resp.Body == http.NoBody {
+		length = 0 // A response to HEAD states a length and has no body.
+	}
+	body, err := bodyread.Read(c.req.Hold, r, length)
 	if msg, keyvals, ok := bodyread.LogFields(err); ok {
 		c.relay.settings.Logger.Info(msg, append([]any{"request", c.req.RequestID}, keyvals...)...)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,18 @@
 	})
 	require.NotContains(t, err.Error(), "0123456789abcdef")
 }
+
+// TestMemoryLimitIsOptional checks that a missing limit is 0, which stands for the machine's
+// memory, and that one of 0 or below is refused rather than taken for that.
+func TestMemoryLimitIsOptional(t *testing.T) {
+	g, err := Load(validArgs(), emptyEnv)
+	require.NoError(t, err)
+	require.Zero(t, g.MemoryLimit)
+	g, err = Load(append(validArgs(), "--memory-limit", "300000000"), emptyEnv)
+	require.NoError(t, err)
+	require.Equal(t, int64(300_000_000), g.MemoryLimit)
+	for _, text := range []string{"0", "-1", "300MB"} {
+		_, err = Load(append(validArgs(), "--memory-limit="+text), emptyEnv)
+		require.ErrorContains(t, err, "--memory-limit")
+	}
+}
