Count late answers to requests for proofs

Where gateways are short of processor time, an answer may take longer than the 0.2 s that a round waits. It was dropped, and each gateway then read the store every 3 s although another one had answered. Answers count for a second now: they date from the start of the request whenever they come.

TestLateAnswersCount (600 ms there and back): no reads of the store. Tests of configproof, those of grants on proofs, grants and permits, and those of edgeserver on keys pass with -race. With -race the tests of unreadable messages in grants fail here: they replace the connection of a running controller, which mends.

--- a/internal/controller/configproof/configproof.go
+++ b/internal/controller/configproof/configproof.go
@@ -31,6 +31,10 @@
 	// askInterval is the time from the start of one round to that of the next. With it, and watches of the store reader
 	// of a tenth of the bound of 5 s, a proof is less than 2 s old in calm.
 	askInterval = 400 * time.Millisecond
+	// askTimeout is how long a round waits for an answer before it goes on. It covers a
+	// round trip to another region, or the pauses of two small machines, each of which a
+	// processor quota holds for up to 100 ms. An answer that comes later still counts.
+	askTimeout = 200 * time.Millisecond
 	// askJitter is the share by which rounds are shifted at random, so that the gateways
 	// of a region don't ask at the same time.
 	askJitter = 0.1
@@ -228,9 +232,20 @@
 	}
 }
 
-// ask takes over the proof of another gateway, and its configuration if that is newer. It
-// reports whether the other gateway answered.
+// ask asks another gateway and reports whether it answered within askTimeout.
 func (c *Controller) ask(ctx context.Context, gw fleet.GatewayStatus) (answered bool) {
+	done := make(chan bool, 1)
+	c.running.Go(func() { done <- c.exchange(ctx, gw) })
+	select {
+	case answered = <-done:
+	case <-time.After(askTimeout):
+	}
+	return answered
+}
+
+// exchange takes over the proof of another gateway, and its configuration if that is newer.
+// It reports whether the other gateway answered.
+func (c *Controller) exchange(ctx context.Context, gw fleet.GatewayStatus) (answered bool) {
 	startedAt := c.Clock.Now()
 	response, err := c.Peers.RequestProof(ctx, gw.ID, gw.GrantAddress)
 	if err != nil {
--- a/internal/controller/configproof/configproof_test.go
+++ b/internal/controller/configproof/configproof_test.go
@@ -178,6 +178,16 @@
 	})
 }
 
+// TestLateAnswersCount delays all datagrams by more than a round waits.
+func TestLateAnswersCount(t *testing.T) {
+	bubble(t, 10, func(t *testing.T, w *world) {
+		w.delay.Store(int64(300 * time.Millisecond))
+		before := w.totalReads()
+		w.pass(20*time.Second, func() { require.Equal(t, 10, w.check()) })
+		require.Equal(t, before, w.totalReads(), "nobody needs the store")
+	})
+}
+
 // TestLossAndSlowStoreRefuseNothing loses three of ten datagrams and then slows the store
 // down by some hundreds of milliseconds.
 func TestLossAndSlowStoreRefuseNothing(t *testing.T) {
--- a/internal/controller/configproof/node_test.go
+++ b/internal/controller/configproof/node_test.go
@@ -94,14 +94,14 @@
 	o := n.world.node(gateway)
 	answered := make(chan grants.ProofResponse, 1)
 	n.world.wg.Go(func() {
-		time.Sleep(localDelay)
+		time.Sleep(time.Duration(n.world.delay.Load()))
 		if n.world.loses() || !n.world.arrives(n.id, gateway) || o.ended.Load() {
 			return
 		}
 		// The request waits in the socket of a gateway that is frozen.
 		o.waitThawed()
 		response := o.controller.Prove()
-		time.Sleep(localDelay)
+		time.Sleep(time.Duration(n.world.delay.Load()))
 		if !n.world.loses() && n.world.arrives(gateway, n.id) {
 			answered <- response
 		}
@@ -111,7 +111,7 @@
 		// The response waits in the socket of this gateway while it is frozen.
 		n.waitThawed()
 		return response, nil
-	case <-time.After(200 * time.Millisecond):
+	case <-time.After(time.Second):
 		n.waitThawed()
 		return grants.ProofResponse{}, &grants.NoResponseError{Gateway: gateway}
 	}
--- a/internal/controller/configproof/world_test.go
+++ b/internal/controller/configproof/world_test.go
@@ -48,8 +48,9 @@
 	cuts    map[string]bool
 	changed chan struct{}
 	nodes   []*node
-	// lostPerTen is how many of ten datagrams are lost. storeDelay is the one-way delay to
-	// the store.
+	// lostPerTen is how many of ten datagrams are lost. delay is the one-way delay between
+	// gateways, storeDelay that to the store.
+	delay                 atomic.Int64
 	lostPerTen, datagrams atomic.Int64
 	storeDelay            atomic.Int64
 	ctx                   context.Context
@@ -84,6 +85,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &world{t: t, start: time.Now(), version: 1, era: 1, ackedAt: map[uint64]time.Duration{1: 0}, cuts: make(map[string]bool), changed: make(chan struct{}), ctx: ctx}
 	w.storeDelay.Store(int64(storeDelay))
+	w.delay.Store(int64(localDelay))
 	for i := range gateways {
 		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("g%d", i), "r", gateways-i))
 	}
--- a/internal/controller/grants/proof.go
+++ b/internal/controller/grants/proof.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// proofTimeout is how long to wait for a ProofResponse. It covers a round trip within
-	// a region and the pauses of two small machines, each of which a processor quota holds
-	// for up to 100 ms. A late response would be sound, but nobody waits for it.
-	proofTimeout = 200 * time.Millisecond
+	// proofTimeout is how long to wait for a ProofResponse. A late one is sound: the age
+	// counts from the request. Later than this it is of no use any more.
+	proofTimeout = time.Second
 	// maxProofAge is the oldest proof that is stated or believed. It is longer than any
 	// bound, and short enough to be a time.Duration.
 	maxProofAge = time.Hour
