--- a/cmd/hickorystage/gateway.go
+++ b/cmd/hickorystage/gateway.go
@@ -45,6 +45,9 @@
 		s.MemoryLimit = machineMemory()
 	}
 	setMemoryLimit(s.MemoryLimit)
+	if s.MaxOpenFiles == 0 {
+		s.MaxOpenFiles = openFilesLimit()
+	}
 	ctx, forceStop := shutdownSignals()
 	if err := app.New(s, app.TCP{}, logger).Run(ctx, forceStop); err != nil {
 		var cut *app.CutOffError
