Allowances on the request path: credit over the grants channel

Accounts had allowances that nobody kept. Each account now has a coordinator over all regions, chosen among the gateways that may still run; gateways ask it for credit by datagram, ahead of their requests, and refuse with 429 what finds none. A request that did not run gives its credit back, a forwarded one is charged at the gateway that the caller uses, and one that may have run and is sent again is charged again with later credit. Bounds come from the settings (quota-window-s, quota-overage, quota-slack).

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -7,6 +7,9 @@
 //
 // The gateways of a region of any size also ask coordinators for permits to send requests
 // to endpoints that name a limit. A gateway that gets no response sends none.
+//
+// The gateways of all regions ask the coordinators of client accounts for credit. These
+// asks go out ahead of the requests, so nobody waits for a response.
 package grants
 
 import (
@@ -66,7 +69,9 @@
 type Controller struct {
 	conn        net.PacketConn
 	coordinator Coordinator
-	logger      *log.Logger
+	// creditKeeper is nil if this gateway deals with no credit.
+	creditKeeper CreditKeeper
+	logger       *log.Logger
 
 	mu sync.Mutex
 	// lastRequestID is the ID of the latest request sent.
@@ -117,6 +122,7 @@
 		permitsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
 	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
+	case c.handleCredit(m, from):
 	default:
 		malformed.Inc()
 	}
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -87,6 +87,8 @@
 	Response       *Response       `json:"a,omitempty"`
 	PermitRequest  *PermitRequest  `json:"pq,omitempty"`
 	PermitResponse *PermitResponse `json:"pa,omitempty"`
+	CreditAsk      *CreditAsk      `json:"cq,omitempty"`
+	CreditGrant    *CreditGrant    `json:"ca,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,6 +70,9 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
+	// Credit asks the coordinators of client accounts for credit. It may be nil if this
+	// gateway is the only one.
+	Credit CreditSender
 	// Freshness is used only where the settings ask for strict revocation.
 	Freshness Freshness
 	Logger    *log.Logger
@@ -89,12 +92,14 @@
 	grantCoordinators, stableCoordinators latestCoordinators
 	health                                healthChecks
 	stopping                              *stopping
+	allowances                            *allowances
 }
 
 // New returns an Edge that measures the round trips to other regions on the
 // connections of c.GatewayTransport.
 func New(c Config) *Edge {
 	e := &Edge{Config: c, inFlight: inflight.New(), roundTrips: newRoundTrips(), health: healthChecks{timeout: healthTimeout}, stopping: newStopping()}
+	e.allowances = newAllowances(e)
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -259,6 +264,7 @@
 // request the outcome is sent too, so that the forwarding gateway can decide
 // whether to try elsewhere.
 func (e *Edge) refuse(s *session, r *failure.Refusal) {
+	s.refusedAs = r.Outcome
 	if r.Outcome == failure.NotRun {
 		requestsRefused.Inc()
 	} else {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -56,6 +56,8 @@
 	r := httpmeta.Request{AttemptID: h.Get(headerID), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get(headerKey)}
 	if n, err := strconv.Atoi(h.Get(headerPrompt)); err == nil {
 		r.Prompt = &httpmeta.PromptInfo{Model: "m", Tokens: n, MaxOutputTokens: 10, Segments: []httpmeta.PromptSegment{{ID: "a", Tokens: n / 2}, {ID: "b", Tokens: n / 2}}}
+		total := n + r.Prompt.MaxOutputTokens
+		r.TokenCount = &total
 	}
 	if ids := strings.Fields(h.Get(headerSegments)); len(ids) > 0 {
 		r.Prompt = &httpmeta.PromptInfo{Model: "m", Tokens: 10 * len(ids), MaxOutputTokens: 10}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -46,6 +46,10 @@
 	unproved bool
 	req      httpmeta.Request
 	deadline time.Time
+	// charged is what the request was charged to the allowance of its account, refusedAs the
+	// outcome of its refusal; empty if it was not refused.
+	charged   float64
+	refusedAs failure.Outcome
 	// forwarded is set if a gateway of another region forwarded the request, nil
 	// for requests of callers.
 	forwarded *forwardInfo
@@ -97,6 +101,11 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	if refusal := s.takeAllowance(ctx); refusal != nil {
+		s.fail(ctx, refusal)
+		return
+	}
+	defer s.settleAllowance()
 	s.tried = make(map[string]bool)
 	s.edge.RetryBudget.RecordRequest(s.service.Name, time.Now())
 	for {
@@ -156,6 +165,7 @@
 			s.log("retry_denied")
 			return false
 		}
+		s.chargeRetry()
 	}
 	return true
 }
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -133,9 +133,11 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Credit:            grantController,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
+	grantController.SetCreditKeeper(s.edge)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
 	s.controllers = []controller.Controller{
@@ -149,6 +151,7 @@
 		peerlist.New(s.board, p.Store, s.gateways, logger),
 		stats.New(logger),
 		grantController,
+		edge.Allowances{Edge: s.edge},
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
 		heartbeat.New(heartbeat.Config{
 			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, Limits: limits, OwnStoreStatus: s.storeStatus,
--- /dev/null
+++ b/internal/fleet/coordination.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// coordinatorAge is how long a gateway has to be known before the others take it for a
+// coordinator over all regions: it knows the fleet by then, and the others know it.
+const coordinatorAge = 3 * time.Second
+
+// RememberedGateway is a gateway that may still run.
+type RememberedGateway struct {
+	GatewayStatus
+	IsAlive bool
+	// MayCoordinate is set if the gateway is alive and known for long enough.
+	MayCoordinate bool
+	// LastSeen is the time of its last status. If there was none, it is when this gateway
+	// started.
+	LastSeen time.Time
+}
+
+// RememberedEverywhere returns the gateways of all regions that are remembered and not
+// leaving, without this one, ordered by id.
+func (g *Gateways) RememberedEverywhere(now time.Time) []RememberedGateway {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	var out []RememberedGateway
+	for _, m := range g.known {
+		if m.status.Leaving || !g.isRemembered(m) {
+			continue
+		}
+		r := RememberedGateway{GatewayStatus: m.status, IsAlive: !m.lastSeen.IsZero() && g.isAlive(m, now), LastSeen: m.lastSeen}
+		if m.lastSeen.IsZero() {
+			r.LastSeen = g.startedAt
+		}
+		// Those that a gateway finds when it starts were there before.
+		isOld := now.Sub(m.foundAt) >= coordinatorAge || m.foundAt.Sub(g.startedAt) < settleTime
+		r.MayCoordinate = r.IsAlive && isOld && m.status.GrantAddress != ""
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b RememberedGateway) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// MayCoordinate reports whether this gateway may be a coordinator over all regions: it
+// has run for long enough to know the others and to be known to them, and isn't leaving.
+func (g *Gateways) MayCoordinate(now time.Time) bool {
+	return !g.IsLeaving() && g.IsSettled(now) && now.Sub(g.startedAt) >= coordinatorAge
+}
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -100,6 +100,8 @@
 	// is when the gateway was last in the store's list.
 	lastSeen time.Time
 	listedAt time.Time
+	// foundAt is when the current incarnation was first seen.
+	foundAt time.Time
 	// viaSummary is set if the last status came in a region summary.
 	viaSummary bool
 	// reportedSilent is set once NewlySilent has returned the gateway, until it is
@@ -160,7 +162,7 @@
 		g.foundAt = now
 	}
 	if !ok {
-		g.known[s.ID] = &member{status: s, lastSeen: now}
+		g.known[s.ID] = &member{status: s, lastSeen: now, foundAt: now}
 		g.contactAt = now
 		g.changes++
 		return true
@@ -175,6 +177,9 @@
 		g.changes++
 	}
 	becameAlive := m.lastSeen.IsZero() || now.Sub(m.lastSeen) > SilenceTimeout || m.status.Incarnation != s.Incarnation
+	if m.lastSeen.IsZero() || m.status.Incarnation != s.Incarnation {
+		m.foundAt = now
+	}
 	m.status, m.lastSeen, m.viaSummary = s, now, false
 	return becameAlive
 }
@@ -261,7 +266,7 @@
 				g.changes++
 			}
 			if m.lastSeen.IsZero() {
-				g.foundAt = now
+				g.foundAt, m.foundAt = now, now
 			}
 			g.contactAt = now
 			m.status.Ready, m.lastSeen, m.viaSummary = ready, now, true
--- a/internal/httpmeta/httpmeta.go
+++ b/internal/httpmeta/httpmeta.go
@@ -20,6 +20,9 @@
 	LastEventID string
 	// Key is the key of the caller's account; empty if the request has none.
 	Key string
+	// TokenCount is the number of prompt tokens and of the output tokens at most, together;
+	// nil if the request doesn't say.
+	TokenCount *int
 	// Prompt is nil for requests without a model.
 	Prompt *PromptInfo
 }
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -77,6 +77,11 @@
 	// PrefixReuseWindow is the time in which a prompt prefix is worth keeping
 	// in a cache.
 	PrefixReuseWindow time.Duration
+	// In any window of QuotaWindow, requests of a client account cost at most what its
+	// allowance permits in that time, multiplied by 1 + QuotaOverage, plus QuotaSlack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// MaxEventDelay is the longest time that a gateway may delay an event of a
 	// stream.
 	MaxEventDelay time.Duration
