--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -5,7 +5,8 @@
 const (
 	// aheadShare is the part of the bucket that is kept for requests that wait, and
 	// aheadRequests the number of large requests for which it is kept at least: credit
-	// ahead of the demand is granted only from what exceeds both.
+	// ahead of the demand is granted only from what exceeds both, and no more than
+	// aheadShare of the bucket to one gateway.
 	aheadShare    = 0.25
 	aheadRequests = 4
 	// longTTLShare is the part of the credit that may be outstanding up to which credit
@@ -89,7 +90,7 @@
 	g := Grant{TTL: span - returnTime}
 	switch {
 	case b.level >= ask.Need:
-		g.Credit = ask.Need + min(ask.Ahead, max(0, b.level-ask.Need-max(aheadShare*capacity, aheadRequests*b.largest)))
+		g.Credit = ask.Need + min(ask.Ahead, aheadShare*capacity, max(0, b.level-ask.Need-max(aheadShare*capacity, aheadRequests*b.largest)))
 	case b.level >= ask.First:
 		g.Credit = b.level
 	}
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -42,9 +42,15 @@
 
 // start runs a controller on a loopback address and returns the address.
 func start(t *testing.T, coordinator Coordinator) (*Controller, string) {
+	return startWith(t, coordinator, func(*Controller) {})
+}
+
+// startWith is start with a further set-up.
+func startWith(t *testing.T, coordinator Coordinator, setUp func(*Controller)) (*Controller, string) {
 	conn := listen(t)
 	c := New(conn, log.New(io.Discard))
 	c.SetCoordinator(coordinator)
+	setUp(c)
 	tb := new(tomb.Tomb)
 	tb.Go(func() error { return c.Run(tb) })
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/fleet/coordination_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// mayCoordinate returns the ids of the gateways that may coordinate.
+func mayCoordinate(g *Gateways, now time.Time) []string {
+	var out []string
+	for _, r := range g.RememberedEverywhere(now) {
+		if r.MayCoordinate {
+			out = append(out, r.ID)
+		}
+	}
+	return out
+}
+
+// TestNewGatewaysDontCoordinateAtOnce guards against a gateway that is chosen before it
+// knows the fleet, and against one that starts and chooses others than the rest does.
+func TestNewGatewaysDontCoordinateAtOnce(t *testing.T) {
+	g := NewGateways(gateway("self", "north"), start)
+	withGrants := func(id, region, incarnation string, seq uint64) GatewayStatus {
+		s := status(id, region, seq)
+		s.GrantAddress, s.Incarnation = id+":4", incarnation
+		return s
+	}
+	g.ApplyStatus(withGrants("a", "north", "1", 1), at(time.Second))
+	g.ApplyStatus(status("no-address", "north", 1), at(time.Second))
+	require.Equal(t, []string{"a"}, mayCoordinate(g, at(time.Second)), "found at the start")
+	require.False(t, g.MayCoordinate(at(2900*time.Millisecond)))
+	require.True(t, g.MayCoordinate(at(3*time.Second)))
+
+	g.ApplyStatus(withGrants("a", "north", "1", 2), at(10*time.Second))
+	g.ApplyStatus(withGrants("b", "south", "1", 1), at(10*time.Second))
+	require.Equal(t, []string{"a"}, mayCoordinate(g, at(11*time.Second)), "b is new")
+	g.ApplyStatus(withGrants("a", "north", "2", 1), at(12*time.Second))
+	g.ApplyStatus(withGrants("b", "south", "1", 2), at(13*time.Second))
+	require.Equal(t, []string{"b"}, mayCoordinate(g, at(13*time.Second)), "a has started again")
+	g.ApplyStatus(withGrants("a", "north", "2", 2), at(15*time.Second))
+	require.Equal(t, []string{"a"}, mayCoordinate(g, at(15*time.Second)), "b is silent")
+	require.Len(t, g.RememberedEverywhere(at(15*time.Second)), 3, "b may still run")
+	leaving := withGrants("a", "north", "2", 3)
+	leaving.Leaving = true
+	g.ApplyStatus(leaving, at(15*time.Second))
+	require.Empty(t, mayCoordinate(g, at(15*time.Second)))
+	g.SetLeaving()
+	require.False(t, g.MayCoordinate(at(15*time.Second)))
+}
