Allowances: fewer asks over the limit, coordinators on large machines

Over the limit each gateway asked once a round trip: 42 datagrams a second and gateway, 1,260 asks a second at the coordinator of 60 gateways, which may be a machine of 0.144 cores and 10 Mbit/s. A gateway that got too little now asks again after 0.1 s, and only machines of at least half of the largest capacity coordinate.

--- a/internal/allowance/wallet.go
+++ b/internal/allowance/wallet.go
@@ -8,6 +8,10 @@
 const (
 	// askInterval is the least time between two asks for requests that wait.
 	askInterval = 20 * time.Millisecond
+	// deniedInterval is the time without an ask after one that got too little. Over the
+	// limit each gateway would otherwise ask once a round trip, 40 times a second from 60
+	// gateways, and the coordinator may be a small machine.
+	deniedInterval = 100 * time.Millisecond
 	// aheadIntervalShare is the least time between two asks ahead of the demand, as a part
 	// of the TTL of credit.
 	aheadIntervalShare = 0.5
@@ -235,6 +239,9 @@
 	if isLate {
 		return
 	}
+	if g.RetryAfter > 0 {
+		w.nextAt = now.Add(min(g.RetryAfter, deniedInterval))
+	}
 	w.waiting = slices.DeleteFunc(w.waiting, func(waiter *Waiter) bool {
 		if !waiter.asked {
 			return false
--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// capacityShare is the part of the largest machine's capacity that a coordinator has at
+	// least: asks of 295 gateways take 4 Mbit/s, and some links have 10.
+	capacityShare = 0.5
 	// viewTTL is how long a coordinationView is used.
 	viewTTL = 100 * time.Millisecond
 	// takeOverTime is how long a gateway that has become the coordinator grants nothing:
@@ -56,8 +59,9 @@
 	// this gateway.
 	members map[string]fleet.RememberedGateway
 	total   int
-	// candidates are the gateways that may coordinate.
-	candidates *coordinators
+	// candidates are the gateways that may coordinate: those of at least leastCapacity.
+	candidates    *coordinators
+	leastCapacity int
 }
 
 // currentView returns the view of the fleet. The caller must hold the lock.
@@ -68,15 +72,27 @@
 	gateways := k.edge.Gateways
 	v := &coordinationView{builtAt: now, members: make(map[string]fleet.RememberedGateway)}
 	candidates := &coordinators{selfID: gateways.Self().ID, byEndpoint: &assignments{byEndpoint: make(map[string]string)}}
-	for _, g := range gateways.RememberedEverywhere(now) {
+	remembered := gateways.RememberedEverywhere(now)
+	if gateways.MayCoordinate(now) {
+		candidates.ids = append(candidates.ids, candidates.selfID)
+		v.leastCapacity = gateways.Self().MachineCapacity
+	}
+	for _, g := range remembered {
 		v.members[g.ID] = g
 		if g.MayCoordinate {
 			candidates.ids = append(candidates.ids, g.ID)
+			v.leastCapacity = max(v.leastCapacity, g.MachineCapacity)
 		}
 	}
-	if gateways.MayCoordinate(now) {
-		candidates.ids = append(candidates.ids, candidates.selfID)
-	}
+	v.leastCapacity = int(capacityShare * float64(v.leastCapacity))
+	candidates.ids = slices.DeleteFunc(candidates.ids, func(id string) bool {
+		capacity := v.members[id].MachineCapacity
+		if id == candidates.selfID {
+			capacity = gateways.Self().MachineCapacity
+		}
+		return capacity < v.leastCapacity
+	})
+	slices.Sort(candidates.ids)
 	if k.view != nil && slices.Equal(candidates.ids, k.view.candidates.ids) {
 		candidates.byEndpoint = k.view.candidates.byEndpoint
 	}
@@ -169,10 +185,10 @@
 // gateway which isn't heard waits until that one, if it still runs, has noticed that it
 // doesn't hear this gateway's group and keeps back the group's part.
 func (k *allowances) startDelay(name string, realNow time.Time) time.Duration {
-	key, self := coordinatorKeyPrefix+accountKeyPrefix+name, k.edge.Gateways.Self().ID
-	weight, delay := rendezvous.Weight(key, self), takeOverTime
-	for id, g := range k.currentView(realNow).members {
-		if !g.IsAlive && rendezvous.Weight(key, id) > weight {
+	key, view := coordinatorKeyPrefix+accountKeyPrefix+name, k.currentView(realNow)
+	weight, delay := rendezvous.Weight(key, k.edge.Gateways.Self().ID), takeOverTime
+	for id, g := range view.members {
+		if !g.IsAlive && g.MachineCapacity >= view.leastCapacity && rendezvous.Weight(key, id) > weight {
 			delay = max(delay, g.LastSeen.Add(allowance.DetectionTime).Sub(realNow))
 		}
 	}
--- /dev/null
+++ b/internal/edge/allowancecoordinator_test.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/account"
+	"github.com/hickorystage/hickorystage/internal/allowance"
+	"github.com/hickorystage/hickorystage/internal/controller/grants"
+	"github.com/hickorystage/hickorystage/internal/fleet"
+)
+
+// addPeer lets a gateway hear another one, which it has known for long.
+func addPeer(e *Edge, id string, capacity int) {
+	status := fleet.GatewayStatus{Gateway: fleet.Gateway{ID: id, Incarnation: "1", Region: "south", GrantAddress: id + ":7", MachineCapacity: capacity}, Ready: true}
+	e.Gateways.ApplyStatus(status, time.Now().Add(-time.Minute))
+	status.Seq = 1
+	e.Gateways.ApplyStatus(status, time.Now())
+}
+
+// TestSmallMachinesDontCoordinate guards against a coordinator whose link the asks of a
+// large fleet fill.
+func TestSmallMachinesDontCoordinate(t *testing.T) {
+	e := newCluster(t, "north").regions["north"].edge
+	addPeer(e, "large", 200)
+	addPeer(e, "half", 100)
+	addPeer(e, "small", 99)
+	view := e.allowances.currentView(time.Now())
+	require.Equal(t, []string{"half", "large"}, view.candidates.ids, "nor this one, whose capacity is 0")
+	require.Equal(t, 4, view.total)
+}
+
+// TestOtherGatewaysAreNamedAsCoordinator guards against an asker that goes on asking a
+// gateway that isn't the coordinator, as long as its view of the fleet is older.
+func TestOtherGatewaysAreNamedAsCoordinator(t *testing.T) {
+	acc := limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 100, Burst: 100})
+	e := newCluster(t, "north").regions["north"].edge
+	addPeer(e, "large", 200)
+	got := e.AnswerCredit(grants.CreditAsk{Account: acc.Name, Gateway: "g2", AskedAt: 7, PerSecond: 100, Burst: 100, Need: 1, First: 1})
+	require.Equal(t, grants.CreditGrant{Account: acc.Name, Gateway: "gw-north", AskedAt: 7, Coordinator: "large", Address: "large:7", Starting: true}, got)
+
+	// The asking gateway follows, for a while.
+	k := e.allowances
+	k.accounts[acc.Name] = &limitedAccount{name: acc.Name, wallet: allowance.NewWallet(), coordinator: "large"}
+	e.ReceiveCredit(grants.CreditGrant{Account: acc.Name, Gateway: "large", Coordinator: "other", Address: "other:7", Starting: true})
+	now := k.now()
+	require.Equal(t, gatewayAddress{"other", "other:7"}, k.target(k.accounts[acc.Name], now, time.Now()))
+	require.Equal(t, gatewayAddress{"large", "large:7"}, k.target(k.accounts[acc.Name], now.Add(redirectTime), time.Now()))
+}
+
+// TestFrozenCoordinatorBeginsEmpty guards against a gateway that goes on with a full bucket
+// after others have handed out the limit.
+func TestFrozenCoordinatorBeginsEmpty(t *testing.T) {
+	c, acc := newAccountCluster(t, "north"), limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 100, Burst: 1000})
+	c.regions["north"].setAccounts(c, 7, acc)
+	k := c.regions["north"].edge.allowances
+	clock := time.Now()
+	k.now = func() time.Time { return clock }
+	fillBucket(k.edge, acc)
+	k.tick()
+	ask := grants.CreditAsk{Account: acc.Name, Gateway: "g2", Version: 7, PerSecond: 100, Burst: 1000, Need: 10, First: 10}
+	clock = clock.Add(900 * time.Millisecond)
+	require.InDelta(t, 10.0, k.answer(ask, time.Now()).Credit, 0.1)
+	clock = clock.Add(100 * time.Millisecond)
+	require.True(t, k.answer(ask, time.Now()).Starting, "it stood still for 1 s")
+	clock = clock.Add(takeOverTime)
+	require.Zero(t, k.answer(ask, time.Now()).Credit)
+}
+
+// TestAccountsThatNobodyAsksForAreForgotten guards against state that grows with the names
+// in other gateways' asks.
+func TestAccountsThatNobodyAsksForAreForgotten(t *testing.T) {
+	c := newAccountCluster(t, "north")
+	k := c.regions["north"].edge.allowances
+	clock := time.Now()
+	k.now = func() time.Time { return clock }
+	for i := range 100 {
+		k.answer(grants.CreditAsk{Account: fmt.Sprint("n", i), Gateway: "g2", PerSecond: 1, Burst: 1}, time.Now())
+	}
+	require.Len(t, k.coordinated, 100)
+	clock = clock.Add(forgetTime + time.Second)
+	k.tick()
+	require.Empty(t, k.coordinated)
+}
