--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/hickorystage/hickorystage/internal/allowance"
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/rendezvous"
 )
 
 // addPeer lets a gateway hear another one, which it has known for long.
@@ -85,3 +87,30 @@
 	k.tick()
 	require.Empty(t, k.coordinated)
 }
+
+// TestReplacementWaitsUntilTheOthersHaveNoticed guards against two groups of gateways that
+// don't hear each other and both count a gateway that asked neither yet.
+func TestReplacementWaitsUntilTheOthersHaveNoticed(t *testing.T) {
+	e := newCluster(t, "north").regions["north"].edge
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, fmt.Sprint("peer-", i))
+	}
+	key := coordinatorKeyPrefix + accountKeyPrefix + "n1"
+	self := rendezvous.Weight(key, "gw-north")
+	higher := slices.IndexFunc(ids, func(id string) bool { return rendezvous.Weight(key, id) > self })
+	lower := slices.IndexFunc(ids, func(id string) bool { return rendezvous.Weight(key, id) < self })
+	heardAt := time.Now()
+	later := heardAt.Add(2 * time.Second)
+	addPeer(e, ids[lower], 0)
+	require.Equal(t, takeOverTime, e.allowances.startDelay("n1", later), "it ranks below this gateway")
+	e.allowances.view = nil
+	addPeer(e, ids[higher], 0)
+	require.Equal(t, takeOverTime, e.allowances.startDelay("n1", heardAt), "it is alive")
+	e.allowances.view = nil
+	delay := e.allowances.startDelay("n1", later)
+	require.GreaterOrEqual(t, delay, allowance.DetectionTime-2*time.Second)
+	require.Less(t, delay, allowance.DetectionTime-time.Second, "counted from when it was last heard")
+	e.allowances.view = nil
+	require.Equal(t, takeOverTime, e.allowances.startDelay("n1", heardAt.Add(4*time.Second)))
+}
