--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -10,6 +10,9 @@
 //
 // The gateways of all regions ask the coordinators of client accounts for credit. These
 // asks go out ahead of the requests, so nobody waits for a response.
+//
+// Where the settings ask for strict revocation, they also ask each other how old the proof
+// is that their configuration is current.
 package grants
 
 import (
@@ -71,6 +74,7 @@
 	coordinator Coordinator
 	// creditKeeper is nil if this gateway deals with no credit.
 	creditKeeper CreditKeeper
+	prover       Prover
 	logger       *log.Logger
 
 	mu sync.Mutex
@@ -121,7 +125,9 @@
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
-	case (m.Response != nil || m.PermitResponse != nil) && c.deliver(m):
+	case m.ProofRequest != nil:
+		c.answerProof(m, from)
+	case (m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil) && c.deliver(m):
 	case c.handleCredit(m, from):
 	default:
 		malformed.Inc()
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -89,6 +89,8 @@
 	PermitResponse *PermitResponse `json:"pa,omitempty"`
 	CreditAsk      *CreditAsk      `json:"cq,omitempty"`
 	CreditGrant    *CreditGrant    `json:"ca,omitempty"`
+	ProofRequest   *ProofRequest   `json:"fq,omitempty"`
+	ProofResponse  *ProofResponse  `json:"fa,omitempty"`
 }
 
 // Admits reports whether the request may be granted at the endpoint.
