Allowances: no two coordinators after cuts and restarts

Three causes: a gateway that starts in a cut counted its own group only; gateways that had been apart took up to 3 s to agree on a coordinator that had restarted meanwhile; and a coordinator counted gateways that it hears and which, not hearing it, were served by another. Messages now tell the number of gateways, coordinators ask newcomers that rank above them, and those of a group claim whom they serve.

Tests of allowance and the allowance tests of edge pass.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -166,6 +166,23 @@
 	require.False(t, w.Alone(at(5*time.Second)))
 }
 
+// TestClaimedGatewaysAreLost guards against a coordinator that hands out the parts of
+// gateways which another one serves, and against one that never does again.
+func TestClaimedGatewaysAreLost(t *testing.T) {
+	c := &Contacts{}
+	c.Claim([]string{"g", "h"}, epoch)
+	require.True(t, c.IsLost("g", at(claimTime-1)))
+	require.False(t, c.IsLost("g", at(claimTime)))
+	require.False(t, c.IsLost("i", epoch))
+	c.Record("g", Ask{}, epoch)
+	c.Record("h", Ask{}, at(2*time.Second))
+	require.True(t, c.IsLost("g", at(2*time.Second)), "silent")
+	c.Remove(at(forgetTime), func(id string) bool { return id != "h" })
+	require.False(t, c.IsLost("g", at(forgetTime)), "forgotten")
+	require.Empty(t, c.gateways)
+	require.Empty(t, c.claims)
+}
+
 // TestGatewaysWithoutRequestsEndTheContact guards against a coordinator that keeps back
 // the parts of gateways that have no requests any more.
 func TestGatewaysWithoutRequestsEndTheContact(t *testing.T) {
--- a/internal/allowance/contact.go
+++ b/internal/allowance/contact.go
@@ -20,6 +20,12 @@
 	// for which gateways known from summaries count as alive, and a heartbeat. A gateway
 	// that was not in contact with the coordinator before uses its own part only then.
 	DetectionTime = 3500 * time.Millisecond
+	// forgetTime is the time without an ask after which a gateway counts as one that never
+	// asked. One that uses its own part goes on asking, and one that another coordinator
+	// serves is claimed by that.
+	forgetTime = 10 * time.Second
+	// claimTime is how long a claim counts. Coordinators repeat them several times a second.
+	claimTime = 1500 * time.Millisecond
 	// leaveTime is how long a gateway tries to end the contact.
 	leaveTime = 2 * time.Second
 )
@@ -81,7 +87,11 @@
 
 // Contacts are the gateways that ask a coordinator for credit of one account. The zero
 // value has none. It is not safe for concurrent use.
-type Contacts struct{ gateways map[string]gatewayContact }
+type Contacts struct {
+	gateways map[string]gatewayContact
+	// claims holds until when gateways count as served by another coordinator.
+	claims map[string]time.Time
+}
 
 type gatewayContact struct {
 	askedAt time.Time
@@ -104,19 +114,38 @@
 	return !isAlone
 }
 
-// Remove removes the gateways for which keep returns false: those that have left or are
-// forgotten.
-func (c *Contacts) Remove(keep func(gateway string) bool) {
-	for id := range c.gateways {
-		if !keep(id) {
+// Claim records that another coordinator, which can't hear this one, hands out the parts
+// of the gateways.
+func (c *Contacts) Claim(gateways []string, now time.Time) {
+	if c.claims == nil {
+		c.claims = make(map[string]time.Time)
+	}
+	for _, id := range gateways {
+		c.claims[id] = now.Add(claimTime)
+	}
+}
+
+// Remove removes the gateways for which keep returns false, those that have left or don't
+// run any more, and what is out of date.
+func (c *Contacts) Remove(now time.Time, keep func(gateway string) bool) {
+	for id, g := range c.gateways {
+		if !keep(id) || now.Sub(g.askedAt) >= forgetTime {
 			delete(c.gateways, id)
 		}
 	}
+	for id, until := range c.claims {
+		if !now.Before(until) {
+			delete(c.claims, id)
+		}
+	}
 }
 
 // IsLost reports whether a gateway that was in contact no longer is, so that its part of
 // the limit is its own.
 func (c *Contacts) IsLost(gateway string, now time.Time) bool {
+	if now.Before(c.claims[gateway]) {
+		return true
+	}
 	g, ok := c.gateways[gateway]
 	return ok && (g.isAlone || now.Sub(g.askedAt) >= silentAfter)
 }
--- a/internal/controller/grants/credit.go
+++ b/internal/controller/grants/credit.go
@@ -30,7 +30,15 @@
 	Version   uint64  `json:"v"`
 	PerSecond float64 `json:"r"`
 	Burst     float64 `json:"b"`
-	// The rest is an allowance.Ask.
+	// Gateways is the number of gateways that the asking one remembers, itself included.
+	Gateways int `json:"m,omitempty"`
+	// Probe is set if the asking gateway only wants to know whether the other one is the
+	// coordinator. The rest, an allowance.Ask, is empty then.
+	Probe bool `json:"p,omitempty"`
+	// Claimed are the gateways to which the asking one hands out credit as the coordinator
+	// of a group that doesn't hear the other one.
+	Claimed []string `json:"o,omitempty"`
+
 	Need             float64 `json:"n,omitempty"`
 	First            float64 `json:"f,omitempty"`
 	Ahead            float64 `json:"a,omitempty"`
@@ -63,10 +71,14 @@
 // CreditGrant is the response to a CreditAsk.
 type CreditGrant struct {
 	Account string `json:"t"`
-	// Gateway is the id of the responding gateway. AskedAt and Leave are those of the ask.
+	// Gateway is the id of the responding gateway. AskedAt, Leave and Probe are those of the
+	// ask.
 	Gateway string `json:"g"`
 	AskedAt int64  `json:"i"`
 	Leave   bool   `json:"l,omitempty"`
+	Probe   bool   `json:"p,omitempty"`
+	// Gateways is the number of gateways that the responding one remembers, itself included.
+	Gateways int `json:"m,omitempty"`
 	// Coordinator and Address are set if the responding gateway isn't the coordinator of
 	// the account: who is, as far as it knows, and where. Nothing is granted then.
 	Coordinator string `json:"c,omitempty"`
--- a/internal/edge/allowance_cluster_test.go
+++ b/internal/edge/allowance_cluster_test.go
@@ -139,10 +139,7 @@
 }
 
 func (g *allowanceGateway) deliver(to *allowanceGateway, f func(*Edge)) {
-	g.fleet.mu.Lock()
-	isHeard := g.fleet.hears(g, to)
-	g.fleet.mu.Unlock()
-	if !isHeard {
+	if !g.fleet.isHeard(g, to) {
 		return
 	}
 	transit := farTransit
@@ -161,7 +158,7 @@
 	g.seq++
 	status := fleet.GatewayStatus{Gateway: g.edge.Gateways.Self(), Seq: g.seq, Ready: true, Leaving: g.edge.Gateways.IsLeaving()}
 	for _, to := range g.fleet.gateways {
-		if to != g && !to.isDown && g.fleet.hears(g, to) {
+		if to != g && !to.isDown && g.fleet.isHeard(g, to) {
 			to.edge.Gateways.ApplyStatus(status, time.Now())
 		}
 	}
@@ -224,6 +221,13 @@
 
 // coordinator returns the gateway that coordinates the account in its own view.
 func (f *allowanceFleet) coordinator() *allowanceGateway {
+	g := f.findCoordinator()
+	require.NotNil(f.t, g)
+	return g
+}
+
+// findCoordinator is coordinator that returns nil if there is none.
+func (f *allowanceFleet) findCoordinator() *allowanceGateway {
 	for _, g := range f.gateways {
 		k := g.edge.allowances
 		k.mu.Lock()
@@ -233,10 +237,16 @@
 			return g
 		}
 	}
-	f.t.Fatal("no coordinator")
 	return nil
 }
 
+// isHeard reports whether a datagram sent now arrives.
+func (f *allowanceFleet) isHeard(from, to *allowanceGateway) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hears(from, to)
+}
+
 func (f *allowanceFleet) setHears(hears func(from, to *allowanceGateway) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -304,6 +314,15 @@
 		},
 		least: 0.85, leastOver: 0.8,
 	},
+	"a region cut off, then deaf": {
+		begin: func(f *allowanceFleet) {
+			f.setHears(func(from, to *allowanceGateway) bool { return (from.region() == "west") == (to.region() == "west") })
+			f.later = map[int]func(){600: func() {
+				f.setHears(func(from, to *allowanceGateway) bool { return from.region() == to.region() || to.region() != "west" })
+			}}
+		},
+		least: 0.85, leastOver: 0.8,
+	},
 	"a region hears nobody": {
 		begin: func(f *allowanceFleet) {
 			f.setHears(func(from, to *allowanceGateway) bool { return from.region() == to.region() || to.region() != "west" })
--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -25,6 +25,10 @@
 	// freezeGap is the time without a tick after which this gateway has stood still:
 	// others may have handed out the limits meanwhile.
 	freezeGap = time.Second
+	// toldTotalTime is how long the number of gateways that another one remembers counts,
+	// maxTotal bounds it.
+	toldTotalTime = 10 * time.Second
+	maxTotal      = 4096
 	// forgetTime is how long an account is kept that is asked for and that the
 	// configuration here doesn't have.
 	forgetTime = time.Minute
@@ -63,6 +67,8 @@
 	// candidates are the gateways that may coordinate: those of at least leastCapacity.
 	candidates    *coordinators
 	leastCapacity int
+	// newcomers are alive and not known for long enough to coordinate.
+	newcomers []gatewayAddress
 }
 
 // currentView returns the view of the fleet. The caller must hold the lock.
@@ -80,11 +86,16 @@
 	}
 	for _, g := range remembered {
 		v.members[g.ID] = g
-		if g.MayCoordinate {
+		if g.MayCoordinate || g.IsAlive && k.isConfirmed(g) {
 			candidates.ids = append(candidates.ids, g.ID)
 			v.leastCapacity = max(v.leastCapacity, g.MachineCapacity)
 		}
 	}
+	for _, g := range remembered {
+		if g.IsAlive && !g.MayCoordinate && g.GrantAddress != "" {
+			v.newcomers = append(v.newcomers, gatewayAddress{id: g.ID, address: g.GrantAddress})
+		}
+	}
 	v.leastCapacity = int(capacityShare * float64(v.leastCapacity))
 	candidates.ids = slices.DeleteFunc(candidates.ids, func(id string) bool {
 		capacity := v.members[id].MachineCapacity
@@ -126,14 +137,22 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, self := k.now(), k.edge.Gateways.Self()
-	response := grants.CreditGrant{Account: ask.Account, Gateway: self.ID, AskedAt: ask.AskedAt, Leave: ask.Leave}
+	response := grants.CreditGrant{Account: ask.Account, Gateway: self.ID, AskedAt: ask.AskedAt, Leave: ask.Leave, Probe: ask.Probe}
 	k.resetAfterFreeze(now)
+	k.noteTotal(ask.Gateways, now)
 	view := k.currentView(realNow)
+	response.Gateways = view.total
 	if id := view.coordinatorOf(ask.Account); id != self.ID {
 		response.Coordinator, response.Address = id, view.members[id].GrantAddress
 		response.Starting = true
 		return response
 	}
+	if ask.Probe {
+		c := k.coordinate(ask.Account, now, realNow)
+		c.contacts.Claim(ask.Claimed[:min(len(ask.Claimed), maxTotal)], now)
+		c.askedAt, response.Starting = now, c.bucket.IsStarting(now)
+		return response
+	}
 	limit := allowance.Limit{PerSecond: ask.PerSecond, Burst: ask.Burst}
 	if table := k.edge.Board.Routes.Get(); table != nil && table.Version > ask.Version {
 		if a, ok := table.Accounts.ByName(ask.Account); ok {
@@ -205,18 +224,36 @@
 			counted++
 		}
 	}
-	share := float64(counted) / float64(view.total)
+	total := k.total(now, realNow)
+	share := float64(counted) / float64(total)
 	if math.Abs(share-c.share) >= loggedShareChange {
 		c.share = share
-		k.edge.Logger.Info("share of an account's limit", "account", name, "share", share, "gateways", counted, "of", view.total)
+		k.edge.Logger.Info("share of an account's limit", "account", name, "share", share, "gateways", counted, "of", total)
 	}
 	return share
 }
 
+// noteTotal records how many gateways another one remembers.
+func (k *allowances) noteTotal(n int, now time.Time) {
+	if n >= k.toldTotal || now.Sub(k.toldAt) > toldTotalTime {
+		k.toldTotal, k.toldAt = n, now
+	}
+}
+
+// total returns the number of gateways that may still run. One that has started in a group
+// that doesn't hear the rest remembers only that group, but the others tell it.
+func (k *allowances) total(now, realNow time.Time) int {
+	own := k.currentView(realNow).total
+	if now.Sub(k.toldAt) > toldTotalTime {
+		return own
+	}
+	return max(own, min(k.toldTotal, maxTotal))
+}
+
 // keepBuckets creates the buckets of the accounts that this gateway has come to
-// coordinate, so that they fill before the first request, and drops the others. The
-// caller must hold the lock.
-func (k *allowances) keepBuckets(now, realNow time.Time) {
+// coordinate, so that they fill before the first request, and drops the others. It returns
+// what other gateways are to be asked. The caller must hold the lock.
+func (k *allowances) keepBuckets(now, realNow time.Time) []creditAsk {
 	k.resetAfterFreeze(now)
 	k.tickedAt = now
 	var accounts *account.Index
@@ -224,7 +261,7 @@
 		accounts = table.Accounts
 	}
 	if now.Sub(k.keptAt) < idleTick || accounts.Len() == 0 && len(k.coordinated) == 0 {
-		return
+		return nil
 	}
 	k.keptAt = now
 	view, self := k.currentView(realNow), k.edge.Gateways.Self().ID
@@ -234,16 +271,22 @@
 			delete(k.coordinated, name)
 			continue
 		}
-		c.contacts.Remove(func(id string) bool {
+		c.contacts.Remove(now, func(id string) bool {
 			_, ok := view.members[id]
 			return ok || id == self
 		})
 	}
+	var asks []creditAsk
 	for a := range accounts.All() {
+		if a.Allowance.IsLimited() {
+			asks = append(asks, k.askSuccessor(a, now, realNow)...)
+			asks = append(asks, k.claim(a, now, realNow)...)
+		}
 		if c := k.coordinated[a.Name]; a.Allowance.IsLimited() && (c == nil || c.bucket == nil) && view.coordinatorOf(a.Name) == self {
 			k.coordinate(a.Name, now, realNow).bucket.Configure(limitOf(a), k.bounds())
 		}
 	}
+	return asks
 }
 
 // resetAfterFreeze empties all buckets if this gateway has stood still. The caller must
--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -42,7 +42,7 @@
 	e := newCluster(t, "north").regions["north"].edge
 	addPeer(e, "large", 200)
 	got := e.AnswerCredit(grants.CreditAsk{Account: acc.Name, Gateway: "g2", AskedAt: 7, PerSecond: 100, Burst: 100, Need: 1, First: 1})
-	require.Equal(t, grants.CreditGrant{Account: acc.Name, Gateway: "gw-north", AskedAt: 7, Coordinator: "large", Address: "large:7", Starting: true}, got)
+	require.Equal(t, grants.CreditGrant{Account: acc.Name, Gateway: "gw-north", AskedAt: 7, Gateways: 2, Coordinator: "large", Address: "large:7", Starting: true}, got)
 
 	// The asking gateway follows, for a while.
 	k := e.allowances
@@ -114,3 +114,52 @@
 	e.allowances.view = nil
 	require.Equal(t, takeOverTime, e.allowances.startDelay("n1", heardAt.Add(4*time.Second)))
 }
+
+// TestNewcomerThatCoordinatesIsConfirmed guards against two coordinators until one of them
+// has been known for long enough: gateways that were apart learn of each other late.
+func TestNewcomerThatCoordinatesIsConfirmed(t *testing.T) {
+	e, id := newCluster(t, "north").regions["north"].edge, ""
+	key := coordinatorKeyPrefix + accountKeyPrefix + "n1"
+	for i := 0; id == ""; i++ {
+		if peer := fmt.Sprint("peer-", i); rendezvous.Weight(key, peer) > rendezvous.Weight(key, "gw-north") {
+			id = peer
+		}
+	}
+	require.True(t, e.Gateways.MayCoordinate(time.Now()))
+	e.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: id, Incarnation: "1", Region: "south", GrantAddress: "a:7"}, Ready: true}, time.Now())
+	k, acc := e.allowances, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1})
+	require.Equal(t, "gw-north", k.currentView(time.Now()).coordinatorOf("n1"))
+	asks := k.askSuccessor(acc, k.now(), time.Now())
+	require.Len(t, asks, 1)
+	require.Equal(t, gatewayAddress{id, "a:7"}, asks[0].to)
+	require.True(t, asks[0].ask.Probe)
+	e.ReceiveCredit(grants.CreditGrant{Account: "n1", Gateway: id, Probe: true, Starting: true})
+	require.Equal(t, "gw-north", k.currentView(time.Now()).coordinatorOf("n1"), "it grants nothing yet")
+	e.ReceiveCredit(grants.CreditGrant{Account: "n1", Gateway: id, Probe: true})
+	require.Equal(t, id, k.currentView(time.Now()).coordinatorOf("n1"))
+	require.Len(t, k.askSuccessor(acc, k.now(), time.Now()), 1, "it has to be confirmed again")
+	clock := k.now().Add(confirmTime + time.Millisecond)
+	k.now = func() time.Time { return clock }
+	k.view = nil
+	require.Equal(t, "gw-north", k.currentView(time.Now()).coordinatorOf("n1"))
+}
+
+// TestGroupTellsTheProperCoordinatorWhomItServes guards against a coordinator that hands
+// out the parts of gateways which it hears and which don't hear it.
+func TestGroupTellsTheProperCoordinatorWhomItServes(t *testing.T) {
+	c := newCluster(t, "north")
+	e, acc := c.regions["north"].edge, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1})
+	k := e.allowances
+	member, key := "", coordinatorKeyPrefix+accountKeyPrefix+"n1"
+	for i := 0; member == ""; i++ {
+		if peer := fmt.Sprint("peer-", i); rendezvous.Weight(key, peer) < rendezvous.Weight(key, "gw-north") {
+			member = peer
+		}
+	}
+	addPeer(e, member, 0)
+	answer := k.answer(grants.CreditAsk{Account: "n1", Gateway: "other", PerSecond: 1, Probe: true, Gateways: 9, Claimed: []string{member}}, time.Now())
+	require.True(t, answer.Starting)
+	require.Equal(t, 9, k.total(k.now(), time.Now()), "it was told of nine gateways")
+	require.InDelta(t, 1.0/9, k.share("n1", k.coordinated["n1"], k.now(), time.Now()), 1e-9, "the member is claimed")
+	require.Empty(t, k.claim(acc, k.now(), time.Now()), "nobody ranks above this gateway")
+}
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -48,6 +48,12 @@
 	accounts    map[string]*limitedAccount
 	coordinated map[string]*coordinatedAccount
 	view        *coordinationView
+	// confirmed holds, by id, the gateways that have answered as coordinators.
+	confirmed map[string]confirmation
+	// toldTotal is the largest number of gateways that another one has lately remembered,
+	// toldAt when it said so.
+	toldTotal int
+	toldAt    time.Time
 	// tickedAt is when the loop last ran, by now.
 	tickedAt time.Time
 	// keptAt is when the buckets were last gone through.
@@ -77,6 +83,7 @@
 	return &allowances{
 		edge: e, now: func() time.Time { return time.Unix(0, int64(clock.Now())) }, wake: make(chan struct{}, 1),
 		accounts: make(map[string]*limitedAccount), coordinated: make(map[string]*coordinatedAccount),
+		confirmed: make(map[string]confirmation),
 	}
 }
 
@@ -184,7 +191,7 @@
 
 // askAlone is ask at a gateway that uses its own part of the limit.
 func (k *allowances) askAlone(acc *limitedAccount, to gatewayAddress, now, realNow time.Time) []creditAsk {
-	total := k.currentView(realNow).total
+	total := k.total(now, realNow)
 	if acc.own == nil {
 		acc.own = allowance.NewBucket(now)
 		k.edge.Logger.Warn("the coordinator of an account doesn't answer; using this gateway's part of the limit",
@@ -222,7 +229,7 @@
 func (k *allowances) message(acc *limitedAccount, ask allowance.Ask, now time.Time) grants.CreditAsk {
 	return grants.CreditAsk{
 		Account: acc.name, Gateway: k.edge.Gateways.Self().ID, AskedAt: now.UnixNano(),
-		Version: acc.version, PerSecond: acc.limit.PerSecond, Burst: acc.limit.Burst,
+		Version: acc.version, PerSecond: acc.limit.PerSecond, Burst: acc.limit.Burst, Gateways: k.currentView(time.Now()).total,
 		Need: ask.Need, First: ask.First, Ahead: ask.Ahead, Returned: ask.Returned,
 		UnansweredMillis: ask.Unanswered.Milliseconds(), Leave: ask.Leave,
 	}
@@ -248,9 +255,13 @@
 func (k *allowances) receive(g grants.CreditGrant) {
 	k.mu.Lock()
 	now := k.now()
+	k.noteTotal(g.Gateways, now)
+	if g.Coordinator == "" && !g.Starting {
+		k.confirm(g.Gateway, now)
+	}
 	acc, ok := k.accounts[g.Account]
-	if !ok || g.Gateway != acc.coordinator {
-		// Another coordinator has been chosen meanwhile. The credit lapses.
+	if !ok || g.Probe || g.Gateway != acc.coordinator {
+		// Another coordinator may have been chosen meanwhile. The credit lapses.
 		k.mu.Unlock()
 		return
 	}
@@ -288,7 +299,7 @@
 		}
 		asks = append(asks, k.ask(acc, now)...)
 	}
-	k.keepBuckets(now, time.Now())
+	asks = append(asks, k.keepBuckets(now, time.Now())...)
 	isActive := len(k.accounts) > 0
 	k.mu.Unlock()
 	k.send(asks)
