--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -35,15 +35,23 @@
 	level, _ := log.ParseLevel(edgeSettings.LogLevel)
 	logger := telemetry.NewLogger(out, level).With("instance", platformSettings.Instance)
 	setGCPercent()
+	setMemoryLimit(platformSettings.MemoryBytes)
 	store := platform.NewStore(platformSettings.StoreAddress, platform.StoreOptions{})
 	server, err := edgeserver.New(platformSettings, edgeserver.Platform{
-		Settings:        func() (*settings.PlatformSettings, error) { return platform.ReadSettings(path) },
+		Settings: func() (*settings.PlatformSettings, error) {
+			changed, err := platform.ReadSettings(path)
+			if err == nil {
+				setMemoryLimit(changed.MemoryBytes)
+			}
+			return changed, err
+		},
 		SettingsChanged: hangupSignals(),
 		Store:           store,
 		OperatorSource:  platform.OperatorSource{Store: store},
 		EndpointSource:  platform.EndpointSource{Store: store},
 		Codec:           platform.HeaderCodec{},
 		MetricsPort:     edgeSettings.MetricsPort,
+		EndpointPace:    edgeSettings.EndpointPace,
 		NewDirectoryHandler: func(addresses func(host, region string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directoryFunc(addresses))
 		},
--- a/internal/controller/configproof/ask_test.go
+++ b/internal/controller/configproof/ask_test.go
@@ -32,8 +32,8 @@
 	return grants.ProofResponse{}, &grants.NoResponseError{Gateway: gateway}
 }
 
-func (*scriptedPeers) ReadConfig(context.Context) error   { return nil }
-func (*scriptedPeers) Fetch(context.Context, string) bool { return false }
+func (*scriptedPeers) ReadConfig(context.Context) error           { return nil }
+func (*scriptedPeers) Fetch(context.Context, string, uint64) bool { return false }
 
 // stoppedClock is a freshness.Clock at a fixed time.
 type stoppedClock struct{}
@@ -48,6 +48,7 @@
 
 // TestAskHubs checks which hubs are asked and what of their answers counts.
 func TestAskHubs(t *testing.T) {
+	negative, huge := int64(-5), int64(1)<<62
 	for name, tc := range map[string]struct {
 		responses map[string]grants.ProofResponse
 		asked     []string
@@ -59,7 +60,7 @@
 		"the first is out of touch": {map[string]grants.ProofResponse{"h1": proofOf(4*time.Second, 1), "h2": proofOf(2*time.Second, 1)}, []string{"h1", "h2"}, 2 * time.Second, true},
 		"the first has no proof":    {map[string]grants.ProofResponse{"h1": {Version: 1}, "h2": proofOf(0, 1)}, []string{"h1", "h2"}, 0, true},
 		"a version can't be had":    {map[string]grants.ProofResponse{"h1": proofOf(0, 2), "h2": proofOf(0, 2)}, []string{"h1", "h2"}, 0, false},
-		"an age is forged":          {map[string]grants.ProofResponse{"h1": {Proved: true, AgeMicros: -5, Version: 1}, "h2": {Proved: true, AgeMicros: 1 << 62, Version: 1}}, []string{"h1", "h2"}, 0, false},
+		"an age is forged":          {map[string]grants.ProofResponse{"h1": {AgeMicros: &negative, Version: 1}, "h2": {AgeMicros: &huge, Version: 1}}, []string{"h1", "h2"}, 0, false},
 		"nobody answers":            {nil, []string{"h1", "h2"}, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -28,6 +28,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/hickorystage/hickorystage/internal/datagram"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -48,6 +49,7 @@
 	permitsAsked     = telemetry.NewCounter("permits_asked", "requests", "requests for a permit sent to coordinators of endpoints that name a limit")
 	permitsAnswered  = telemetry.NewCounter("permits_answered", "requests", "requests of other gateways for a permit answered")
 	requestsTimedOut = telemetry.NewCounter("grants_unanswered", "requests", "grant and permit requests without a response in time")
+	releasesSent     = telemetry.NewCounter("grants_released", "releases", "ends of granted requests told to endpoint coordinators at other gateways")
 	sentBytes        = telemetry.NewCounter("grants_sent_bytes", "bytes", "size of the grant requests and responses sent")
 	malformed        = telemetry.NewCounter("grants_malformed", "datagrams", "datagrams that are neither a grant request nor an expected response")
 )
@@ -65,6 +67,7 @@
 type Coordinator interface {
 	Grant(req Request, now time.Time) Response
 	Permit(req PermitRequest, now time.Time) PermitResponse
+	Release(r Release, now time.Time)
 }
 
 // Controller sends grant requests, and answers those of other gateways through
@@ -75,6 +78,7 @@
 	// creditKeeper is nil if this gateway deals with no credit.
 	creditKeeper CreditKeeper
 	prover       Prover
+	recordPace   func(PaceReport, time.Time)
 	logger       *log.Logger
 
 	mu sync.Mutex
@@ -85,6 +89,9 @@
 	// requests.
 	pending      map[uint64]chan message
 	unresponsive map[string]time.Time
+	// unreadableLog and refusedLog limit the log lines about messages that can't be read
+	// here, and by another gateway.
+	unreadableLog, refusedLog logLimit
 }
 
 // New returns a controller that communicates over conn. Run closes conn.
@@ -106,8 +113,8 @@
 	})
 	datagram.Receive(c.conn, maxDatagramBytes, c.logger, func(body []byte, from net.Addr) {
 		var m message
-		if err := json.Unmarshal(body, &m); err != nil {
-			malformed.Inc()
+		if problems := lenient.Decode(body, &m); len(problems) > 0 {
+			c.handleUnreadable(m, problems, from)
 			return
 		}
 		c.handle(m, from)
@@ -120,14 +127,18 @@
 	case m.Request != nil:
 		response := c.coordinator.Grant(*m.Request, time.Now())
 		requestsAnswered.Inc()
-		c.respond(message{RequestID: m.RequestID, Response: &response}, from)
+		c.respond(message{RequestID: m.RequestID, Response: &response, Unreadable: m.Unreadable}, from)
 	case m.PermitRequest != nil:
 		response := c.coordinator.Permit(*m.PermitRequest, time.Now())
 		permitsAnswered.Inc()
-		c.respond(message{RequestID: m.RequestID, PermitResponse: &response}, from)
+		c.respond(message{RequestID: m.RequestID, PermitResponse: &response, Unreadable: m.Unreadable}, from)
 	case m.ProofRequest != nil:
 		c.answerProof(m, from)
-	case (m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil) && c.deliver(m):
+	case m.PaceReport != nil:
+		c.handlePaceReport(*m.PaceReport)
+	case m.Release != nil:
+		c.coordinator.Release(*m.Release, time.Now())
+	case m.isResponse() && c.deliver(m):
 	case c.handleCredit(m, from):
 	default:
 		malformed.Inc()
@@ -161,6 +172,7 @@
 	if err != nil {
 		return Response{}, err
 	}
+	c.logRefused(gateway, m)
 	if m.Response == nil {
 		return Response{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
@@ -173,12 +185,23 @@
 	if err != nil {
 		return PermitResponse{}, err
 	}
+	c.logRefused(gateway, m)
 	if m.PermitResponse == nil {
 		return PermitResponse{}, errors.WithStack(&NoResponseError{Gateway: gateway})
 	}
 	return *m.PermitResponse, nil
 }
 
+// ReleaseGrant sends a release to the gateway with the given address.
+func (c *Controller) ReleaseGrant(address string, r Release) error {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return errors.Wrap(err, "resolve gateway address")
+	}
+	releasesSent.Inc()
+	return c.send(message{Release: &r}, to)
+}
+
 // exchange sends a request and returns the response. The error is a *NoResponseError if
 // there is none in time.
 func (c *Controller) exchange(ctx context.Context, gateway, address string, m message) (message, error) {
--- a/internal/controller/grants/proof.go
+++ b/internal/controller/grants/proof.go
@@ -32,33 +32,38 @@
 	// Nonce is random and repeated in the response. It keeps the response to a request of
 	// an earlier process at the same address from being taken for that to this one: ids
 	// start at 1 in each process.
-	Nonce uint64 `json:"r"`
+	Nonce uint64 `json:"r" lenient:"required"`
 }
 
-// ProofResponse states the age of a proof at the time of the response.
+// ProofResponse states the age of a proof at the time of the response. It is read whole or
+// not at all: without one of its fields, a proof would be taken for a younger one or for
+// that of another version.
 type ProofResponse struct {
-	Nonce uint64 `json:"r"`
-	// Proved is set if the gateway has a proof.
-	Proved    bool  `json:"p,omitempty"`
-	AgeMicros int64 `json:"a,omitempty"`
+	Nonce uint64 `json:"r" lenient:"required"`
+	// AgeMicros is the age in microseconds, nil if the gateway has no proof.
+	AgeMicros *int64 `json:"a,omitempty" lenient:"required"`
 	// Version is that of the configuration which was current then, Era the newest era of
 	// the store that the gateway knows of.
-	Version uint64 `json:"v,omitempty"`
-	Era     uint64 `json:"e,omitempty"`
+	Version uint64 `json:"v,omitempty" lenient:"required"`
+	Era     uint64 `json:"e,omitempty" lenient:"required"`
 }
 
-// SetAge sets the age, rounded up.
+// SetAge sets the age, rounded up. An age that can't be stated is left out.
 func (r *ProofResponse) SetAge(age time.Duration) {
-	r.AgeMicros = int64((age + time.Microsecond - 1) / time.Microsecond)
-	r.Proved = age >= 0 && age <= maxProofAge
+	if age < 0 || age > maxProofAge {
+		r.AgeMicros = nil
+		return
+	}
+	micros := int64((age + time.Microsecond - 1) / time.Microsecond)
+	r.AgeMicros = &micros
 }
 
 // Age returns the age. ok is false if there is no proof, or no credible one.
 func (r ProofResponse) Age() (age time.Duration, ok bool) {
-	if !r.Proved || r.AgeMicros < 0 || r.AgeMicros > maxProofAge.Microseconds() {
+	if r.Version == 0 || r.AgeMicros == nil || *r.AgeMicros < 0 || *r.AgeMicros > maxProofAge.Microseconds() {
 		return 0, false
 	}
-	return time.Duration(r.AgeMicros) * time.Microsecond, true
+	return time.Duration(*r.AgeMicros) * time.Microsecond, true
 }
 
 // Prover states the proof of this gateway.
