Credit: one unreadable field of a message costs that field

An ask with a field of another type was dropped, and its gateway got no credit. What can be read of it is answered, and the response tells the sender, as with grants.

--- a/internal/controller/grants/credit.go
+++ b/internal/controller/grants/credit.go
@@ -130,9 +130,10 @@
 	case m.CreditAsk != nil && m.CreditAsk.isValid():
 		response := c.creditKeeper.AnswerCredit(*m.CreditAsk)
 		creditAnswered.Inc()
-		c.respond(message{CreditGrant: &response}, from)
+		c.respond(message{CreditGrant: &response, Unreadable: m.Unreadable}, from)
 	case m.CreditGrant != nil && m.CreditGrant.isValid():
 		creditReceived.Inc()
+		c.logRefused(m.CreditGrant.Gateway, m)
 		c.creditKeeper.ReceiveCredit(*m.CreditGrant)
 	default:
 		return false
--- a/internal/controller/grants/credit_test.go
+++ b/internal/controller/grants/credit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/allowance"
+	"github.com/hickorystage/hickorystage/internal/lenient"
 )
 
 // fakeKeeper grants half of what is needed.
@@ -58,6 +59,24 @@
 	require.Equal(t, CreditGrant{Account: "n1", Credit: 3}, <-keeper.received, "only the last one is valid")
 }
 
+// TestUnreadableFieldOfAnAskCostsThatField guards against a gateway that gets no credit since
+// one field of its asks can't be read.
+func TestUnreadableFieldOfAnAskCostsThatField(t *testing.T) {
+	_, address := startWithKeeper(t, &fakeKeeper{})
+	stray := listen(t)
+	to, err := net.ResolveUDPAddr("udp", address)
+	require.NoError(t, err)
+	_, err = stray.WriteTo([]byte(`{"cq":{"t":"n1","g":"g1","i":7,"r":5,"n":8,"a":"many"}}`), to)
+	require.NoError(t, err)
+	buffer := make([]byte, maxDatagramBytes)
+	n, _, err := stray.ReadFrom(buffer)
+	require.NoError(t, err)
+	var m message
+	require.Empty(t, lenient.Decode(buffer[:n], &m))
+	require.InDelta(t, 4.0, m.CreditGrant.Credit, 0)
+	require.NotNil(t, m.Unreadable, "the asking gateway is told")
+}
+
 func startWithKeeper(t *testing.T, keeper CreditKeeper) (*Controller, string) {
 	return startWith(t, &fakeCoordinator{}, func(c *Controller) { c.SetCreditKeeper(keeper) })
 }
--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -138,8 +138,8 @@
 		c.handlePaceReport(*m.PaceReport)
 	case m.Release != nil:
 		c.coordinator.Release(*m.Release, time.Now())
-	case m.isResponse() && c.deliver(m):
 	case c.handleCredit(m, from):
+	case m.isResponse() && c.deliver(m):
 	default:
 		malformed.Inc()
 	}
--- a/internal/controller/grants/unreadable.go
+++ b/internal/controller/grants/unreadable.go
@@ -35,7 +35,8 @@
 // the rest if that is enough. The sender is told in any case, and a goroutine that waits for
 // a response doesn't take the other gateway for silent.
 func (c *Controller) handleUnreadable(m message, problems []lenient.Problem, from net.Addr) {
-	if m.RequestID == 0 {
+	isCredit := m.CreditAsk != nil || m.CreditGrant != nil
+	if m.RequestID == 0 && !isCredit {
 		malformed.Inc()
 		return
 	}
@@ -45,6 +46,11 @@
 		c.logger.Warn("cannot read a part of a grant message", "from", from, "problems", report.Problems, "count", report.Count)
 	}
 	switch {
+	case isCredit:
+		if m.CreditAsk != nil {
+			m.Unreadable = report
+		}
+		c.handle(m, from)
 	case m.Request != nil || m.PermitRequest != nil || m.ProofRequest != nil:
 		m.Unreadable = report
 		c.handle(m, from)
