--- /dev/null
+++ b/internal/edge/allowance_faults_test.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// allowanceFault is a fault or change of the fleet.
+type allowanceFault struct {
+	begin func(f *allowanceFleet)
+	// least is the least part of the demand that is served in the 12 s from its beginning,
+	// leastOver the least part of the limit while the demand is higher.
+	least, leastOver float64
+}
+
+var allowanceFaults = map[string]allowanceFault{
+	"calm": {begin: func(*allowanceFleet) {}, least: 1, leastOver: 0.95},
+	"coordinator killed": {
+		begin: func(f *allowanceFleet) { f.coordinator().stop() },
+		least: 0.85, leastOver: 0.8,
+	},
+	"coordinator leaves and starts again": {
+		begin: func(f *allowanceFleet) {
+			g := f.coordinator()
+			g.edge.Gateways.SetLeaving()
+			g.sendHeartbeats()
+			f.later = map[int]func(){200: g.stop, 300: g.start}
+		},
+		least: 0.9, leastOver: 0.85,
+	},
+	"coordinator restarts at once": {
+		begin: func(f *allowanceFleet) {
+			g := f.coordinator()
+			g.stop()
+			g.start()
+		},
+		least: 0.85, leastOver: 0.8,
+	},
+	"a region cut off": {
+		begin: func(f *allowanceFleet) {
+			f.setHears(func(from, to *allowanceGateway) bool { return (from.region() == "west") == (to.region() == "west") })
+		},
+		least: 0.85, leastOver: 0.8,
+	},
+	"a region cut off, then deaf": {
+		begin: func(f *allowanceFleet) {
+			f.setHears(func(from, to *allowanceGateway) bool { return (from.region() == "west") == (to.region() == "west") })
+			f.later = map[int]func(){600: func() {
+				f.setHears(func(from, to *allowanceGateway) bool { return from.region() == to.region() || to.region() != "west" })
+			}}
+		},
+		least: 0.85, leastOver: 0.8,
+	},
+	"a region hears nobody": {
+		begin: func(f *allowanceFleet) {
+			f.setHears(func(from, to *allowanceGateway) bool { return from.region() == to.region() || to.region() != "west" })
+		},
+		least: 0.85, leastOver: 0.8,
+	},
+	"nobody hears a region": {
+		begin: func(f *allowanceFleet) {
+			f.setHears(func(from, to *allowanceGateway) bool { return from.region() == to.region() || from.region() != "west" })
+		},
+		least: 0.85, leastOver: 0.8,
+	},
+}
+
+// TestAllowanceHoldsForTheSumOfAllGateways guards against gateways that choose different
+// coordinators, or take over too early or not at all, when gateways end, start or can't
+// hear each other.
+func TestAllowanceHoldsForTheSumOfAllGateways(t *testing.T) {
+	for name, fault := range allowanceFaults {
+		for load, part := range map[string]float64{"half": 0.5, "five times": 5} {
+			t.Run(name+", "+load, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newAllowanceFleet(t)
+					f.run(12*time.Second, 0)
+					rate := f.account.Allowance.RatePerSecond
+					f.run(3*time.Second, 0.2*rate)
+					_, refused := f.takeCounts()
+					require.Zero(t, refused)
+					f.run(2*time.Second, part*rate)
+					f.takeCounts()
+					fault.begin(f)
+					f.run(12*time.Second, part*rate)
+					time.Sleep(time.Second)
+					served, refused := f.takeCounts()
+					ofLimit := served * allowanceCost / (12 * rate)
+					t.Logf("served %.0f, refused %.0f, %.3f of the limit; worst window %.3f", served, refused, ofLimit, f.worst())
+					require.LessOrEqual(t, f.worst(), 1.0)
+					if part > 1 {
+						require.GreaterOrEqual(t, ofLimit, fault.leastOver)
+					} else {
+						require.GreaterOrEqual(t, served/(served+refused), fault.least)
+					}
+					for _, g := range f.gateways {
+						g.tomb.Kill(nil)
+						require.NoError(t, g.tomb.Wait())
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -163,3 +163,23 @@
 	require.InDelta(t, 1.0/9, k.share("n1", k.coordinated["n1"], k.now(), time.Now()), 1e-9, "the member is claimed")
 	require.Empty(t, k.claim(acc, k.now(), time.Now()), "nobody ranks above this gateway")
 }
+
+// TestFewGatewaysAreToldWhomAGroupServes guards against a gateway that hears nobody and
+// sends messages to half of a large fleet.
+func TestFewGatewaysAreToldWhomAGroupServes(t *testing.T) {
+	e, acc := newCluster(t, "north").regions["north"].edge, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1})
+	require.True(t, e.Gateways.MayCoordinate(time.Now()))
+	for i := range 60 {
+		status := fleet.GatewayStatus{Gateway: fleet.Gateway{ID: fmt.Sprint("peer-", i), Incarnation: "1", Region: "south", GrantAddress: "a:7"}}
+		e.Gateways.ApplyStatus(status, time.Now().Add(-10*time.Second))
+	}
+	k := e.allowances
+	k.coordinate("n1", k.now(), time.Now())
+	claims := k.claim(acc, k.now(), time.Now())
+	require.NotEmpty(t, claims)
+	require.LessOrEqual(t, len(claims), maxClaims)
+	for _, c := range claims {
+		require.Equal(t, []string{"gw-north"}, c.ask.Claimed)
+		require.Equal(t, 61, c.ask.Gateways)
+	}
+}
--- a/internal/edge/allowancesuccessor.go
+++ b/internal/edge/allowancesuccessor.go
@@ -13,6 +13,10 @@
 // may be, however short it has been known.
 const confirmTime = time.Second
 
+// maxClaims is the number of gateways, those of the highest rank, that are told whom a
+// coordinator serves. One that hears nobody would otherwise tell half of the fleet.
+const maxClaims = 8
+
 // confirmation says that an incarnation of a gateway has answered as a coordinator.
 type confirmation struct {
 	incarnation string
@@ -85,19 +89,25 @@
 	}
 	key := coordinatorKeyPrefix + accountKeyPrefix + a.Name
 	weight := rendezvous.Weight(key, self)
-	var asks []creditAsk
+	var above []string
 	for id, g := range view.members {
-		if g.IsAlive || g.GrantAddress == "" || g.MachineCapacity < view.leastCapacity || rendezvous.Weight(key, id) < weight {
-			continue
+		if !g.IsAlive && g.GrantAddress != "" && g.MachineCapacity >= view.leastCapacity && rendezvous.Weight(key, id) > weight {
+			above = append(above, id)
 		}
-		ask := k.probe(a, now, realNow)
-		ask.Claimed = append(ask.Claimed, self)
-		for served, s := range view.members {
-			if s.IsAlive && !c.contacts.IsLost(served, now) {
-				ask.Claimed = append(ask.Claimed, served)
-			}
+	}
+	if len(above) == 0 {
+		return nil
+	}
+	ask := k.probe(a, now, realNow)
+	ask.Claimed = append(ask.Claimed, self)
+	for id, g := range view.members {
+		if g.IsAlive && !c.contacts.IsLost(id, now) {
+			ask.Claimed = append(ask.Claimed, id)
 		}
-		asks = append(asks, creditAsk{gatewayAddress{id: id, address: g.GrantAddress}, ask})
+	}
+	var asks []creditAsk
+	for _, id := range rendezvous.Top(key, above, maxClaims) {
+		asks = append(asks, creditAsk{gatewayAddress{id: id, address: view.members[id].GrantAddress}, ask})
 	}
 	return asks
 }
