--- a/internal/controller/grants/credit_test.go
+++ b/internal/controller/grants/credit_test.go
@@ -78,5 +78,5 @@
 }
 
 func startWithKeeper(t *testing.T, keeper CreditKeeper) (*Controller, string) {
-	return startWith(t, &fakeCoordinator{}, func(c *Controller) { c.SetCreditKeeper(keeper) })
+	return startWith(t, listen(t), &fakeCoordinator{}, func(c *Controller) { c.SetCreditKeeper(keeper) })
 }
