--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -8,6 +8,9 @@
 // The gateways of a region of any size also ask coordinators for permits to send requests
 // to endpoints that name a limit. A gateway that gets no response sends none.
 //
+// The gateways of all regions ask the coordinators of client accounts for credit. These
+// asks go out ahead of the requests, so nobody waits for a response.
+//
 // Where the settings ask for strict revocation, they also ask each other how old the proof
 // is that their configuration is current.
 package grants
@@ -72,9 +75,11 @@
 type Controller struct {
 	conn        net.PacketConn
 	coordinator Coordinator
-	prover      Prover
-	recordPace  func(PaceReport, time.Time)
-	logger      *log.Logger
+	// creditKeeper is nil if this gateway deals with no credit.
+	creditKeeper CreditKeeper
+	prover       Prover
+	recordPace   func(PaceReport, time.Time)
+	logger       *log.Logger
 
 	mu sync.Mutex
 	// lastRequestID is the ID of the latest request sent.
@@ -133,6 +138,7 @@
 		c.handlePaceReport(*m.PaceReport)
 	case m.Release != nil:
 		c.coordinator.Release(*m.Release, time.Now())
+	case c.handleCredit(m, from):
 	case m.isResponse() && c.deliver(m):
 	default:
 		malformed.Inc()
--- a/internal/controller/grants/grants_test.go
+++ b/internal/controller/grants/grants_test.go
@@ -45,13 +45,19 @@
 
 // start runs a controller on a loopback address and returns the address.
 func start(t *testing.T, coordinator Coordinator) (*Controller, string) {
-	return startOn(t, listen(t), coordinator)
+	return startWith(t, listen(t), coordinator, func(*Controller) {})
 }
 
 // startOn is start with the given connection.
 func startOn(t *testing.T, conn net.PacketConn, coordinator Coordinator) (*Controller, string) {
+	return startWith(t, conn, coordinator, func(*Controller) {})
+}
+
+// startWith is startOn with a further set-up.
+func startWith(t *testing.T, conn net.PacketConn, coordinator Coordinator, setUp func(*Controller)) (*Controller, string) {
 	c := New(conn, log.New(io.Discard))
 	c.SetCoordinator(coordinator)
+	setUp(c)
 	tb := new(tomb.Tomb)
 	tb.Go(func() error { return c.Run(tb) })
 	t.Cleanup(func() {
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -120,6 +120,8 @@
 	PermitResponse *PermitResponse `json:"pa,omitempty" lenient:"parts"`
 	ProofRequest   *ProofRequest   `json:"fq,omitempty" lenient:"parts"`
 	ProofResponse  *ProofResponse  `json:"fa,omitempty" lenient:"parts"`
+	CreditAsk      *CreditAsk      `json:"cq,omitempty" lenient:"parts"`
+	CreditGrant    *CreditGrant    `json:"ca,omitempty" lenient:"parts"`
 	Release        *Release        `json:"r,omitempty" lenient:"parts"`
 	PaceReport     *PaceReport     `json:"pr,omitempty" lenient:"parts"`
 	// Unreadable tells which parts of the request can't be read. Without a response the
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,6 +71,9 @@
 	// Grants asks endpoint coordinators for grants, in large regions only, and for
 	// permits. It may be nil if this gateway is the only one of its region.
 	Grants Grants
+	// Credit asks the coordinators of client accounts for credit. It may be nil if this
+	// gateway is the only one.
+	Credit CreditSender
 	// Memory is the account of the bodies and responses that requests hold. If it is
 	// nil, nothing is refused for them.
 	Memory *memory.Account
@@ -98,6 +101,7 @@
 	health                                healthChecks
 	pacing                                *pacing
 	stopping                              *stopping
+	allowances                            *allowances
 	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
 	streamBacklog atomic.Int64
 }
@@ -109,6 +113,7 @@
 	if e.Memory == nil {
 		e.Memory = memory.NewAccount(0)
 	}
+	e.allowances = newAllowances(e)
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
 }
@@ -244,6 +249,7 @@
 // request the outcome is sent too, so that the forwarding gateway can decide
 // whether to try elsewhere.
 func (e *Edge) refuse(s *session, r *failure.Refusal) {
+	s.refusedAs = r.Outcome
 	if r.Outcome == failure.NotRun {
 		requestsRefused.Inc()
 	} else {
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -138,6 +138,7 @@
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
 		GatewayTransport:  transport.New(transport.NewDialFunc(), transport.RemoteDialTimeout),
 		Grants:            grantController,
+		Credit:            grantController,
 		Memory:            s.memory,
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
 		Pace:              newPace(p.EndpointPace),
@@ -145,6 +146,7 @@
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
+	grantController.SetCreditKeeper(s.edge)
 	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc())
@@ -166,6 +168,7 @@
 		peerlist.New(s.board, p.Store, s.gateways, logger),
 		stats.New(logger),
 		grantController,
+		edge.Allowances{Edge: s.edge},
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
 		heartbeat.New(heartbeat.Config{
 			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, Limits: limits, OwnStoreStatus: s.storeStatus,
