httpserver: log heads without memory

Heads that were refused or closed for want of memory appeared only in the counters. The line connections_bounded, once a second at most, now has their number.

--- a/internal/httpserver/pool.go
+++ b/internal/httpserver/pool.go
@@ -29,9 +29,10 @@
 	mu      sync.Mutex
 	table   *connlimit.Table
 	buffers connlimit.Buffers
-	// evicted and refused count the connections since the last log line at loggedAt.
-	evicted, refused int
-	loggedAt         time.Time
+	// evicted and refused count the connections since the last log line at loggedAt, heads
+	// those without memory.
+	evicted, refused, heads int
+	loggedAt                time.Time
 }
 
 // NewPool returns a pool without bounds, in which heads are reserved in account. A nil
@@ -107,10 +108,23 @@
 		refusedConns.Inc()
 		p.refused++
 	}
-	if p.evicted+p.refused > 0 && now.Sub(p.loggedAt) >= logInterval && p.logger != nil {
-		p.logger.Warn("connections_bounded", "evicted", p.evicted, "refused", p.refused, "open", p.table.Open(), "taken", p.table.Taken(), "limit", p.table.Limit())
-		p.evicted, p.refused, p.loggedAt = 0, 0, now
+	p.log(now)
+}
+
+// countHead counts a head that was refused or evicted because memory was short.
+func (p *Pool) countHead() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heads++
+	p.log(time.Now())
+}
+
+func (p *Pool) log(now time.Time) {
+	if p.evicted+p.refused+p.heads == 0 || now.Sub(p.loggedAt) < logInterval || p.logger == nil {
+		return
 	}
+	p.logger.Warn("connections_bounded", "evicted", p.evicted, "refused", p.refused, "heads", p.heads, "open", p.table.Open(), "taken", p.table.Taken(), "limit", p.table.Limit())
+	p.evicted, p.refused, p.heads, p.loggedAt = 0, 0, 0, now
 }
 
 // remove takes a connection that has ended out of the pool.
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -76,6 +76,10 @@
 		return nil
 	}
 	if err := head.Reserve(cost); err != nil {
+		var exhausted *memory.ExhaustedError
+		if errors.As(err, &exhausted) {
+			c.server.config.Pool.countHead()
+		}
 		return c.refuseRequest(refusal(c.server.config.RefusalHeader))
 	}
 	return nil
@@ -103,7 +107,10 @@
 	if pool := c.server.config.Pool; pool != nil {
 		pool.receiving(c)
 		if c.request.head = pool.openHead(); c.request.head != nil {
-			c.request.head.OnEvict(c.closeNow)
+			c.request.head.OnEvict(func() {
+				c.closeNow()
+				pool.countHead()
+			})
 		}
 	}
 	c.setRequestDeadline(c.server.limits().HeaderTimeout)
