--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,7 +15,6 @@
 
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
-	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/memory"
@@ -163,11 +162,6 @@
 		id := requestID(r)
 		c, err := g.authenticate(w, r, id)
 		defer c.releaseBody()
-		ctx := r.Context()
-		if bodyread.IsEvicted(err) {
-			// net/http takes the interrupted read for the caller's leaving.
-			ctx = context.WithoutCancel(ctx)
-		}
 		if err != nil && isActionRequest(r) {
 			err = action.WithUnknownOutcome(err)
 		}
