edge: charge the backlogs of slow callers to the memory account

Cause: events that a caller hasn't taken yet, up to 128 KB a stream and 8 MB a gateway, were held without a reservation, and a buffer that had once been large was kept until the stream's end. Change: each stream's writer holds a Response for its backlog and for the events that are being written. Without memory a stream goes on at its caller's pace, with one event in the backlog. Buffers over 4 KB are not kept. Result: TestBacklogIsCharged leaves the account at 0 after whole, abandoned, broken-off and unused streams; without the Close at the end, or without the charge, it fails. All tests of internal/edge pass.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -137,7 +137,7 @@
 	}
 	a.startResponse(resp)
 	if a.out == nil {
-		a.out = newStreamWriter(a.writer, &a.edge.streamBacklog)
+		a.out = newStreamWriter(a.writer, &a.edge.streamBacklog, a.edge.Memory)
 	}
 	return a.out.write(ctx, event, reader.Buffered() > 0)
 }
--- a/internal/edge/streamwriter.go
+++ b/internal/edge/streamwriter.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -32,6 +33,9 @@
 type streamWriter struct {
 	w     http.ResponseWriter
 	total *atomic.Int64
+	// hold is charged for the backlog and for the events that are being written, until the
+	// goroutine ends.
+	hold *memory.Holder
 
 	// wake tells the writing goroutine of events or of the end, space tells the other one
 	// that the backlog has become smaller. done is closed when the goroutine has ended.
@@ -44,8 +48,10 @@
 	err     error
 }
 
-func newStreamWriter(w http.ResponseWriter, total *atomic.Int64) *streamWriter {
-	s := &streamWriter{w: w, total: total, wake: make(chan struct{}, 1), space: make(chan struct{}, 1), done: make(chan struct{})}
+// newStreamWriter returns a writer to w, whose backlog counts in total and is charged to
+// account.
+func newStreamWriter(w http.ResponseWriter, total *atomic.Int64, account *memory.Account) *streamWriter {
+	s := &streamWriter{w: w, total: total, hold: account.Open(memory.Response), wake: make(chan struct{}, 1), space: make(chan struct{}, 1), done: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -60,6 +66,7 @@
 // run writes the backlog whenever there is one, until the end or an error.
 func (s *streamWriter) run() {
 	defer close(s.done)
+	defer s.hold.Close()
 	rc := http.NewResponseController(s.w)
 	var chunk []byte
 	for range s.wake {
@@ -79,6 +86,11 @@
 				err = rc.Flush()
 			}
 			s.total.Add(-int64(len(chunk)))
+			s.hold.Release(int64(len(chunk)))
+			if cap(chunk) > streamBufferBytes {
+				// The buffer of a large backlog is not kept, uncharged, until the stream ends.
+				chunk = nil
+			}
 			signal(s.space)
 			if err != nil {
 				s.fail(err)
@@ -120,15 +132,21 @@
 	}
 }
 
-// tryAdd adds an event if the backlog has room. An empty one has room for any event.
+// tryAdd adds an event if the backlog and the memory account have room. An empty backlog has
+// room for any event, so that streams go on, at the pace of their callers, while memory is
+// short.
 func (s *streamWriter) tryAdd(event []byte) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.backlog)
-	if s.err != nil {
+	switch {
+	case s.err != nil:
 		return false, s.err
-	}
-	if n > 0 && (n+len(event) > maxStreamBacklog || s.total.Load()+int64(len(event)) > maxTotalBacklog) {
+	case n == 0:
+		s.hold.Charge(int64(len(event)))
+	case n+len(event) > maxStreamBacklog || s.total.Load()+int64(len(event)) > maxTotalBacklog:
+		return false, nil
+	case s.hold.Reserve(int64(len(event))) != nil:
 		return false, nil
 	}
 	s.backlog = append(s.backlog, event...)
--- a/internal/edge/streamwriter_test.go
+++ b/internal/edge/streamwriter_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -111,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var total atomic.Int64
 		caller := newSlowCaller()
-		w := newStreamWriter(caller, &total)
+		w := newStreamWriter(caller, &total, memory.NewAccount(0))
 		event := []byte(strings.Repeat("x", maxStreamBacklog/4))
 		require.NoError(t, w.write(t.Context(), event, false))
 		synctest.Wait()
@@ -133,7 +134,7 @@
 
 		total.Store(maxTotalBacklog)
 		full := newSlowCaller()
-		w = newStreamWriter(full, &total)
+		w = newStreamWriter(full, &total, memory.NewAccount(0))
 		require.NoError(t, w.write(t.Context(), event, false), "each stream may have one event")
 		synctest.Wait()
 		require.NoError(t, w.write(t.Context(), event, false))
@@ -147,9 +148,85 @@
 		require.EqualValues(t, maxTotalBacklog, total.Load())
 
 		stalled := newSlowCaller()
-		w = newStreamWriter(stalled, &atomic.Int64{})
+		w = newStreamWriter(stalled, &atomic.Int64{}, memory.NewAccount(0))
 		require.NoError(t, w.write(t.Context(), event, false))
 		w.abort(abortGrace)
 		require.True(t, errors.Is(w.err, os.ErrDeadlineExceeded))
 	})
 }
+
+// TestBacklogIsCharged guards against backlogs that the memory account doesn't know of, and
+// against bytes that stay reserved: after a whole stream, a caller that has left, one that
+// doesn't take the rest of a stream that was broken off, and a stream that was never written.
+func TestBacklogIsCharged(t *testing.T) {
+	event := []byte(strings.Repeat("x", 1000))
+	outcomes := map[string]func(*slowCaller, *streamWriter){
+		"whole": func(caller *slowCaller, w *streamWriter) {
+			close(caller.released)
+			require.NoError(t, w.finish())
+		},
+		"caller has left": func(caller *slowCaller, w *streamWriter) {
+			_ = caller.SetWriteDeadline(time.Unix(1, 0))
+			require.ErrorIs(t, w.finish(), os.ErrDeadlineExceeded)
+			require.Error(t, w.write(t.Context(), event, false))
+		},
+		"broken off and unread": func(_ *slowCaller, w *streamWriter) { w.abort(abortGrace) },
+		"broken off and read": func(caller *slowCaller, w *streamWriter) {
+			close(caller.released)
+			w.abort(abortGrace)
+		},
+	}
+	for name, end := range outcomes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var total atomic.Int64
+				account := memory.NewAccount(1 << 20)
+				caller := newSlowCaller()
+				w := newStreamWriter(caller, &total, account)
+				require.NoError(t, w.write(t.Context(), event, false))
+				synctest.Wait()
+				for range 3 {
+					require.NoError(t, w.write(t.Context(), event, false))
+				}
+				require.EqualValues(t, 4*len(event), account.Usage().Response, "one is being written, three are kept")
+				end(caller, w)
+				require.Equal(t, memory.Usage{Limit: 1 << 20}, account.Usage())
+				require.Zero(t, total.Load())
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		account := memory.NewAccount(1 << 20)
+		w := newStreamWriter(newSlowCaller(), &atomic.Int64{}, account)
+		w.abort(abortGrace)
+		require.Zero(t, account.Usage().InUse)
+	})
+}
+
+// TestBacklogWithoutMemory guards against a stream that stops for good, or is broken off,
+// while there is no memory: it goes on one event at a time.
+func TestBacklogWithoutMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var total atomic.Int64
+		account := memory.NewAccount(1000)
+		others := account.Open(memory.Response)
+		others.Charge(1000)
+		caller := newSlowCaller()
+		w := newStreamWriter(caller, &total, account)
+		event := []byte(strings.Repeat("x", 100))
+		require.NoError(t, w.write(t.Context(), event, false))
+		synctest.Wait()
+		require.NoError(t, w.write(t.Context(), event, false), "an empty backlog takes any event")
+		waited := make(chan error, 1)
+		go func() { waited <- w.write(t.Context(), event, false) }()
+		synctest.Wait()
+		require.Empty(t, waited)
+		close(caller.released)
+		require.NoError(t, <-waited)
+		require.NoError(t, w.finish())
+		require.Equal(t, 3*len(event), caller.Body.Len())
+		require.EqualValues(t, 1000, account.Usage().InUse)
+		others.Close()
+		require.Zero(t, account.Usage().InUse)
+	})
+}
