httpserver: leave net/http its own request bodies

Cause: the server replaced Request.Body in the request that net/http had made. net/http then no longer saw that a caller awaits 100 Continue or that a body is too long to be read first, and read up to 256 KB of it before it sent a refusal. A legal caller with Expect: 100-continue got no 401, 413, 429 or 503 until its body or the read timeout came, and refusals for lack of memory read the bodies that they refused. Change: the handler gets a copy of the request with the body that notes its progress. Result: TestRefusalDoesNotWaitForTheBody failed (no response within 10 s) and passes. All tests of internal/httpserver pass.

--- a/internal/httpserver/hostile_test.go
+++ b/internal/httpserver/hostile_test.go
@@ -260,3 +260,17 @@
 	}
 	require.Less(t, sent, 1<<20)
 }
+
+// TestRefusalDoesNotWaitForTheBody guards against a refusal that is held back until a body
+// has come that nobody wants: the caller waits for 100 Continue, or sends no more of a body
+// that is too large to be read to its end.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	_, address := startBounded(t, memory.NewAccount(0), calmLimits(), func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnauthorized)
+	})
+	for _, head := range []string{"Content-Length: 10\r\nExpect: 100-continue\r\n", "Content-Length: 1000000\r\n"} {
+		c := dial(t, address)
+		require.Equal(t, "HTTP/1.1 401 Unauthorized", c.write("POST / HTTP/1.1\r\nHost: a\r\n"+head+"\r\n"), head)
+		require.NoError(t, c.conn.Close())
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -130,6 +130,10 @@
 				return
 			}
 			if r.Body != nil && r.Body != http.NoBody {
+				// net/http keeps its own body in the request that it has made. By that it knows
+				// that a caller awaits 100 Continue, or that a body is too long to be read to its
+				// end before the response is sent.
+				r = r.WithContext(r.Context())
 				r.Body = &body{ReadCloser: r.Body, conn: c, isLarge: r.ContentLength < 0 || r.ContentLength > largeBody}
 			}
 		}
