memnet: a partition also cuts connections that are being opened

Cause: Dial looked at the partitions before the handshake of one round trip between zones, and Partition silenced only the connections that were open. One that was being opened when the partition began crossed it for good. In TestCutOffRegionServesAndRejoins a gateway of the cut-off region could so go on hearing from other regions, and the one that starts during the cut got revision 2 instead of 1. Change: both ends are registered, so that Partition silences them, and the partitions are looked at again afterwards. Ends of a dial that fails are closed.

--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -162,12 +162,32 @@
 	if err := n.awaitHandshake(ctx, h.zone, to.zone); err != nil {
 		return nil, dialError(address, err)
 	}
-	client, server := net.Pipe()
+	clientPipe, serverPipe := net.Pipe()
 	instances := [2]string{h.name, to.name}
-	if err := l.deliver(ctx, n.newConn(server, zones, instances, address)); err != nil {
+	client := n.newConn(clientPipe, zones, instances, address)
+	server := n.newConn(serverPipe, zones, instances, address)
+	// From here on Partition silences both ends. It may have come during the handshake.
+	if n.isPartitioned(zones) {
+		closeBoth(client, server)
+		<-ctx.Done()
+		return nil, dialError(address, ctx.Err())
+	}
+	if err := l.deliver(ctx, server); err != nil {
+		closeBoth(client, server)
 		return nil, err
 	}
-	return n.newConn(client, zones, instances, address), nil
+	return client, nil
+}
+
+func (n *Network) isPartitioned(zones [2]string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.partitioned[zones]
+}
+
+func closeBoth(client, server net.Conn) {
+	_ = client.Close()
+	_ = server.Close()
 }
 
 func dialError(address string, err error) error {
