edge: a forward refused for lack of a place reached no endpoint

Cause: the response with which a listener for gateways refuses a connection, a head or a request for which there is no room said that the request had not run, but not that it reached no endpoint. The forwarding gateway charged it to the route's attempts and to the retry budget, and answered 503 where both were used up although other regions had room. Change: these responses carry X-Gateway-Reached-Endpoint: false as well; the refusals of httpserver take a whole header instead of one line.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"time"
 
@@ -22,9 +23,11 @@
 	headerReachedEndpoint = "X-Gateway-Reached-Endpoint"
 )
 
-// NotRunHeader is the header line of responses that a gateway makes itself, to requests of
-// other gateways that it has not run.
-const NotRunHeader = headerOutcome + ": " + string(failure.NotRun) + "\r\n"
+// NotRunHeader returns the header of responses to requests of other gateways that were
+// refused before they were read.
+func NotRunHeader() http.Header {
+	return http.Header{headerOutcome: {string(failure.NotRun)}, headerReachedEndpoint: {"false"}}
+}
 
 // forwardInfo is what a gateway tells the gateway of another region about a request
 // that it forwards.
@@ -117,8 +120,7 @@
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &info); err != nil {
 		// Without the outcome the forwarding gateway would take the request for one that
 		// may have run.
-		w.Header().Set(headerOutcome, string(failure.NotRun))
-		w.Header().Set(headerReachedEndpoint, "false")
+		maps.Copy(w.Header(), NotRunHeader())
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -1,7 +1,11 @@
 package edge
 
 import (
+	"maps"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +13,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/budget"
+	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -97,6 +102,40 @@
 	require.LessOrEqual(t, requestCount(s), 1)
 }
 
+// TestRefusalBeforeReadingIsNotCharged guards against forwards that fail because a gateway had
+// no room for the connection: no endpoint was reached, so that the next region is tried
+// without a charge to the retry budget.
+func TestRefusalBeforeReadingIsNotCharged(t *testing.T) {
+	c := newCluster(t, "north", "south", "west")
+	c.addRoute(route.Route{Prefix: "/q/", Kind: route.NonIdempotent, MaxAttempts: 1})
+	for _, r := range c.regions {
+		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"})
+	}
+	south, west := c.startEndpoint("s", "south-a"), c.startEndpoint("w", "west-a")
+	north := c.regions["north"].edge
+	north.RetryBudget = budget.NewRetryBudget(budget.RetrySettings{Window: 10 * time.Second})
+	require.Equal(t, http.StatusOK, c.regions["north"].call(http.MethodPost, "/q/", "", nil).status)
+	preferred, other := "south", west
+	if requestCount(south) == 0 {
+		preferred, other = "west", south
+	}
+	before := requestCount(other)
+	var refused atomic.Int32
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refused.Add(1)
+		maps.Copy(w.Header(), NotRunHeader())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer full.Close()
+	north.Gateways.ApplyStatus(fleet.GatewayStatus{
+		Gateway: fleet.Gateway{ID: "gw-" + preferred, Incarnation: "1", Region: preferred, PeerAddress: strings.TrimPrefix(full.URL, "http://"), CallerAddress: "caller-" + preferred},
+		Seq:     2, Ready: true,
+	}, time.Now())
+	require.Equal(t, http.StatusOK, c.regions["north"].call(http.MethodPost, "/q/", "", nil).status)
+	require.EqualValues(t, 1, refused.Load())
+	require.Equal(t, before+1, requestCount(other))
+}
+
 // TestForwardedRequestsAreNotForwardedAgain guards against loops between gateways
 // whose views of an endpoint's region differ.
 func TestForwardedRequestsAreNotForwardedAgain(t *testing.T) {
--- a/internal/edgeserver/listeners.go
+++ b/internal/edgeserver/listeners.go
@@ -83,7 +83,7 @@
 	callers := httpserver.Config{Limits: s.callerLimits, Pool: s.pool, Group: connlimit.Callers}
 	internal := httpserver.Config{Limits: s.peerLimits, Pool: s.pool, Group: connlimit.Internal}
 	peers := internal
-	peers.RefusalHeader = edge.NotRunHeader
+	peers.RefusalHeader = edge.NotRunHeader()
 	var err error
 	if s.callerServer, err = s.openServer(site.CallerAddress, s.edge.CallerHandler(), callers); err != nil {
 		return err
--- a/internal/httpserver/hostile_test.go
+++ b/internal/httpserver/hostile_test.go
@@ -21,7 +21,7 @@
 	require.NoError(t, err)
 	pool := NewPool(account, nil)
 	pool.SetBounds(descriptors, 64<<20)
-	s := New(h, Config{Limits: func() Limits { return limits }, Pool: pool, RefusalHeader: "Mark: 1\r\n"})
+	s := New(h, Config{Limits: func() Limits { return limits }, Pool: pool, RefusalHeader: http.Header{"Mark": {"1"}, "Second": {"2"}}})
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -103,6 +103,7 @@
 	raw, _ := io.ReadAll(refused.reader)
 	require.Contains(t, string(raw), "Retry-After: 1\r\n")
 	require.Contains(t, string(raw), "Mark: 1\r\n")
+	require.Contains(t, string(raw), "Second: 2\r\n")
 	close(answer)
 	for _, c := range []*caller{answered, second} {
 		_, err = c.receive()
@@ -141,6 +142,7 @@
 	raw, _ := io.ReadAll(idle[0].reader)
 	require.Contains(t, string(raw), "Retry-After: 1\r\n")
 	require.Contains(t, string(raw), "Mark: 1\r\n")
+	require.Contains(t, string(raw), "Second: 2\r\n")
 	awaitTaken(3)
 	require.Equal(t, "HTTP/1.1 200 OK", idle[1].write(get), "the refused connection made room")
 }
--- a/internal/httpserver/pool.go
+++ b/internal/httpserver/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -166,8 +168,10 @@
 
 // refusal is the response to a connection or head for which there is no room. It promises
 // that the request has not run.
-func refusal(header string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n" + header + "\r\n"
+func refusal(header http.Header) string {
+	var lines strings.Builder
+	_ = header.Write(&lines) // A builder doesn't fail.
+	return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n" + lines.String() + "\r\n"
 }
 
 // headTooLarge is the response to a head over the limit.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -9,9 +9,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,9 +50,8 @@
 	Pool *Pool
 	// Group is the group of the connections in the pool.
 	Group connlimit.Group
-	// RefusalHeader is added to the refusals that the server makes itself: one line with its
-	// end, or empty.
-	RefusalHeader string
+	// RefusalHeader is added to the refusals that the server makes itself.
+	RefusalHeader http.Header
 }
 
 // Server serves one listener. All methods are safe for concurrent use.
@@ -148,9 +147,7 @@
 func (s *Server) refuseRequest(w http.ResponseWriter) {
 	w.Header().Set("Retry-After", "1")
 	w.Header().Set("Connection", "close")
-	if name, value, ok := strings.Cut(strings.TrimSpace(s.config.RefusalHeader), ": "); ok {
-		w.Header().Set(name, value)
-	}
+	maps.Copy(w.Header(), s.config.RefusalHeader)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
