Allowances: serve from half of the own part while nobody coordinates

After all gateways had been killed and started again, none may coordinate for 3 s, and one that never had an answer uses its own part after 3.5 s only. Requests of accounts with a limit waited 0.4 s and got 429 until then.

A gateway that has itself just started, and is told by those that it asks for 0.7 s that they coordinate nothing, now uses half of its own part, by an empty bucket, until a coordinator answers. Asks after 0.7 s without an answer already let a coordinator keep back that part. Its waiting requests go on waiting when the part is used up, since a coordinator may answer.

--- a/internal/allowance/contact.go
+++ b/internal/allowance/contact.go
@@ -36,6 +36,9 @@
 	// answeredAt is when the last ask was sent that was answered, zero if none was.
 	// firstAskAt is when the first ask was sent.
 	answeredAt, firstAskAt, lastAskAt time.Time
+	// isUncoordinated is set once the gateways that were asked have said for
+	// outOfContactAfter that they coordinate nothing.
+	isUncoordinated bool
 }
 
 // begin records an ask and returns the time without an answer.
@@ -75,11 +78,26 @@
 		return false
 	}
 	if c.answeredAt.IsZero() {
-		return now.Sub(c.firstAskAt) >= DetectionTime
+		return c.isUncoordinated || now.Sub(c.firstAskAt) >= DetectionTime
 	}
 	return now.Sub(c.answeredAt) >= aloneAfter
 }
 
+// isProvisional reports whether the gateway uses its own part although the time after which
+// no coordinator counts it has not passed.
+func (c *contact) isProvisional(now time.Time) bool {
+	return c.isUncoordinated && c.answeredAt.IsZero() && now.Sub(c.firstAskAt) < DetectionTime
+}
+
+// markUncoordinated records that a gateway which was asked coordinates nothing. Asks sent
+// after outOfContactAfter tell a coordinator to keep back this gateway's part, and one that
+// served its previous process has missed the asks of that for silentAfter by then.
+func (c *contact) markUncoordinated(now time.Time) {
+	if c.answeredAt.IsZero() && !c.firstAskAt.IsZero() && now.Sub(c.firstAskAt) >= outOfContactAfter {
+		c.isUncoordinated = true
+	}
+}
+
 // isOver reports whether there is no contact, or none that could be ended.
 func (c *contact) isOver(now time.Time) bool {
 	return c.firstAskAt.IsZero() || c.unanswered(now) >= leaveTime
--- a/internal/allowance/wallet.go
+++ b/internal/allowance/wallet.go
@@ -33,6 +33,10 @@
 	initialRoundTrip = 100 * time.Millisecond
 	// givenBackTime is how long credit of a request that did not run can be used again.
 	givenBackTime = 200 * time.Millisecond
+	// provisionalShare is the part of its own part that a gateway uses which has just started
+	// and found no coordinator. The rest is for gateways that it hasn't found yet, and for a
+	// coordinator behind a cut that counts it until DetectionTime has passed.
+	provisionalShare = 0.5
 	// maxWaiting bounds the requests of an account that wait at one gateway.
 	maxWaiting = 4096
 )
@@ -206,6 +210,21 @@
 // answered for so long that no coordinator hands out that part.
 func (w *Wallet) Alone(now time.Time) bool { return w.contact.isLost(now) }
 
+// Uncoordinated records that the gateway which was asked coordinates nothing and that this
+// one has just started. If that goes on, all may have started at once, and the gateway uses
+// its own part of the limit until a coordinator answers.
+func (w *Wallet) Uncoordinated(now time.Time) { w.contact.markUncoordinated(now) }
+
+// OwnShare returns the part of the limit that a gateway which is alone may use, by the
+// number of gateways that may run. isSettled is set if that number is reliable.
+func (w *Wallet) OwnShare(gateways int, isSettled bool, now time.Time) float64 {
+	share := 1 / float64(gateways)
+	if !isSettled || w.contact.isProvisional(now) {
+		share *= provisionalShare
+	}
+	return share
+}
+
 // Probe returns the ask by which a gateway that is alone finds out whether the coordinator
 // answers again, and whether it is time for it.
 func (w *Wallet) Probe(now time.Time) (Ask, bool) {
--- a/internal/edge/allowance_faults_test.go
+++ b/internal/edge/allowance_faults_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/fleet"
 )
 
 // allowanceFault is a fault or change of the fleet.
@@ -105,3 +107,77 @@
 		}
 	}
 }
+
+// restartAll ends and starts the gateways that match selects. They find all gateways in the
+// store's list, which keeps them until their leases end.
+func (f *allowanceFleet) restartAll(selects func(*allowanceGateway) bool) {
+	for _, g := range f.gateways {
+		if selects(g) {
+			g.stop()
+		}
+	}
+	var listed []fleet.Gateway
+	for _, g := range f.gateways {
+		if selects(g) {
+			g.start()
+		}
+		listed = append(listed, g.edge.Gateways.Self())
+	}
+	for _, g := range f.gateways {
+		if selects(g) {
+			g.edge.Gateways.ApplyStoreList(listed, time.Now())
+		}
+	}
+}
+
+// TestAccountsAreServedAfterAllGatewaysStarted guards against gateways that refuse the
+// requests of accounts for seconds since none coordinates yet, and against own parts that
+// exceed the limit when only a part of the gateways starts and can't hear the others.
+func TestAccountsAreServedAfterAllGatewaysStarted(t *testing.T) {
+	isWest := func(g *allowanceGateway) bool { return g.region() == "west" }
+	cases := map[string]struct {
+		cut     bool
+		selects func(*allowanceGateway) bool
+		// least and leastOver are as those of allowanceFault, in the first 4 s.
+		least, leastOver float64
+	}{
+		"all":                         {selects: func(*allowanceGateway) bool { return true }, least: 0.5, leastOver: 0.3},
+		"a region":                    {selects: isWest, least: 0.5, leastOver: 0.3},
+		"a region that is cut off":    {cut: true, selects: isWest, least: 0.5, leastOver: 0.3},
+		"all but a region, cut off":   {cut: true, selects: func(g *allowanceGateway) bool { return !isWest(g) }, least: 0.5, leastOver: 0.3},
+		"all, a region being cut off": {cut: true, selects: func(*allowanceGateway) bool { return true }, least: 0.5, leastOver: 0.3},
+	}
+	for name, c := range cases {
+		for load, part := range map[string]float64{"half": 0.5, "five times": 5} {
+			t.Run(name+", "+load, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newAllowanceFleet(t)
+					rate := f.account.Allowance.RatePerSecond
+					f.run(12*time.Second, 0)
+					f.run(4*time.Second, part*rate)
+					f.takeCounts()
+					if c.cut {
+						f.setHears(func(from, to *allowanceGateway) bool { return isWest(from) == isWest(to) })
+					}
+					f.restartAll(c.selects)
+					f.run(4*time.Second, part*rate)
+					served, refused := f.takeCounts()
+					t.Logf("first 4 s: served %.0f, refused %.0f", served, refused)
+					f.run(8*time.Second, part*rate)
+					time.Sleep(time.Second)
+					for _, g := range f.gateways {
+						g.tomb.Kill(nil)
+						require.NoError(t, g.tomb.Wait())
+					}
+					t.Logf("worst window %.3f", f.worst())
+					require.LessOrEqual(t, f.worst(), 1.0)
+					if part > 1 {
+						require.GreaterOrEqual(t, served*allowanceCost/(4*rate), c.leastOver)
+					} else {
+						require.GreaterOrEqual(t, served/(served+refused), c.least)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -73,6 +73,9 @@
 	redirectUntil time.Time
 	// own is the bucket of this gateway's part of the limit while it is alone, else nil.
 	own *allowance.Bucket
+	// isProvisional is set if this gateway has used its own part since shortly after its
+	// start, when no gateway coordinated the account.
+	isProvisional bool
 }
 
 // gatewayAddress is a gateway and where it is asked for credit.
@@ -158,11 +161,11 @@
 	realNow := time.Now()
 	to := k.target(acc, now, realNow)
 	acc.coordinator = to.id
-	if acc.wallet.Alone(now) && k.edge.Gateways.IsSettled(realNow) {
+	if acc.wallet.Alone(now) && (acc.isProvisional || k.edge.Gateways.IsSettled(realNow)) {
 		return k.askAlone(acc, to, now, realNow)
 	}
 	if acc.own != nil {
-		acc.own = nil
+		acc.own, acc.isProvisional = nil, false
 		k.edge.Logger.Info("the coordinator of an account answers again", "account", acc.name, "coordinator", to.id)
 	}
 	acc.wallet.SetCoordinator(to.id)
@@ -201,7 +204,12 @@
 	acc.own.Configure(acc.limit, k.bounds())
 	if ask, ok := acc.wallet.Due(now); ok {
 		creditOwn.Inc()
-		acc.wallet.Add(acc.own.Grant(ask, 1/float64(total), now), now, now)
+		grant := acc.own.Grant(ask, acc.wallet.OwnShare(total, k.edge.Gateways.IsSettled(realNow), now), now)
+		if acc.isProvisional {
+			// The requests go on waiting: a coordinator may answer in a moment.
+			grant.RetryAfter = 0
+		}
+		acc.wallet.Add(grant, now, now)
 	}
 	probe, ok := acc.wallet.Probe(now)
 	switch {
@@ -272,10 +280,10 @@
 		if g.Coordinator != k.edge.Gateways.Self().ID && g.Address != "" {
 			acc.redirect, acc.redirectUntil = gatewayAddress{g.Coordinator, g.Address}, now.Add(redirectTime)
 		}
-		acc.wallet.Fail(redirectPause, now)
+		k.failUncoordinated(acc, now)
 	case g.Starting:
 		creditRedirect.Inc()
-		acc.wallet.Fail(redirectPause, now)
+		k.failUncoordinated(acc, now)
 	default:
 		acc.wallet.Reached(askedAt, g.Leave)
 		acc.wallet.Add(g.Grant(), askedAt, now)
@@ -285,6 +293,17 @@
 	k.send(asks)
 }
 
+// failUncoordinated records that the gateway which was asked coordinates nothing. If this
+// one has just started, all may have, and none coordinates for some seconds. The caller must
+// hold the lock.
+func (k *allowances) failUncoordinated(acc *limitedAccount, now time.Time) {
+	acc.wallet.Fail(redirectPause, now)
+	if acc.own == nil && !k.edge.Gateways.IsLeaving() && !k.edge.Gateways.MayCoordinate(time.Now()) {
+		acc.wallet.Uncoordinated(now)
+		acc.isProvisional = acc.wallet.Alone(now)
+	}
+}
+
 // tick asks for what is due of all accounts, drops those without requests, and keeps the
 // buckets of the accounts that this gateway coordinates. It returns the time until the
 // next call.
