Allowances: give back the credit of retries that did not run

A request that may have run was charged again before each retry, and the charge stayed when no endpoint took the retry or one refused it. Credit of a request that an endpoint refused stayed too if its caller had left. So an account inside its allowance was refused later.

A session counts the attempts in which an endpoint may have run it. A retry is charged only if all charges are used up, and at the end what exceeds the runs goes back.

Measured: the new test gets 429 instead of 200 in both cases before.

--- a/internal/edge/allowance.go
+++ b/internal/edge/allowance.go
@@ -41,7 +41,7 @@
 	began := time.Now()
 	waiter, granted := s.edge.allowances.take(s.account, s.table.Version, cost)
 	if granted {
-		s.charged = cost
+		s.cost, s.charges = cost, 1
 		return nil
 	}
 	retryAfter := unansweredAllowanceDelay
@@ -52,7 +52,7 @@
 		select {
 		case verdict := <-waiter.Done():
 			if verdict.Granted {
-				s.charged = cost
+				s.cost, s.charges = cost, 1
 				return nil
 			}
 			retryAfter = verdict.RetryAfter
@@ -93,18 +93,19 @@
 	}
 }
 
-// settleAllowance gives back the credit of a request that did not run.
+// settleAllowance gives back the credit of what did not run.
 func (s *session) settleAllowance() {
-	isUnsent := s.attempts == 0 && !s.mayHaveRun
-	if s.charged > 0 && (isUnsent || s.refusedAs == failure.NotRun) {
-		s.edge.allowances.giveBack(s.account.Name, s.charged)
+	if unused := s.charges - s.runs; unused > 0 {
+		s.edge.allowances.giveBack(s.account.Name, float64(unused)*s.cost)
 	}
 }
 
-// chargeRetry charges a request that may have run already and is sent again. It can't be
-// refused any more, so the account pays with later credit.
+// chargeRetry charges a request that is sent again, unless it has been charged for one run
+// more than there may have been. It can't be refused any more, so the account pays with later
+// credit.
 func (s *session) chargeRetry() {
-	if s.charged > 0 && s.mayHaveRun {
-		s.edge.allowances.charge(s.account.Name, s.charged)
+	if s.charges > 0 && s.charges == s.runs {
+		s.edge.allowances.charge(s.account.Name, s.cost)
+		s.charges++
 	}
 }
--- a/internal/edge/allowance_test.go
+++ b/internal/edge/allowance_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hickorystage/hickorystage/internal/account"
 	"github.com/hickorystage/hickorystage/internal/allowance"
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
+	"github.com/hickorystage/hickorystage/internal/route"
 )
 
 // limitedTestAccount returns an account with the key and the allowance.
@@ -107,6 +109,43 @@
 	require.Equal(t, http.StatusTooManyRequests, north.call(http.MethodPost, "/q/", "", keyed("k1")).status)
 }
 
+// TestRetriesThatDidNotRunAreNotCharged guards against an account that pays for retries which
+// no endpoint takes, or which an endpoint refuses.
+func TestRetriesThatDidNotRunAreNotCharged(t *testing.T) {
+	for name, takes := range map[string]bool{"no endpoint": false, "refused": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "north")
+			c.addRoute(route.Route{Name: "closed", Prefix: "/q/", Kind: route.Idempotent, MaxAttempts: 3})
+			north, acc := c.regions["north"], limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 0.001, Burst: 2})
+			north.setAccounts(c, 7, acc)
+			runAllowances(t, north.edge)
+			fillBucket(north.edge, acc)
+			var first atomic.Bool
+			failOnce := func(w http.ResponseWriter, r *http.Request) {
+				if first.CompareAndSwap(false, true) {
+					respondStatus(http.StatusInternalServerError)(w, r)
+					return
+				}
+				respondNotRun(w, r)
+			}
+			endpoints := []*fakeEndpoint{c.startEndpoint("e1", "north-a")}
+			if takes {
+				endpoints = append(endpoints, c.startEndpoint("e2", "north-a"))
+			}
+			for _, e := range endpoints {
+				e.setHandler(failOnce)
+			}
+			require.Equal(t, http.StatusBadGateway, north.call(http.MethodPost, "/q/", "", keyed("k1")).status)
+			require.Equal(t, len(endpoints), requestCount(endpoints...))
+			for _, e := range endpoints {
+				e.setHandler(nil)
+			}
+			require.Equal(t, http.StatusOK, north.call(http.MethodPost, "/q/", "", keyed("k1")).status, "one of two was used")
+			require.Equal(t, http.StatusTooManyRequests, north.call(http.MethodPost, "/q/", "", keyed("k1")).status)
+		})
+	}
+}
+
 // TestForwardedRequestIsChargedOnce guards against a charge at both gateways, and against
 // none when the one in between doesn't answer.
 func TestForwardedRequestIsChargedOnce(t *testing.T) {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -25,6 +25,8 @@
 	activeRequest *endpointload.ActiveRequest
 	// sentAt is when the request was sent.
 	sentAt time.Time
+	// mayHaveRunHere is set once the endpoint of this attempt may have run the request.
+	mayHaveRunHere bool
 	// paced is nil for forwarded requests and if the pace of endpoints is off.
 	paced *pacedRequest
 }
@@ -208,7 +210,7 @@
 	case meta.AttemptID != a.req.AttemptID || resp.Header.Get("Content-Encoding") != "":
 		return a.handleFailure(ctx, &ResponseMismatchError{Want: a.req.AttemptID, Got: meta.AttemptID})
 	case resp.StatusCode >= http.StatusInternalServerError && a.mayRetry():
-		a.mayHaveRun = true
+		a.setMayHaveRun()
 		a.log("attempt_failed", "endpoint", a.endpoint.ID, "status", resp.StatusCode)
 		return a.retryOutcome(failure.New(failure.CodeEndpointFailed, failure.Unknown, "the endpoint answered with a server error")), endpointload.Failed
 	case a.isStream(resp):
@@ -229,6 +231,15 @@
 	return "response is encoded or for another attempt: got " + e.Got + ", want " + e.Want
 }
 
+// setMayHaveRun records that the endpoint of this attempt may have run the request.
+func (a *attempt) setMayHaveRun() {
+	a.mayHaveRun = true
+	if !a.mayHaveRunHere {
+		a.mayHaveRunHere = true
+		a.runs++
+	}
+}
+
 // mayRetry reports whether the request may run once more. A forwarded request is
 // retried by the forwarding gateway alone.
 func (a *attempt) mayRetry() bool {
@@ -308,7 +319,8 @@
 
 // handleFailure handles a request that may have run and whose response is lost.
 func (a *attempt) handleFailure(ctx context.Context, err error) (outcome, endpointload.Result) {
-	a.mayHaveRun, a.reachedEndpoint = true, true
+	a.setMayHaveRun()
+	a.reachedEndpoint = true
 	refusal := failure.New(failure.CodeEndpointFailed, failure.Unknown, "no complete response from the endpoint").WithCause(err)
 	if ctx.Err() != nil {
 		a.log("abandoned", "endpoint", a.endpoint.ID, "cause", ctx.Err())
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -115,7 +115,7 @@
 // relayBuffered relays a response once it is complete, or, if it is larger than
 // maxBufferedBytes or than the memory that is left, as it arrives.
 func (a *attempt) relayBuffered(ctx context.Context, resp *http.Response) (outcome, endpointload.Result) {
-	a.mayHaveRun = true
+	a.setMayHaveRun()
 	hold := a.edge.Memory.Open(memory.Response)
 	defer hold.Close()
 	length := min(resp.ContentLength, maxBufferedBytes)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -249,7 +249,6 @@
 // request the outcome is sent too, so that the forwarding gateway can decide
 // whether to try elsewhere.
 func (e *Edge) refuse(s *session, r *failure.Refusal) {
-	s.refusedAs = r.Outcome
 	if r.Outcome == failure.NotRun {
 		requestsRefused.Inc()
 	} else {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -91,7 +91,7 @@
 		return outcome{mayRetry: true, countsAsRetry: reached, refusal: refusal}, endpointload.Shed
 	}
 	a.attempts++
-	a.mayHaveRun = true
+	a.setMayHaveRun()
 	refusal := failure.New(failure.CodeEndpointFailed, failure.Unknown, "no complete response from another region")
 	if !a.route.IsIdempotent() {
 		return outcome{refusal: refusal}, endpointload.Failed
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -46,10 +46,10 @@
 	unproved bool
 	req      httpmeta.Request
 	deadline time.Time
-	// charged is what the request was charged to the allowance of its account, refusedAs the
-	// outcome of its refusal; empty if it was not refused.
-	charged   float64
-	refusedAs failure.Outcome
+	// cost is what each run of the request costs of the allowance of its account; 0 if that is
+	// not limited. charges is how often it was charged.
+	cost    float64
+	charges int
 	// forwarded is set if a gateway of another region forwarded the request, nil
 	// for requests of callers.
 	forwarded *forwardInfo
@@ -88,6 +88,8 @@
 	reachedEndpoint bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
+	// runs counts the attempts in which an endpoint may have run the request.
+	runs int
 	// out writes the events of the stream to the caller; nil until there is one.
 	out *streamWriter
 	// stream is the part of the response that the caller has been sent.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -66,7 +66,7 @@
 // relayStream relays the events of a stream as they arrive. An incomplete event is
 // never sent, so that the stream can be resumed after the last complete one.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) (outcome, endpointload.Result) {
-	a.mayHaveRun = true
+	a.setMayHaveRun()
 	reader := bufio.NewReaderSize(resp.Body, streamBufferBytes)
 	hold := a.edge.Memory.Open(memory.Response)
 	defer hold.Close()
