Allowances: split claims that don't fit a datagram

A coordinator of a group names all gateways that it serves in one message. With 250 ids of 43 characters that takes 12 KB, while a datagram is read up to 8 KB: the claim was cut off and not read, so that the proper coordinator went on handing out the parts of these gateways. Claims are now split at 4 KB of ids; the receiver adds them up already.

--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -183,3 +184,33 @@
 		require.Equal(t, 61, c.ask.Gateways)
 	}
 }
+
+// TestClaimsOfManyGatewaysFitDatagrams guards against claims that are cut off, so that the
+// proper coordinator hands out the parts of gateways that another one serves.
+func TestClaimsOfManyGatewaysFitDatagrams(t *testing.T) {
+	e, acc := newCluster(t, "north").regions["north"].edge, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1})
+	key := coordinatorKeyPrefix + accountKeyPrefix + "n1"
+	self, want := rendezvous.Weight(key, "gw-north"), []string{"gw-north"}
+	silent := false
+	for i := 0; len(want) < 250 || !silent; i++ {
+		id := fmt.Sprintf("gateway-with-a-long-name-in-a-data-centre-%d", i)
+		switch {
+		case rendezvous.Weight(key, id) < self:
+			addPeer(e, id, 0)
+			want = append(want, id)
+		case !silent:
+			silent = true
+			e.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: id, Incarnation: "1", Region: "south", GrantAddress: "a:7"}}, time.Now().Add(-10*time.Second))
+		}
+	}
+	k := e.allowances
+	k.coordinate("n1", k.now(), time.Now())
+	var got []string
+	for _, claim := range k.claim(acc, k.now(), time.Now()) {
+		body, err := json.Marshal(claim.ask)
+		require.NoError(t, err)
+		require.Less(t, len(body), 8<<10)
+		got = append(got, claim.ask.Claimed...)
+	}
+	require.ElementsMatch(t, want, got)
+}
--- a/internal/edge/allowancesuccessor.go
+++ b/internal/edge/allowancesuccessor.go
@@ -17,6 +17,10 @@
 // coordinator serves. One that hears nobody would otherwise tell half of the fleet.
 const maxClaims = 8
 
+// maxClaimedBytes bounds the ids in one message about whom a coordinator serves: those of 295
+// gateways may exceed the 8 KB of a datagram, which would then be cut off and not be read.
+const maxClaimedBytes = 4 << 10
+
 // confirmation says that an incarnation of a gateway has answered as a coordinator.
 type confirmation struct {
 	incarnation string
@@ -98,16 +102,33 @@
 	if len(above) == 0 {
 		return nil
 	}
-	ask := k.probe(a, now, realNow)
-	ask.Claimed = append(ask.Claimed, self)
+	claimed := []string{self}
 	for id, g := range view.members {
 		if g.IsAlive && !c.contacts.IsLost(id, now) {
-			ask.Claimed = append(ask.Claimed, id)
+			claimed = append(claimed, id)
 		}
 	}
 	var asks []creditAsk
 	for _, id := range rendezvous.Top(key, above, maxClaims) {
-		asks = append(asks, creditAsk{gatewayAddress{id: id, address: view.members[id].GrantAddress}, ask})
+		for _, part := range splitIDs(claimed, maxClaimedBytes) {
+			ask := k.probe(a, now, realNow)
+			ask.Claimed = part
+			asks = append(asks, creditAsk{gatewayAddress{id: id, address: view.members[id].GrantAddress}, ask})
+		}
 	}
 	return asks
 }
+
+// splitIDs splits a list into parts that take at most maxBytes in JSON, or hold one id.
+func splitIDs(ids []string, maxBytes int) [][]string {
+	const quotesAndComma = 3
+	var parts [][]string
+	first, size := 0, 0
+	for n, id := range ids {
+		if size += len(id) + quotesAndComma; size > maxBytes && n > first {
+			parts = append(parts, ids[first:n])
+			first, size = n, len(id)+quotesAndComma
+		}
+	}
+	return append(parts, ids[first:])
+}
