grants: don't guess the state of unreadable credit messages

Of a credit message with a bad field the rest was used, with 0 or false in place of the field. An ask whose time without an answer can't be read was taken for one of a gateway in contact, whose part of the limit is handed out although it may be using it. A response whose starting flag or coordinator can't be read was taken for that of the coordinator, which ends the asker's own part and confirms a second coordinator.

Such messages are now dropped as a whole and count as malformed. Figures, such as what is asked for ahead, still cost only themselves.

--- a/internal/controller/grants/credit.go
+++ b/internal/controller/grants/credit.go
@@ -18,11 +18,13 @@
 )
 
 // CreditAsk asks the coordinator of a client account for credit. Nobody waits for the
-// response, which may come late or never.
+// response, which may come late or never. Without what says whose ask it is and whether the
+// asking gateway uses its own part of the limit, it isn't read: that part would be handed out
+// too.
 type CreditAsk struct {
-	Account string `json:"t"`
+	Account string `json:"t" lenient:"required"`
 	// Gateway is the id of the asking gateway.
-	Gateway string `json:"g"`
+	Gateway string `json:"g" lenient:"required"`
 	// AskedAt is when the ask was made by the asking gateway's clock, for its use only.
 	AskedAt int64 `json:"i"`
 	// Version is that of the asking gateway's configuration, PerSecond and Burst are the
@@ -34,7 +36,7 @@
 	Gateways int `json:"m,omitempty"`
 	// Probe is set if the asking gateway only wants to know whether the other one is the
 	// coordinator. The rest, an allowance.Ask, is empty then.
-	Probe bool `json:"p,omitempty"`
+	Probe bool `json:"p,omitempty" lenient:"required"`
 	// Claimed are the gateways to which the asking one hands out credit as the coordinator
 	// of a group that doesn't hear the other one.
 	Claimed []string `json:"o,omitempty"`
@@ -43,7 +45,7 @@
 	First            float64 `json:"f,omitempty"`
 	Ahead            float64 `json:"a,omitempty"`
 	Returned         float64 `json:"x,omitempty"`
-	UnansweredMillis int64   `json:"u,omitempty"`
+	UnansweredMillis int64   `json:"u,omitempty" lenient:"required"`
 	Leave            bool    `json:"l,omitempty"`
 }
 
@@ -68,7 +70,9 @@
 	return a.Account != "" && a.Gateway != ""
 }
 
-// CreditGrant is the response to a CreditAsk.
+// CreditGrant is the response to a CreditAsk. Without what says whether the responding gateway
+// coordinates the account, it isn't read: an asking gateway that uses its own part of the limit
+// would stop, or two gateways would coordinate.
 type CreditGrant struct {
 	Account string `json:"t"`
 	// Gateway is the id of the responding gateway. AskedAt, Leave and Probe are those of the
@@ -81,10 +85,10 @@
 	Gateways int `json:"m,omitempty"`
 	// Coordinator and Address are set if the responding gateway isn't the coordinator of
 	// the account: who is, as far as it knows, and where. Nothing is granted then.
-	Coordinator string `json:"c,omitempty"`
+	Coordinator string `json:"c,omitempty" lenient:"required"`
 	Address     string `json:"a,omitempty"`
 	// Starting is set if the responding gateway is the coordinator, but grants nothing yet.
-	Starting         bool    `json:"s,omitempty"`
+	Starting         bool    `json:"s,omitempty" lenient:"required"`
 	Credit           float64 `json:"n,omitempty"`
 	TTLMillis        int64   `json:"d,omitempty"`
 	RetryAfterMillis int64   `json:"h,omitempty"`
--- a/internal/controller/grants/credit_test.go
+++ b/internal/controller/grants/credit_test.go
@@ -77,6 +77,35 @@
 	require.NotNil(t, m.Unreadable, "the asking gateway is told")
 }
 
+// TestUnreadableStateOfCreditMessagesIsNotGuessed guards against an ask of a gateway that uses
+// its own part of the limit and is taken for one that doesn't, and against a gateway that
+// coordinates nothing and is taken for the coordinator.
+func TestUnreadableStateOfCreditMessagesIsNotGuessed(t *testing.T) {
+	keeper := &fakeKeeper{received: make(chan CreditGrant, 4)}
+	_, address := startWithKeeper(t, keeper)
+	stray := listen(t)
+	to, err := net.ResolveUDPAddr("udp", address)
+	require.NoError(t, err)
+	for _, text := range []string{
+		`{"cq":{"t":"n1","g":"g1","i":7,"r":5,"n":8,"u":"long"}}`,
+		`{"cq":{"t":"n1","g":"g1","i":7,"r":5,"p":1}}`,
+		`{"ca":{"t":"n1","g":"g2","s":"yes"}}`,
+		`{"ca":{"t":"n1","g":"g2","c":7}}`,
+		`{"cq":{"t":"n2","g":"g1","i":7,"r":5,"n":8}}`,
+		`{"ca":{"t":"n2","g":"g2"}}`,
+	} {
+		_, err := stray.WriteTo([]byte(text), to)
+		require.NoError(t, err)
+	}
+	buffer := make([]byte, maxDatagramBytes)
+	n, _, err := stray.ReadFrom(buffer)
+	require.NoError(t, err)
+	var m message
+	require.Empty(t, lenient.Decode(buffer[:n], &m))
+	require.Equal(t, "n2", m.CreditGrant.Account, "only the last ask can be answered")
+	require.Equal(t, "n2", (<-keeper.received).Account, "only the last response can be used")
+}
+
 func startWithKeeper(t *testing.T, keeper CreditKeeper) (*Controller, string) {
 	return startWith(t, listen(t), &fakeCoordinator{}, func(c *Controller) { c.SetCreditKeeper(keeper) })
 }
