Allowances: forget old confirmations, log why the own part is used

A confirmation that a newcomer coordinates was kept for ever if the gateway left for good, one for each id. keepBuckets now drops those that are out of date.

Measured: the new test finds the entry of the gateway before.

--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -264,6 +265,7 @@
 		return nil
 	}
 	k.keptAt = now
+	maps.DeleteFunc(k.confirmed, func(_ string, c confirmation) bool { return !now.Before(c.until) })
 	view, self := k.currentView(realNow), k.edge.Gateways.Self().ID
 	for name, c := range k.coordinated {
 		_, isConfigured := accounts.ByName(name)
--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -214,3 +214,21 @@
 	}
 	require.ElementsMatch(t, want, got)
 }
+
+// TestConfirmationsAreForgotten guards against state that grows with each gateway that starts
+// under a new id.
+func TestConfirmationsAreForgotten(t *testing.T) {
+	c := newAccountCluster(t, "north")
+	r := c.regions["north"]
+	r.setAccounts(c, 7, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1}))
+	k := r.edge.allowances
+	clock := time.Now()
+	k.now = func() time.Time { return clock }
+	r.edge.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: "newcomer", Incarnation: "1", Region: "south", GrantAddress: "a:7"}, Ready: true}, time.Now())
+	r.edge.ReceiveCredit(grants.CreditGrant{Account: "n1", Gateway: "newcomer", Probe: true})
+	k.tick()
+	require.Len(t, k.confirmed, 1)
+	clock = clock.Add(confirmTime + idleTick)
+	k.tick()
+	require.Empty(t, k.confirmed)
+}
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -197,8 +197,11 @@
 	total := k.total(now, realNow)
 	if acc.own == nil {
 		acc.own = allowance.NewBucket(now)
-		k.edge.Logger.Warn("the coordinator of an account doesn't answer; using this gateway's part of the limit",
-			"account", acc.name, "coordinator", to.id, "address", to.address, "gateways", total)
+		msg := "the coordinator of an account doesn't answer; using this gateway's part of the limit"
+		if acc.isProvisional {
+			msg = "no gateway coordinates an account yet; using half of this gateway's part of the limit"
+		}
+		k.edge.Logger.Warn(msg, "account", acc.name, "coordinator", to.id, "address", to.address, "gateways", total)
 	}
 	acc.wallet.SetCoordinator("")
 	acc.own.Configure(acc.limit, k.bounds())
