relay: a forward refused before it was read has not run

Cause: the chat half's listener for gateways refused connections, heads and requests for which there is no room by a bare 503. It has no attempt id and no outcome, so the sender took it for a broken response: the chat failed as endpoint_failed with an unknown outcome, or was sent again as a charged retry of work that may have run. Change: these refusals carry X-Gateway-Outcome: not_run, which the relay accepts from gateways only, and the sender tries elsewhere. Result: TestRefusalBeforeReadingIsNotRun got bad_status instead of busy, and passes with all tests of internal/relay.

--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -7,6 +7,7 @@
 	"github.com/hickorystage/hickorystage/internal/connlimit"
 	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 )
 
@@ -41,8 +42,10 @@
 	callers.Group = connlimit.Callers
 	internal := a.limits(peerReadTimeout, internalIdleTimeout, peerHeaderBytes)
 	internal.ReadTimeout = peerReadTimeout
+	peerConfig := internal
+	peerConfig.RefusalHeader = relay.NotRunHeader()
 	a.callerServer = httpserver.New(a.gateway.CallerHandler(), callers)
-	a.peerServer = httpserver.New(peers.Handler(), internal)
+	a.peerServer = httpserver.New(peers.Handler(), peerConfig)
 	a.adminServer = httpserver.New(a.gateway.AdminHandler(), internal)
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -138,6 +138,9 @@
 	if got == x.attempt.ID {
 		return nil
 	}
+	if got == "" && x.attempt.Target.Peer != nil && resp.Header.Get(headerOutcome) == string(failure.NotRun) {
+		return &StatusError{Status: resp.StatusCode, Message: "refused before it was read", Code: failure.CodeOverloaded, Outcome: failure.NotRun}
+	}
 	if got == "" && resp.StatusCode >= http.StatusBadRequest {
 		return &StatusError{Status: http.StatusBadGateway, Message: "response " + resp.Status + " without an attempt id"}
 	}
--- a/internal/relay/fault_test.go
+++ b/internal/relay/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -260,6 +261,27 @@
 	}
 }
 
+// TestRefusalBeforeReadingIsNotRun guards against chats that fail with an unknown outcome
+// because another gateway had no room for the connection. An endpoint's word doesn't count.
+func TestRefusalBeforeReadingIsNotRun(t *testing.T) {
+	refuse := func(w *engineWriter) {
+		w.Header().Del(HeaderAttemptID)
+		maps.Copy(w.Header(), NotRunHeader())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for peer, want := range map[*PeerRoute]ResultKind{{Prepare: func(*http.Request, []byte) {}}: ResultBusy, nil: ResultBadStatus} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestbed(t, Settings{MaxAttempts: 1})
+			defer w.close()
+			w.addEngine("a", refuse)
+			w.peerRoute = peer
+			_, _, err := w.chat(context.Background())
+			require.Equal(t, []ResultKind{want}, w.observer.resultKinds)
+			require.Equal(t, want == ResultBusy, failure.AsRefusal(err).Outcome == failure.NotRun)
+		})
+	}
+}
+
 // TestResumeForAnotherGatewaySendsTheRestOnly checks that a gateway which resumes
 // a response sends only the rest, with the chunk numbers of the complete
 // response.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/memory"
 )
@@ -17,6 +18,13 @@
 	HeaderPriority  = "X-Priority"
 )
 
+// headerOutcome marks a response of a gateway's listener to a request that it has not read
+// and that has no HeaderAttemptID for that reason.
+const headerOutcome = "X-Gateway-Outcome"
+
+// NotRunHeader returns the header of such responses. The sender tries elsewhere.
+func NotRunHeader() http.Header { return http.Header{headerOutcome: {string(failure.NotRun)}} }
+
 // ChatPath is the path of chat completions at engines and gateways.
 const ChatPath = "/v1/chat/completions"
 
