edge: events up to 64 KB are relayed without memory

Cause: the growth of an event's buffer above 4 KB was reserved, and a stream broke off when requests had used up the account, although the event had come. Change: up to 64 KB it is charged; larger events are reserved as before. Result: TestSmallEventsAreDeliveredWithoutMemory failed and passes, with the tests of events, streams and memory.

--- a/internal/edge/body_test.go
+++ b/internal/edge/body_test.go
@@ -281,6 +281,22 @@
 	}
 }
 
+// TestSmallEventsAreDeliveredWithoutMemory guards against streams of ordinary events that break
+// off because requests have used up the account.
+func TestSmallEventsAreDeliveredWithoutMemory(t *testing.T) {
+	c := newMemoryCluster(t, "north")
+	north, e := c.regions["north"], c.startEndpoint("e1", "north-a")
+	event := "id: 1\ndata: " + strings.Repeat("x", 30_000) + "\n\n"
+	full := north.edge.Memory.Open(memory.Response)
+	e.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		full.Charge(bodyTestLimit)
+		_, _ = io.WriteString(w, event+eventText(2, 2))
+	})
+	require.Equal(t, event+eventText(2, 2), north.call(http.MethodPost, "/s/", "prompt", nil).body)
+	full.Close()
+	north.waitForNothingHeld()
+}
+
 // TestNothingStaysReserved sends a random crowd of requests that succeed, fail, are refused,
 // cancelled, timed out and forwarded, and checks that nothing is left in any account. The
 // seed is fixed; the order in which the requests run is not.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -152,8 +152,8 @@
 
 // readEvent appends the next event to buf, including the empty line that ends it.
 // At the end of the stream it returns an empty event and io.EOF; if the stream ends
-// within an event, the error is io.ErrUnexpectedEOF. buf has to be empty. Its growth is
-// reserved in hold.
+// within an event, the error is io.ErrUnexpectedEOF. buf has to be empty. hold is charged
+// for its growth.
 func readEvent(r *bufio.Reader, buf []byte, hold *memory.Holder) ([]byte, error) {
 	for {
 		line, err := r.ReadSlice('\n')
@@ -177,8 +177,9 @@
 	}
 }
 
-// growEvent returns buf with room for n bytes more. What exceeds the read buffer's size, up
-// to which relayStream charges an event in advance, is reserved.
+// growEvent returns buf with room for n bytes more. relayStream charges an event up to the
+// read buffer's size in advance. Up to memory.SmallBytes it is charged, since a stream must not
+// break off for so little, above that reserved.
 func growEvent(buf []byte, n int, hold *memory.Holder) ([]byte, error) {
 	if cap(buf) > memory.SmallBytes && len(buf) == 0 {
 		// One large event doesn't hold its memory until the end of the stream.
@@ -189,10 +190,13 @@
 		return buf, nil
 	}
 	size := max(2*cap(buf), len(buf)+n)
-	if size > streamBufferBytes {
+	switch {
+	case size > memory.SmallBytes:
 		if err := hold.Reserve(int64(size)); err != nil {
 			return buf, errors.WithStack(&StreamError{Reason: "no memory for an event", Cause: err})
 		}
+	case size > streamBufferBytes:
+		hold.Charge(int64(size))
 	}
 	grown := append(make([]byte, 0, size), buf...)
 	if cap(buf) > streamBufferBytes {
