httpserver: no change of the receive buffer for small chunked bodies

Cause: each request with a body of unknown length set the size of the kernel's receive buffer twice, however small the body was. Change: the buffer grows once more of the body has come than the connection's own takes. Result: TestBodiesAreReadWithEnoughBuffer counted 3 settings instead of 1 for a chunked body of 40 KB, and passes with the other tests of internal/httpserver.

--- a/internal/httpserver/hostile_test.go
+++ b/internal/httpserver/hostile_test.go
@@ -309,12 +309,17 @@
 func TestBodiesAreReadWithEnoughBuffer(t *testing.T) {
 	for _, test := range []struct {
 		taken, length int
+		isChunked     bool
 		sizes         []int
 	}{
-		{0, 40 << 10, []int{64 << 10}},
-		{0, 100 << 10, []int{64 << 10, largeBuffer, 64 << 10}},
-		{10000, 2 << 10, []int{4 << 10}},
-		{10000, 40 << 10, []int{4 << 10, largeBuffer, 4 << 10}},
+		{0, 40 << 10, false, []int{64 << 10}},
+		{0, 40 << 10, true, []int{64 << 10}},
+		{0, 100 << 10, false, []int{64 << 10, largeBuffer, 64 << 10}},
+		{0, 100 << 10, true, []int{64 << 10, largeBuffer, 64 << 10}},
+		{10000, 2 << 10, false, []int{4 << 10}},
+		{10000, 2 << 10, true, []int{4 << 10}},
+		{10000, 40 << 10, false, []int{4 << 10, largeBuffer, 4 << 10}},
+		{10000, 40 << 10, true, []int{4 << 10, largeBuffer, 4 << 10}},
 	} {
 		pool := NewPool(nil, nil)
 		pool.SetBounds(0, 256<<20)
@@ -330,7 +335,12 @@
 			_ = s.Serve(&oneConn{Listener: nopListener{}, conn: sized})
 		}()
 		c := &caller{conn: client, reader: bufio.NewReader(client)}
-		require.Equal(t, "HTTP/1.1 200 OK", c.write(fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", test.length, strings.Repeat("a", test.length))))
+		content := strings.Repeat("a", test.length)
+		request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", test.length, content)
+		if test.isChunked {
+			request = fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", test.length, content)
+		}
+		require.Equal(t, "HTTP/1.1 200 OK", c.write(request))
 		require.NoError(t, client.Close())
 		<-ended
 		require.NoError(t, s.Shutdown(t.Context()))
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -252,22 +252,26 @@
 	}
 }
 
-// body is the body of a request. It notes its end, and that reading it has begun.
+// body is the body of a request. It notes its end, and gets a large receive buffer as soon as
+// it is known not to fit into the connection's own.
 type body struct {
 	io.ReadCloser
-	conn    *conn
-	isLarge bool
+	conn *conn
+	// size is the length of the body, below 0 if it is unknown. received counts its bytes.
+	size, received int64
+	hasBuffer      bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	if b.isLarge {
-		b.isLarge = false
+	if !b.hasBuffer && max(b.size, b.received) > b.conn.windowBytes() {
+		b.hasBuffer = true
 		b.conn.mu.Lock()
 		b.conn.setLargeBuffer(true)
 		b.conn.mu.Unlock()
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
 	if errors.Is(err, io.EOF) {
 		b.conn.endBody()
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -133,7 +133,7 @@
 				// that a caller awaits 100 Continue, or that a body is too long to be read to its
 				// end before the response is sent.
 				r = r.WithContext(r.Context())
-				r.Body = &body{ReadCloser: r.Body, conn: c, isLarge: r.ContentLength < 0 || r.ContentLength > c.windowBytes()}
+				r.Body = &body{ReadCloser: r.Body, conn: c, size: r.ContentLength}
 			}
 		}
 		if s.keepAlivesDisabled.Load() {
