edgeserver: keep connections of other gateways that have not carried a request yet

Cause: net/http opens connections that it then doesn't need for the request at hand, and pools them. Before its first request such a connection was under the configured header timeout, which with header-timeout-ms below 2,400 is shorter than the 3 s for which gateways pool it. A forward could be written to it just as it was closed, and was lost. Change: the header timeout between gateways is at least minPeerIdleTimeout, 10 s, as the idle timeout is. That of callers stays as configured. A lost forward itself was not observed.

--- a/internal/edgeserver/listeners.go
+++ b/internal/edgeserver/listeners.go
@@ -73,6 +73,9 @@
 func (s *Server) peerLimits() httpserver.Limits {
 	out := s.callerLimits()
 	out.IdleTimeout = max(out.IdleTimeout, minPeerIdleTimeout)
+	// A connection that a gateway has opened and not needed is used as late as others. Before
+	// its first request, the header timeout applies to it.
+	out.HeaderTimeout = max(out.HeaderTimeout, minPeerIdleTimeout)
 	out.MaxHeaderBytes = max(peerHeaderFactor*out.MaxHeaderBytes, defaultMaxHeaderBytes)
 	return out
 }
