httpserver: a shutdown awaits a request of which a byte has been read

Cause: net/http reads one byte ahead while a request is answered. Change: a connection of whose next head a byte has been read isn't idle; the header timeout limits the wait. Result: TestShutdownAwaitsAHeadThatHasBegun failed (connection closed) and passes with all tests of internal/httpserver, also under the race detector.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -157,12 +157,13 @@
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
-// becomeIdle notes that a request has been answered and the next one is awaited.
+// becomeIdle notes that a request has been answered and the next one is awaited. A connection
+// of whose next request a byte has been read is not idle.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.served = true, true
-	c.endRequest()
+	c.served = true
+	c.idle = !c.endRequest()
 	c.interruptIfEnding()
 }
 
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -86,6 +87,41 @@
 	})
 }
 
+// TestShutdownAwaitsAHeadThatHasBegun guards against a request that a shutdown cuts off because
+// its first byte was read while the one before was still being answered.
+func TestShutdownAwaitsAHeadThatHasBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		answer := make(chan struct{})
+		s := New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			<-answer
+			_, _ = io.WriteString(w, "ok")
+		}), Config{Limits: func() Limits { return Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second} }})
+		go func() { _ = s.Serve(l) }()
+		conn, server := net.Pipe()
+		l.conns <- server
+		c := &caller{conn: conn, reader: bufio.NewReader(conn)}
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		_, err = io.WriteString(conn, "G")
+		require.NoError(t, err)
+		done := make(chan error, 1)
+		go func() { done <- s.Shutdown(t.Context()) }()
+		synctest.Wait()
+		close(answer)
+		_, err = c.receive()
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		_, err = io.WriteString(conn, "ET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		closes, err := c.receive()
+		require.NoError(t, err)
+		require.True(t, closes)
+		require.NoError(t, <-done)
+	})
+}
+
 // TestHeadScan guards against heads whose end is missed or seen too early, however the bytes
 // are split, and against costs that depend on the split.
 func TestHeadScan(t *testing.T) {
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -154,8 +154,9 @@
 	c.setLargeBuffer(false)
 }
 
-// endRequest notes that the request has been answered. The caller holds c.mu.
-func (c *conn) endRequest() {
+// endRequest notes that the request has been answered. It reports whether a part of the next
+// one has been read with it. The caller holds c.mu.
+func (c *conn) endRequest() (hasNext bool) {
 	c.closeHead()
 	c.setLargeBuffer(false)
 	next := c.request.afterHead
@@ -174,12 +175,13 @@
 		if c.request.head != nil && c.request.head.Reserve(c.request.scan.cost()) != nil {
 			c.closeNow()
 		}
-		return
+		return true
 	}
 	if c.server.config.Pool != nil {
 		c.server.config.Pool.idle(c)
 	}
 	c.setRequestDeadline(c.server.limits().IdleTimeout)
+	return false
 }
 
 // closeHead gives back the memory of the head. The caller holds c.mu.
