transport: a refused request does not cost the response before it

Cause: net/http pools a connection before it hands over a response without a body. If the next request claimed the connection in between and its write was refused, net/http closed the connection, and the first request, whose response had come, got it as lost: 502, or a retry of work that had run. TestRequestIsNotSentAgainForTheNextOneOnItsConnection shows it. Change: a refused write waits until the connection is read again, 50 ms at most, which is after the response has been handed over, before it reports the refusal. TestRefusedWriteAwaitsTheResponseBefore failed and passes. All tests of internal/transport pass, also under the race detector.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -20,6 +20,9 @@
 	settleYields = 100
 	settleSleeps = 20
 	settleSleep  = 100 * time.Microsecond
+	// refusalSleeps limits the wait of a refused write for the response before it. The
+	// request that is refused goes on by another connection afterwards.
+	refusalSleeps = 500
 )
 
 // UnsolicitedBytesError reports that a connection could not be reused because bytes
@@ -118,6 +121,7 @@
 // Write implements net.Conn.
 func (c *pooledConn) Write(p []byte) (int, error) {
 	if !c.beginWrite() {
+		c.awaitRead()
 		return 0, &UnsolicitedBytesError{Address: c.RemoteAddr().String()}
 	}
 	n, err := c.Conn.Write(p)
@@ -143,6 +147,21 @@
 	return true
 }
 
+// awaitRead waits, up to a limit, until a read is waiting or the connection is closed. A
+// refused write lets net/http close the connection, and it pools a connection before it hands
+// over a response without a body: the request before would lose a response that has come.
+func (c *pooledConn) awaitRead() {
+	for range refusalSleeps {
+		c.mu.Lock()
+		isSettled := c.waiting || c.closed
+		c.mu.Unlock()
+		if isSettled {
+			return
+		}
+		time.Sleep(settleSleep)
+	}
+}
+
 // Read implements net.Conn.
 func (c *pooledConn) Read(p []byte) (int, error) {
 	c.setWaiting(true)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -265,6 +266,28 @@
 	}
 }
 
+// TestRefusedWriteAwaitsTheResponseBefore guards against a response that is lost because the
+// next request was refused on its connection, and net/http closed that, before the response
+// was handed over.
+func TestRefusedWriteAwaitsTheResponseBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer func() { _, _ = client.Close(), server.Close() }()
+		conn := newPooledConn(client)
+		conn.claim()
+		refused := make(chan error, 1)
+		go func() {
+			_, err := conn.Write([]byte("x"))
+			refused <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		require.Empty(t, refused)
+		conn.setWaiting(true)
+		var unsolicited *UnsolicitedBytesError
+		require.ErrorAs(t, <-refused, &unsolicited)
+	})
+}
+
 // TestAbandonedClaimIsNeverWritten guards against a request that is written after it was
 // reported as not sent.
 func TestAbandonedClaimIsNeverWritten(t *testing.T) {
