--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -154,8 +154,9 @@
 	c.setLargeBuffer(false)
 }
 
-// endRequest notes that the request has been answered. The caller holds c.mu.
-func (c *conn) endRequest() {
+// endRequest notes that the request has been answered. It reports whether a part of the next
+// one has been read with it. The caller holds c.mu.
+func (c *conn) endRequest() (hasNext bool) {
 	c.closeHead()
 	c.setLargeBuffer(false)
 	next := c.request.afterHead
@@ -174,12 +175,13 @@
 		if c.request.head != nil && c.request.head.Reserve(c.request.scan.cost()) != nil {
 			c.closeNow()
 		}
-		return
+		return true
 	}
 	if c.server.config.Pool != nil {
 		c.server.config.Pool.idle(c)
 	}
 	c.setRequestDeadline(c.server.limits().IdleTimeout)
+	return false
 }
 
 // closeHead gives back the memory of the head. The caller holds c.mu.
@@ -252,22 +254,26 @@
 	}
 }
 
-// body is the body of a request. It notes its end, and that reading it has begun.
+// body is the body of a request. It notes its end, and gets a large receive buffer as soon as
+// it is known not to fit into the connection's own.
 type body struct {
 	io.ReadCloser
-	conn    *conn
-	isLarge bool
+	conn *conn
+	// size is the length of the body, below 0 if it is unknown. received counts its bytes.
+	size, received int64
+	hasBuffer      bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	if b.isLarge {
-		b.isLarge = false
+	if !b.hasBuffer && max(b.size, b.received) > b.conn.windowBytes() {
+		b.hasBuffer = true
 		b.conn.mu.Lock()
 		b.conn.setLargeBuffer(true)
 		b.conn.mu.Unlock()
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
 	if errors.Is(err, io.EOF) {
 		b.conn.endBody()
 	}
