--- a/internal/controller/routesync/proof_test.go
+++ b/internal/controller/routesync/proof_test.go
@@ -137,3 +137,16 @@
 	require.True(t, c.Fetch(t.Context(), "unknown", 5))
 	require.False(t, c.Fetch(t.Context(), "unknown", 6))
 }
+
+// TestFetchesForProofsDontQueue guards against goroutines that pile up, several a second, when
+// a gateway answers with a newer version and fetches from it hang.
+func TestFetchesForProofsDontQueue(t *testing.T) {
+	c := newController(t, newFakeSource())
+	c.Board.Routes.Set(table(5))
+	c.fetching.Lock()
+	done := make(chan bool)
+	go func() { done <- c.Fetch(t.Context(), "unknown", 6) }()
+	require.False(t, <-done, "another fetch is under way")
+	require.True(t, c.Fetch(t.Context(), "unknown", 5))
+	c.fetching.Unlock()
+}
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -212,7 +212,18 @@
 func (c *Controller) fetchFromPeer(ctx context.Context, id string, version uint64) bool {
 	c.fetching.Lock()
 	defer c.fetching.Unlock()
-	if routes := c.Board.Routes.Get(); routes != nil && routes.Version >= version {
+	return c.fetchLocked(ctx, id, version)
+}
+
+// isInForce reports whether the version, or a newer one, is in force.
+func (c *Controller) isInForce(version uint64) bool {
+	routes := c.Board.Routes.Get()
+	return routes != nil && routes.Version >= version
+}
+
+// fetchLocked is fetchFromPeer with c.fetching held.
+func (c *Controller) fetchLocked(ctx context.Context, id string, version uint64) bool {
+	if c.isInForce(version) {
 		return true
 	}
 	gw, ok := c.Gateways.Get(id)
