Allowances: ask 16 newcomers at most whether they coordinate

A coordinator asked every newcomer that ranks above it, for each account, four times a second. A gateway that goes on while 85 others start again ranks below many of them: with 16 accounts that is up to 5,440 datagrams a second for 3 s, from a machine that may have 0.144 cores. It now asks the 16 of the highest rank, up to 1,024 a second.

More than 16 newcomers that rank above the coordinator of a group just found hide that one until they are known for 3 s.

--- a/internal/edge/allowancecoordinator_test.go
+++ b/internal/edge/allowancecoordinator_test.go
@@ -232,3 +232,25 @@
 	k.tick()
 	require.Empty(t, k.confirmed)
 }
+
+// TestFewNewcomersAreAsked guards against a gateway whose machine is busy with asking all
+// others, for each account, after they have started again.
+func TestFewNewcomersAreAsked(t *testing.T) {
+	e, acc := newCluster(t, "north").regions["north"].edge, limitedTestAccount("n1", "k1", account.Allowance{RatePerSecond: 1, Burst: 1})
+	require.True(t, e.Gateways.MayCoordinate(time.Now()))
+	key := coordinatorKeyPrefix + accountKeyPrefix + "n1"
+	self := rendezvous.Weight(key, "gw-north")
+	var above []string
+	for i := 0; len(above) < 85; i++ {
+		id := fmt.Sprint("peer-", i)
+		e.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: id, Incarnation: "1", Region: "south", GrantAddress: "a:7"}, Ready: true}, time.Now())
+		if rendezvous.Weight(key, id) > self {
+			above = append(above, id)
+		}
+	}
+	var asked []string
+	for _, a := range e.allowances.askSuccessor(acc, e.allowances.now(), time.Now()) {
+		asked = append(asked, a.to.id)
+	}
+	require.ElementsMatch(t, rendezvous.Top(key, above, maxSuccessors), asked, "those of the highest rank")
+}
--- a/internal/edge/allowancesuccessor.go
+++ b/internal/edge/allowancesuccessor.go
@@ -17,6 +17,11 @@
 // coordinator serves. One that hears nobody would otherwise tell half of the fleet.
 const maxClaims = 8
 
+// maxSuccessors is the number of newcomers, those of the highest rank, that are asked whether
+// they coordinate an account. The one gateway that goes on while 85 start again would send
+// thousands of messages a second for 16 accounts otherwise.
+const maxSuccessors = 16
+
 // maxClaimedBytes bounds the ids in one message about whom a coordinator serves: those of 295
 // gateways may exceed the 8 KB of a datagram, which would then be cut off and not be read.
 const maxClaimedBytes = 4 << 10
@@ -65,12 +70,15 @@
 			return nil
 		}
 	}
-	var asks []creditAsk
-	for _, to := range view.newcomers {
-		if view.members[to.id].MachineCapacity < view.leastCapacity || rendezvous.Weight(key, to.id) < weight {
-			continue
+	var above []string
+	for _, g := range view.newcomers {
+		if view.members[g.id].MachineCapacity >= view.leastCapacity && rendezvous.Weight(key, g.id) > weight {
+			above = append(above, g.id)
 		}
-		asks = append(asks, creditAsk{to, k.probe(a, now, realNow)})
+	}
+	var asks []creditAsk
+	for _, id := range rendezvous.Top(key, above, maxSuccessors) {
+		asks = append(asks, creditAsk{gatewayAddress{id: id, address: view.members[id].GrantAddress}, k.probe(a, now, realNow)})
 	}
 	return asks
 }
