Allowances: no early own part for a gateway that may be behind a cut

Gateways that start in a cut without the store's list take their side for the whole fleet, so that their own parts are too large.

The early part now requires that the gateway has read the store's list and hears all gateways that may still run.

--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -297,11 +297,13 @@
 }
 
 // failUncoordinated records that the gateway which was asked coordinates nothing. If this
-// one has just started, all may have, and none coordinates for some seconds. The caller must
-// hold the lock.
+// one has just started, all may have, and none coordinates for some seconds. One that
+// doesn't hear all others may be behind a cut, take its side for all and its own part for too
+// large. The caller must hold the lock.
 func (k *allowances) failUncoordinated(acc *limitedAccount, now time.Time) {
 	acc.wallet.Fail(redirectPause, now)
-	if acc.own == nil && !k.edge.Gateways.IsLeaving() && !k.edge.Gateways.MayCoordinate(time.Now()) {
+	gateways, realNow := k.edge.Gateways, time.Now()
+	if acc.own == nil && !gateways.IsLeaving() && !gateways.MayCoordinate(realNow) && gateways.HearsAll(realNow) {
 		acc.wallet.Uncoordinated(now)
 		acc.isProvisional = acc.wallet.Alone(now)
 	}
--- a/internal/fleet/coordination.go
+++ b/internal/fleet/coordination.go
@@ -49,3 +49,19 @@
 func (g *Gateways) MayCoordinate(now time.Time) bool {
 	return !g.IsLeaving() && g.IsSettled(now) && now.Sub(g.startedAt) >= coordinatorAge
 }
+
+// HearsAll reports whether this gateway has read the store's list since its start and hears
+// all gateways that may still run. Otherwise it may be behind a cut and know its side only.
+func (g *Gateways) HearsAll(now time.Time) bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if !g.hasStoreList {
+		return false
+	}
+	for _, m := range g.known {
+		if !m.status.Leaving && g.isRemembered(m) && (m.lastSeen.IsZero() || !g.isAlive(m, now)) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/fleet/coordination_test.go
+++ b/internal/fleet/coordination_test.go
@@ -49,3 +49,16 @@
 	g.SetLeaving()
 	require.False(t, g.MayCoordinate(at(15*time.Second)))
 }
+
+// TestHearsAllNeedsTheStoreListAndAllGateways guards against a gateway behind a cut that takes
+// its side for the whole fleet.
+func TestHearsAllNeedsTheStoreListAndAllGateways(t *testing.T) {
+	g := NewGateways(gateway("self", "north"), start)
+	g.ApplyStatus(status("a", "north", 1), at(time.Second))
+	require.False(t, g.HearsAll(at(time.Second)), "the store may list others")
+	g.ApplyStoreList([]Gateway{gateway("self", "north"), gateway("a", "north"), gateway("b", "south")}, at(time.Second))
+	require.False(t, g.HearsAll(at(time.Second)), "b has not been heard")
+	g.ApplyStatus(status("b", "south", 1), at(time.Second))
+	require.True(t, g.HearsAll(at(time.Second)))
+	require.False(t, g.HearsAll(at(time.Second+SilenceTimeout+time.Millisecond)), "both are silent")
+}
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -71,6 +71,8 @@
 	// contactAt is when this gateway last heard of the fleet: by a heartbeat of another
 	// gateway or by the store's list.
 	contactAt time.Time
+	// hasStoreList is set once the store's list has been applied.
+	hasStoreList bool
 	// lastSummary is when the newest summary of each region was created.
 	lastSummary map[string]time.Time
 	// changes counts the changes that can make a memberList or a regionSize wrong at
@@ -300,7 +302,7 @@
 func (g *Gateways) ApplyStoreList(list []Gateway, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.contactAt = now
+	g.contactAt, g.hasStoreList = now, true
 	for _, gw := range list {
 		if gw.ID == g.self.ID || gw.ID == "" {
 			continue
