Send a region's excess demand away before its engines are full

Cause: a region at its peak filled its engines up to 0.6 to 0.9 of their prefill capacity while those of other regions were 0.1 utilized; one event in the stream of a quarter of all long responses came late, and many reached their deadlines.

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -52,6 +52,10 @@
 		Codec:           platform.HeaderCodec{},
 		MetricsPort:     edgeSettings.MetricsPort,
 		EndpointPace:    edgeSettings.EndpointPace,
+
+		ResponseForecast: edgeSettings.ResponseForecast,
+		RegionSpill:      edgeSettings.RegionSpill,
+
 		NewDirectoryHandler: func(addresses func(host, region string) ([]string, time.Duration)) http.Handler {
 			return platform.DirectoryHandler(directoryFunc(addresses))
 		},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,6 +77,11 @@
 	// Memory is the account of the bodies and responses that requests hold. If it is
 	// nil, nothing is refused for them.
 	Memory *memory.Account
+	// ResponseForecast refuses requests whose responses are expected to end after their
+	// deadlines. RegionSpill sends requests to less utilized regions before the local one
+	// is full; it needs a large region.
+	ResponseForecast bool
+	RegionSpill      bool
 	// Freshness is used only where the settings ask for strict revocation.
 	Freshness Freshness
 	// Pace holds the windows of endpoints that have just started or recovered; nil if their
@@ -101,6 +106,7 @@
 	health                                healthChecks
 	pacing                                *pacing
 	stopping                              *stopping
+	spills                                spills
 	allowances                            *allowances
 	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
 	streamBacklog atomic.Int64
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -230,6 +230,8 @@
 		Limits:            requestlimit.New(),
 		EndpointTransport: transport.New(dial, time.Second),
 		GatewayTransport:  transport.New(dial, time.Second),
+		ResponseForecast:  true,
+		RegionSpill:       true,
 		Logger:            log.New(io.Discard),
 	})
 	r.callerServer = httptest.NewServer(r.edge.CallerHandler())
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -55,6 +55,9 @@
 	if !req.StaleView || req.PromptTokens == 0 && !hasFewSlots {
 		return s.decidePaced(req, candidates, now), grantResult{}
 	}
+	if d, ok := s.spill(req, candidates, now); ok {
+		return d, grantResult{}
+	}
 	grant := s.requestGrant(ctx, req, candidates, now)
 	if !grant.granted {
 		req.LocalRefused = grant.denied
@@ -99,21 +102,28 @@
 		Priority:        s.priority(),
 		TimeToObjective: s.arrived.Add(s.route.Objective).Sub(now),
 		TimeToDeadline:  s.deadline.Sub(now),
-		TimeToEnd:       s.deadline.Sub(now),
 		StaleView:       !s.edge.Gateways.IsFullMesh(),
 		HashFraction:    hashFraction(s.rankKey()),
 		ResponseStarted: s.stream.started || s.forwarded != nil && s.forwarded.LastEventID != "",
 	}
 	if p := s.req.Prompt; p != nil {
 		r.PromptTokens, r.SharedTokens, r.OutputTokens = p.Tokens, s.sharedTokens, expectedOutputTokens(p)
-		if s.isWholeStream() {
-			s.lengths = s.edge.Loads.ExpectedLengths(s.lengthClass(), r.OutputTokens, p.MaxOutputTokens)
+		if s.edge.ResponseForecast {
+			s.forecastLengths(&r)
 		}
-		r.Outputs, r.LongOutputTokens = s.lengths.Outputs, s.lengths.Tokens
 	}
 	return r
 }
 
+// forecastLengths sets what the forecast of the whole response has to know of the request.
+func (s *session) forecastLengths(r *placement.Request) {
+	if s.isWholeStream() {
+		s.lengths = s.edge.Loads.ExpectedLengths(s.lengthClass(), r.OutputTokens, s.req.Prompt.MaxOutputTokens)
+	}
+	r.TimeToEnd = r.TimeToDeadline
+	r.Outputs, r.LongOutputTokens = s.lengths.Outputs, s.lengths.Tokens
+}
+
 // isWholeStream reports whether the response is a stream from its first event on.
 func (s *session) isWholeStream() bool {
 	return s.route.Kind == route.Streaming && s.req.LastEventID == "" && s.resumeEventID() == "" && (s.forwarded == nil || s.forwarded.LastEventID == "")
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -61,6 +61,9 @@
 	MetricsPort int
 	// EndpointPace switches on the pace of endpoints that have just started or recovered.
 	EndpointPace bool
+	// ResponseForecast and RegionSpill are those of edge.Config.
+	ResponseForecast bool
+	RegionSpill      bool
 	// NewDirectoryHandler and NewReadinessHandler return the handlers of the directory
 	// listener and the readiness listener. The addresses function
 	// returns the caller addresses of gateways and how long they may be cached.
@@ -143,6 +146,8 @@
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
 		Pace:              newPace(p.EndpointPace),
 		PaceReporter:      grantController,
+		ResponseForecast:  p.ResponseForecast,
+		RegionSpill:       p.RegionSpill,
 		Logger:            logger,
 	})
 	grantController.SetCoordinator(s.edge)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -12,6 +12,12 @@
 	// EndpointPace is set if endpoints that have just started or recovered get requests by
 	// how they respond.
 	EndpointPace bool
+	// ResponseForecast is set if requests are refused whose responses are expected to end
+	// after their deadlines.
+	ResponseForecast bool
+	// RegionSpill is set if requests are sent to less utilized regions before the local
+	// one is full.
+	RegionSpill bool
 }
 
 // LoadEdge reads the settings from args and the environment as Load does.
@@ -32,6 +38,8 @@
 		{"log-level", "info", "debug, info, warn or error", stringOption(&e.LogLevel)},
 		{"metrics-port", "9464", "port of the counters and histograms; 0 serves none", portOption(&e.MetricsPort)},
 		{"endpoint-pace", "off", "off or on: whether endpoints that have just started or recovered get requests by how they respond", switchOption(&e.EndpointPace)},
+		{"response-forecast", "off", "off or on: whether requests are refused whose responses are expected to end after their deadlines", switchOption(&e.ResponseForecast)},
+		{"region-spill", "off", "off or on: whether large regions send requests to less utilized ones before they are full", switchOption(&e.RegionSpill)},
 	}
 }
 
