Keep room for urgent routes where accounts have priorities

Cause: an account's priority replaced that of the route also where room is kept for more urgent requests, so that long prompts of favoured accounts were served in place of five times as many short requests. Deployments without accounts are as before.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -64,6 +64,9 @@
 	return *a.Priority
 }
 
+// HasPriority reports whether the account has a priority, which goes before that of a route.
+func (a *Account) HasPriority() bool { return a != nil && a.Priority != nil }
+
 // Unit is what an allowance counts.
 type Unit int
 
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -28,6 +28,10 @@
 	LongTokens int `json:"z,omitempty"`
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int `json:"u,omitempty" lenient:"required"`
+	// HasAccountPriority is set if Priority is that of the client account; RoutePriority is
+	// then that of the route.
+	HasAccountPriority bool `json:"ap,omitempty" lenient:"required"`
+	RoutePriority      int  `json:"rp,omitempty" lenient:"required"`
 	// TimeToObjectiveMillis is the time left until the latency objective is
 	// missed; it may be negative. EstimateLimitMillis limits the estimated time
 	// to the first output at an endpoint without a cached prefix of the prompt,
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -46,7 +46,7 @@
 	})
 	toDeadline := time.Duration(req.TimeToDeadlineMillis) * time.Millisecond
 	d := e.decideGrantPaced(req, incarnations, now, placement.Request{
-		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, ResponseStarted: req.ResponseStarted,
+		PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens, Priority: req.Priority, HasAccountPriority: req.HasAccountPriority, RoutePriority: req.RoutePriority, ResponseStarted: req.ResponseStarted,
 		Outputs: req.Outputs, LongOutputTokens: req.LongTokens, TimeToEnd: toDeadline,
 		TimeToObjective: time.Duration(req.TimeToObjectiveMillis) * time.Millisecond,
 		TimeToDeadline:  time.Duration(req.HardLimitMillis) * time.Millisecond,
@@ -230,7 +230,7 @@
 	grantReq := grants.Request{
 		Service: s.service.Name, RankKey: s.rankKey(), PromptTokens: req.PromptTokens, SharedTokens: req.SharedTokens, OutputTokens: req.OutputTokens,
 		Outputs: req.Outputs, LongTokens: req.LongOutputTokens,
-		Priority: req.Priority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
+		Priority: req.Priority, HasAccountPriority: req.HasAccountPriority, RoutePriority: req.RoutePriority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
 		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(), TimeToDeadlineMillis: req.TimeToDeadline.Milliseconds(), GrantID: s.newGrantID(),
 		ResponseStarted: req.ResponseStarted, Segments: s.segments,
 	}
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -100,12 +100,14 @@
 func (s *session) placementRequest(now time.Time) placement.Request {
 	r := placement.Request{
 		Priority:        s.priority(),
+		RoutePriority:   s.route.Priority,
 		TimeToObjective: s.arrived.Add(s.route.Objective).Sub(now),
 		TimeToDeadline:  s.deadline.Sub(now),
 		StaleView:       !s.edge.Gateways.IsFullMesh(),
 		HashFraction:    hashFraction(s.rankKey()),
 		ResponseStarted: s.stream.started || s.forwarded != nil && s.forwarded.LastEventID != "",
 	}
+	r.HasAccountPriority = s.account.HasPriority()
 	if p := s.req.Prompt; p != nil {
 		r.PromptTokens, r.SharedTokens, r.OutputTokens = p.Tokens, s.sharedTokens, expectedOutputTokens(p)
 		if s.edge.ResponseForecast {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,10 @@
 	Outputs          int
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
+	// HasAccountPriority is set if Priority is that of the client account, which goes before
+	// that of the route, RoutePriority.
+	HasAccountPriority bool
+	RoutePriority      int
 	// TimeToObjective is the time left until the latency objective is missed.
 	// It may be negative.
 	TimeToObjective time.Duration
@@ -253,15 +257,14 @@
 	if req.PromptTokens == 0 || req.ResponseStarted || c.Running+c.Waiting == 0 {
 		return false
 	}
-	limit := maxPrefillUtilization - priorityStep*float64(min(req.Priority, 2))
+	limit := maxPrefillUtilization - req.reserve()
 	return c.PrefillUtilization+min(prefillTime(req, c), maxOwnPrefill).Seconds()/utilizationTimeConstant.Seconds() > limit
 }
 
 const (
 	// maxPrefillUtilization is the utilization limit for the highest priority.
-	// Each lower priority level has a limit lower by priorityStep.
+	// Each lower priority level has a lower one, see Request.reserve.
 	maxPrefillUtilization = 0.95
-	priorityStep          = 0.15
 	// maxOwnPrefill caps the request's own prefill time in this check. Without
 	// the cap the longest prompts would be refused several times as often as
 	// others.
--- a/internal/placement/stale.go
+++ b/internal/placement/stale.go
@@ -24,7 +24,7 @@
 	// admitAllUtilization is the mean prefill utilization of a region up to
 	// which all requests of the highest priority are admitted. From there the
 	// admitted share falls to zero over admissionBand. Each lower priority
-	// level starts priorityStep earlier.
+	// level starts earlier, see Request.reserve.
 	admitAllUtilization = 0.7
 	admissionBand       = 0.4
 	// remoteLimitShare is the share of the admission limit up to which a region
@@ -45,7 +45,7 @@
 // decideStale chooses a candidate when the load state is stale. medianFailures
 // is the median failure rate of the candidates.
 func decideStale(req Request, candidates []Candidate, medianFailures float64) Decision {
-	limit := admitAllUtilization + admissionBand*(1-req.HashFraction) - priorityStep*float64(min(req.Priority, 2))
+	limit := admitAllUtilization + admissionBand*(1-req.HashFraction) - req.reserve()
 	if req.ResponseStarted || req.PromptTokens == 0 {
 		limit = noUtilizationLimit
 	}
