--- a/internal/memory/property_test.go
+++ b/internal/memory/property_test.go
@@ -27,7 +27,7 @@
 		var all []*modelHolder
 		pick := func(t *rapid.T) *modelHolder {
 			if len(all) == 0 {
-				t.Skip("no holder")
+				all = append(all, &modelHolder{Holder: a.Open(Response)})
 			}
 			return rapid.SampledFrom(all).Draw(t, "holder")
 		}
