Show by a test that entries which can't be fetched are used for too long

The same cause as with configurations, found by looking for it elsewhere: the fingerprint of the store reader's entries differs, the fetch fails, and the store is not read while the reader's status is fresh. An endpoint that is leaving goes on getting requests (DRAIN). The harness now stops its controller also when a check fails.

--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,6 +63,21 @@
 	return s.calls
 }
 
+// list returns the entries that the store holds.
+func (s *fakeSource) list() []fleet.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listLocked()
+}
+
+func (s *fakeSource) listLocked() []fleet.Entry {
+	var out []fleet.Entry
+	for id, e := range s.entries {
+		out = append(out, fleet.Entry{ID: id, Endpoint: &e})
+	}
+	return out
+}
+
 func (s *fakeSource) Read(context.Context) ([]fleet.Entry, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,10 +85,7 @@
 	if s.down {
 		return nil, store.Revision{}, &store.UnavailableError{Op: "read", Cause: io.EOF}
 	}
-	var out []fleet.Entry
-	for id, e := range s.entries {
-		out = append(out, fleet.Entry{ID: id, Endpoint: &e})
-	}
+	out := s.listLocked()
 	s.changed = nil
 	return out, store.Revision{Era: s.era, Number: max(s.revision, 1)}, nil
 }
@@ -120,9 +133,11 @@
 		})
 		var tb tomb.Tomb
 		tb.Go(func() error { return d.controller.Run(&tb) })
+		defer func() {
+			tb.Kill(nil)
+			require.NoError(t, tb.Wait())
+		}()
 		test(d)
-		tb.Kill(nil)
-		require.NoError(t, tb.Wait())
 	})
 }
 
@@ -366,3 +381,44 @@
 		require.True(t, known)
 	})
 }
+
+// TestChangeIsKnownInTimeThoughItCannotBeFetched guards against a gateway that goes on sending
+// to an endpoint that is leaving, while a cut in one direction lets it only hear the store
+// reader.
+func TestChangeIsKnownInTimeThoughItCannotBeFetched(t *testing.T) {
+	const bound = 3 * time.Second
+	run(t, func(d *testDiscovery) {
+		d.controller.Board.Settings.Set(&settings.PlatformSettings{Limits: settings.Limits{EndpointDrain: bound}})
+		d.controller.Client = peerfetch.NewClient(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		defer time.Sleep(2 * time.Second) // The last dial gives up.
+		seq := uint64(0)
+		hear := func(period time.Duration) {
+			for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+				seq++
+				known := fleet.NewRegistry(map[string]string{"north-a": "north"})
+				known.Replace(d.source.list(), time.Now())
+				d.applyStoreReaderStatus(seq, &fleet.StoreStatus{EndpointsFingerprint: known.Fingerprint(), EndpointsAgeMillis: 100})
+			}
+		}
+		d.source.set(endpoint("a"))
+		d.source.set(endpoint("b"))
+		hear(2 * time.Second)
+		require.Equal(t, 2, d.usable())
+		for _, id := range []string{"a", "b"} {
+			leaving := endpoint(id)
+			leaving.State = fleet.Draining
+			d.source.set(leaving)
+			before := d.usable()
+			hear(bound)
+			require.Equal(t, before-1, d.usable())
+		}
+		before := d.source.callCount()
+		hear(20 * time.Second)
+		require.Equal(t, before, d.source.callCount(), "the store is not called once the entries are the reader's")
+	})
+}
