--- /dev/null
+++ b/internal/edge/departed_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/httpserver"
+	"github.com/hickorystage/hickorystage/internal/route"
+)
+
+// TestCallersThatLeftBeforeTheirRequestsWereReadReachNoEndpoint guards against work for callers
+// that gave up while the gateway stood still: their requests and the ends of their connections
+// are read at the same time.
+func TestCallersThatLeftBeforeTheirRequestsWereReadReachNoEndpoint(t *testing.T) {
+	const callers = 200
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		for _, body := range []string{"", "body"} {
+			t.Run(fmt.Sprintf("%s, %d bytes", dataCentre, len(body)), func(t *testing.T) {
+				c := newCluster(t, "north", "south")
+				c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent, MaxAttempts: 1})
+				e := c.startEndpoint("e1", dataCentre)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				for i := range callers {
+					conn, err := net.Dial("tcp", l.Addr().String())
+					require.NoError(t, err)
+					_, err = fmt.Fprintf(conn, "POST /q/ HTTP/1.1\r\nHost: a.example\r\n%s: id-%d\r\nContent-Length: %d\r\n\r\n%s", headerID, i, len(body), body)
+					require.NoError(t, err)
+					require.NoError(t, conn.Close())
+				}
+				var handled atomic.Int32
+				handler := c.regions["north"].edge.CallerHandler()
+				s := httpserver.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					defer handled.Add(1)
+					handler.ServeHTTP(w, r)
+				}), httpserver.Config{Limits: func() httpserver.Limits { return httpserver.Limits{HeaderTimeout: 10 * time.Second} }})
+				done := make(chan error, 1)
+				go func() { done <- s.Serve(l) }()
+				require.Eventually(t, func() bool { return handled.Load() == callers }, 10*time.Second, time.Millisecond)
+				require.NoError(t, s.Close())
+				require.NoError(t, <-done)
+				require.Zero(t, requestCount(e), "requests of %d", callers)
+			})
+		}
+	}
+}
