Show by a test that bytes behind a request hide that its caller has left

net/http watches for the end of a connection by reading one byte. A byte of the next request, or an empty line, ends the watch, and the endpoint works on until its response is written (GONE).

--- a/internal/edge/departed_test.go
+++ b/internal/edge/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -50,3 +51,35 @@
 		}
 	}
 }
+
+// TestLeavingEndsWorkBehindFurtherBytes guards against endpoints that work on for callers that
+// have left behind a part of their next request, in both directions of a forward.
+func TestLeavingEndsWorkBehindFurtherBytes(t *testing.T) {
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		for _, kind := range []route.RequestKind{route.Idempotent, route.Streaming} {
+			t.Run(fmt.Sprintf("%s, %v", dataCentre, kind), func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, "north", "south")
+				c.addRoute(route.Route{Prefix: "/q/", Kind: kind, MaxAttempts: 2, Timeout: time.Minute})
+				e := c.startEndpoint("e1", dataCentre)
+				e.setHandler(waitForCancel)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				s := httpserver.New(c.regions["north"].edge.CallerHandler(), httpserver.Config{Limits: func() httpserver.Limits { return httpserver.Limits{HeaderTimeout: 10 * time.Second} }})
+				done := make(chan error, 1)
+				go func() { done <- s.Serve(l) }()
+				conn, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				_, err = fmt.Fprintf(conn, "GET /q/ HTTP/1.1\r\nHost: a.example\r\n%s: id-1\r\n\r\n", headerID)
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return requestCount(e) == 1 }, 5*time.Second, time.Millisecond)
+				_, err = io.WriteString(conn, "GET /q/ HTTP/1.1\r\n")
+				require.NoError(t, err)
+				require.NoError(t, conn.Close())
+				require.Eventually(t, func() bool { return e.cancelledCount() == 1 }, 5*time.Second, time.Millisecond)
+				require.NoError(t, s.Close())
+				require.NoError(t, <-done)
+			})
+		}
+	}
+}
