Read from the store a version that can't be fetched

Cause: a gateway that is not the store reader took the reader's fresh status for its own being up to date. If it could not fetch the version that the status named (a cut in one direction, a link too slow for the fetch's 700 ms, a reader that is short of connections), it tried again with each status and never read the store. Class: a sign of life of the source is taken for the arrival of the data. Change: after a failed fetch the gateway reads the configuration from the store, at most once a second.

--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -33,6 +33,9 @@
 	watchWait = time.Second
 	// retryWait is the delay after a failed call.
 	retryWait = 250 * time.Millisecond
+	// unfetchedReadInterval is the shortest time between two reads of versions that could not
+	// be fetched: a third of the shortest time in which a change has to be in force.
+	unfetchedReadInterval = time.Second
 	// RewriteTime is how long after a restore of the store an evacuation that it no longer
 	// holds stays in force: operators write again what the older copy lacks.
 	RewriteTime = 3 * time.Second
@@ -46,6 +49,8 @@
 	adopted  = telemetry.NewCounter("routes_adopted", "versions", "configuration versions applied")
 	rejected = telemetry.NewCounter("routes_refused", "versions", "configuration versions rejected as invalid")
 	fetched  = telemetry.NewCounter("routes_fetched", "versions", "configuration versions fetched from other gateways")
+
+	unfetched = telemetry.NewCounter("routes_unfetched", "calls", "reads of the configuration from the store because it could not be fetched from the store reader")
 )
 
 // Change is one change made by operators.
@@ -97,6 +102,8 @@
 	// fetching is held during a fetch from a peer: a new version is heard of in heartbeats
 	// and from proofs at about the same time.
 	fetching sync.Mutex
+	// unfetchedReadAt is when a version that could not be fetched was last read from the store.
+	unfetchedReadAt time.Time
 	// watchFrom is the revision to watch from; zero requires a read of everything.
 	watchFrom store.Revision
 	// era is the era of the store that this gateway knows of, here or by the store reader; 0
@@ -161,12 +168,29 @@
 	c.watchFrom = store.Revision{}
 	c.observeEra(status.Era)
 	c.applyEvacuations(status)
-	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from, status.ConfigVersion) {
+	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from, status.ConfigVersion) && !c.readUnfetched(ctx, status.ConfigVersion) {
 		return
 	}
 	c.recordStoreReachable()
 }
 
+// readUnfetched reads from the store a version that could not be fetched from the store reader,
+// and reports whether it is in force then. A gateway may hear the store reader and not reach
+// it, for instance while their link is cut in one direction.
+func (c *Controller) readUnfetched(ctx context.Context, version uint64) bool {
+	now := time.Now()
+	if now.Sub(c.unfetchedReadAt) < unfetchedReadInterval {
+		return false
+	}
+	c.unfetchedReadAt = now
+	unfetched.Inc()
+	if err := c.ReadConfig(ctx); err != nil {
+		c.Logger.Warn("cannot read from the store the configuration that could not be fetched", "version", version, "err", err)
+		return false
+	}
+	return c.isInForce(version)
+}
+
 // applyEvacuations applies the evacuations of a store status, unless this gateway knows
 // newer ones.
 func (c *Controller) applyEvacuations(status fleet.StoreStatus) {
