Read from the store endpoint entries that can't be fetched

Callers: requests went to endpoints that were leaving (DRAIN). A gateway whose entries differ from the store reader's, and which could not fetch them, waited for the reader's next status and never read the store. Change: it reads the store then, as often as a store reader does.

--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -163,6 +163,9 @@
 	c.recordVerified(readAt)
 	c.observeEra(status.Era)
 	if status.EndpointsFingerprint != c.Registry.Fingerprint() && !c.fetchFromPeer(ctx, from) {
+		// A gateway may hear the store reader and not reach it, for instance while their link
+		// is cut in one direction.
+		c.readIfDue(ctx, time.Now())
 		return
 	}
 	c.Registry.RecordCurrent(readAt)
