Don't send on requests whose callers have left before they were read

Callers who gave up left work behind at endpoints, most of all where a gateway stood still or had too much to do (GONE). Cause: a request and the end of its connection are read at the same time then. net/http watches the connection in a goroutine beside the handler, so the request may be sent on before its context ends. Class: a race between noticing and doing. Change: the server asks the socket whether the other end has hung up when a request has been read, its body included, and cancels its context before the handler begins; a session whose context has ended sends nothing.

--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -123,6 +123,10 @@
 	s.tried = make(map[string]bool)
 	s.edge.RetryBudget.RecordRequest(s.service.Name, time.Now())
 	for {
+		if ctx.Err() != nil {
+			s.fail(ctx, notSentRefusal("the request ended before it was sent"))
+			return
+		}
 		if refusal := s.quarantineRefusal(); refusal != nil {
 			s.fail(ctx, refusal)
 			return
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,8 @@
 // made by one goroutine at a time, as net/http does.
 type conn struct {
 	net.Conn
+	// raw is nil if the connection has no socket.
+	raw        syscall.RawConn
 	server     *Server
 	acceptedAt time.Time
 	// entry and receiveBuffer are the connection's place in the pool and its share of the
@@ -52,7 +55,7 @@
 }
 
 func (s *Server) newConn(accepted net.Conn) *conn {
-	return &conn{Conn: accepted, server: s, acceptedAt: time.Now(), idle: true}
+	return &conn{Conn: accepted, raw: rawConnOf(accepted), server: s, acceptedAt: time.Now(), idle: true}
 }
 
 // begin prepares the connection for its first request.
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -37,6 +38,8 @@
 	// received counts the bytes after the head, contentLength those that belong to the
 	// body, -1 if unknown. afterHead bounds the bytes of the next request among them.
 	received, contentLength, afterHead int64
+	// cancel cancels the context of the request while it is handled.
+	cancel context.CancelFunc
 	// deadline limits the wait for a head or for its end. It takes the place of the
 	// deadlines of net/http, which don't follow a changed configuration.
 	deadline time.Time
@@ -116,11 +119,13 @@
 	c.setRequestDeadline(c.server.limits().HeaderTimeout)
 }
 
-// beginRequest notes that the head of r has been read. An isClosed connection was closed
-// because others needed its memory. If there is no room for the request, hasRoom is false.
-func (c *conn) beginRequest(r *http.Request) (hasRoom, isClosed bool) {
+// beginRequest notes that the head of r has been read; cancel cancels the context of r. An
+// isClosed connection was closed because others needed its memory. If there is no room for the
+// request, hasRoom is false.
+func (c *conn) beginRequest(r *http.Request, cancel context.CancelFunc) (hasRoom, isClosed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.request.cancel = cancel
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	c.request.contentLength = r.ContentLength
 	c.request.phase = answering
@@ -133,6 +138,9 @@
 	}
 	// The head of a request with a body gives way until that is complete.
 	isClosed = !hasBody && c.request.head != nil && c.request.head.Complete() != nil
+	if !hasBody {
+		c.cancelIfHungUp()
+	}
 	return true, isClosed
 }
 
@@ -144,6 +152,7 @@
 		return
 	}
 	c.request.phase = answering
+	c.cancelIfHungUp()
 	if c.request.head != nil {
 		// If the head was evicted before, the connection is closed.
 		_ = c.request.head.Complete()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -120,7 +120,10 @@
 func (s *Server) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			hasRoom, isClosed := c.beginRequest(r)
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			r = r.WithContext(ctx)
+			hasRoom, isClosed := c.beginRequest(r, cancel)
 			if isClosed {
 				panic(http.ErrAbortHandler)
 			}
@@ -132,7 +135,6 @@
 				// net/http keeps its own body in the request that it has made. By that it knows
 				// that a caller awaits 100 Continue, or that a body is too long to be read to its
 				// end before the response is sent.
-				r = r.WithContext(r.Context())
 				r.Body = &body{ReadCloser: r.Body, conn: c, size: r.ContentLength}
 			}
 		}
