Notice that a caller has left behind bytes of its next request

Endpoints worked on for callers that had left (GONE). Cause: net/http watches a connection by reading a single byte while it handles a request. A byte of the next request, or of an empty line behind a body, ends the watch, and a close after it is not seen until the response is written. Class: an event is watched for on a channel that something else can block. Change: once such a byte has been read, the server asks the socket ten times a second whether the other end has hung up, until the request ends.

--- a/internal/httpserver/hangup.go
+++ b/internal/httpserver/hangup.go
@@ -1,12 +1,18 @@
 package httpserver
 
 import (
+	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// hangupInterval is the time between two checks of whether a caller has left that has sent bytes
+// behind its request. Work for callers that have left has to end within half a second.
+const hangupInterval = 100 * time.Millisecond
+
 // rawConnOf returns the socket of a connection, nil if it has none.
 func rawConnOf(c net.Conn) syscall.RawConn {
 	sc, ok := c.(syscall.Conn)
@@ -42,3 +48,22 @@
 		c.request.cancel()
 	}
 }
+
+// watchHangup cancels the request as soon as its caller has left, until ctx, the request's
+// context, ends. It takes the place of net/http, which stops watching a connection at the first
+// byte behind a request.
+func (c *conn) watchHangup(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(hangupInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if c.hasHungUp() {
+				cancel()
+				return
+			}
+		}
+	}
+}
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -38,8 +38,12 @@
 	// received counts the bytes after the head, contentLength those that belong to the
 	// body, -1 if unknown. afterHead bounds the bytes of the next request among them.
 	received, contentLength, afterHead int64
-	// cancel cancels the context of the request while it is handled.
+	// ctx is the context of the request while it is handled, and cancel cancels it.
+	ctx    context.Context
 	cancel context.CancelFunc
+	// hasBytesBehind is set once net/http, which watches the connection by reading a single
+	// byte, has read one that follows the request. isWatched is set once watchHangup runs.
+	hasBytesBehind, isWatched bool
 	// deadline limits the wait for a head or for its end. It takes the place of the
 	// deadlines of net/http, which don't follow a changed configuration.
 	deadline time.Time
@@ -52,6 +56,10 @@
 // error means that the connection has been answered and closed.
 func (c *conn) noteReceived(p []byte, size int) error {
 	c.mu.Lock()
+	if size == 1 && c.request.phase != waiting {
+		c.request.hasBytesBehind = true
+		c.watchIfBehind()
+	}
 	if !c.request.isAwaitingHead() {
 		c.request.received += int64(len(p))
 		c.request.afterHead = 0
@@ -88,6 +96,17 @@
 	return nil
 }
 
+// watchIfBehind starts watchHangup if bytes behind the request that is being answered keep
+// net/http from watching the connection. The caller holds c.mu.
+func (c *conn) watchIfBehind() {
+	r := &c.request
+	if r.phase != answering || !r.hasBytesBehind || r.isWatched || c.raw == nil {
+		return
+	}
+	r.isWatched = true
+	go c.watchHangup(r.ctx, r.cancel)
+}
+
 // refuseRequest answers and closes a connection whose request is not read any further. The
 // returned error lets net/http end the connection without a response of its own.
 func (c *conn) refuseRequest(response string) error {
@@ -125,7 +144,7 @@
 func (c *conn) beginRequest(r *http.Request, cancel context.CancelFunc) (hasRoom, isClosed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request.cancel = cancel
+	c.request.ctx, c.request.cancel = r.Context(), cancel
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	c.request.contentLength = r.ContentLength
 	c.request.phase = answering
@@ -140,6 +159,7 @@
 	isClosed = !hasBody && c.request.head != nil && c.request.head.Complete() != nil
 	if !hasBody {
 		c.cancelIfHungUp()
+		c.watchIfBehind()
 	}
 	return true, isClosed
 }
@@ -153,6 +173,7 @@
 	}
 	c.request.phase = answering
 	c.cancelIfHungUp()
+	c.watchIfBehind()
 	if c.request.head != nil {
 		// If the head was evicted before, the connection is closed.
 		_ = c.request.head.Complete()
