Hold whole requests that crash endpoints

Cause: crashes were related by the shared segments of prompts only; a request without a prompt, or whose own last segment is deadly, was a stranger each time. Class: a fault that comes with the work is taken for a fault of the machine. Change: a second tracker counts crashes by the hash of the whole request (service, account, method, target, prompt, body). Three hold it if an endpoint was sent it after another had crashed, so that endpoints lost together accuse no common request. Crashes, completions and holds travel as those of segments do; the refusal is 503 request_held, at once, not run. Any broken response of any route is checked now.

--- a/internal/controller/heartbeat/heartbeat.go
+++ b/internal/controller/heartbeat/heartbeat.go
@@ -57,8 +57,11 @@
 	Registry    *fleet.Registry
 	Loads       *endpointload.Tracker
 	StoreStatus *fleet.LatestStoreStatus
-	Quarantine  *quarantine.Tracker
-	Limits      *requestlimit.Tracker
+	// Quarantine and RequestQuarantine track prompt segments and requests that crash
+	// endpoints.
+	Quarantine        *quarantine.Tracker
+	RequestQuarantine *quarantine.Tracker
+	Limits            *requestlimit.Tracker
 	// OwnStoreStatus returns what this gateway itself has read from the store. It
 	// is called while this gateway is the store reader.
 	OwnStoreStatus func(now time.Time) fleet.StoreStatus
@@ -159,11 +162,14 @@
 	}
 }
 
-// logQuarantine writes one line for each prompt segment that has been held or released
-// since the last round.
+// logQuarantine writes one line for each prompt segment and each request that has been held
+// or released since the last round.
 func (c *Controller) logQuarantine() {
 	for _, change := range c.Quarantine.TakeChanges() {
-		c.Logger.Warn("prompt segment", "segment", change.Segment, "change", change.Kind, "crashes", change.Crashes, "reported", change.Reported)
+		c.Logger.Warn("prompt segment", "segment", change.Key, "change", change.Kind, "crashes", change.Crashes, "reported", change.Reported)
+	}
+	for _, change := range c.RequestQuarantine.TakeChanges() {
+		c.Logger.Warn("request that crashes endpoints", "key", change.Key, "change", change.Kind, "crashes", change.Crashes, "reported", change.Reported)
 	}
 }
 
@@ -221,6 +227,7 @@
 	c.Loads.ApplyCachedPrefixes(m.CachedPrefixes, m.From.Region == own, now)
 	c.Gateways.AddKnown(m.Known)
 	c.Quarantine.Apply(m.Quarantine, now)
+	c.RequestQuarantine.Apply(m.RequestQuarantine, now)
 	for _, e := range m.LeavingEndpoints {
 		if c.Registry.MarkLeaving(e.ID, e.Incarnation, now) {
 			c.Logger.Info("endpoint is leaving, as a peer says", "id", e.ID, "gateway", m.From.ID)
--- a/internal/controller/heartbeat/heartbeat_test.go
+++ b/internal/controller/heartbeat/heartbeat_test.go
@@ -229,17 +229,18 @@
 	board.Lifecycle.Set(blackboard.Serving)
 	n := &node{id: id, region: region, address: address, tomb: new(tomb.Tomb)}
 	n.Controller = New(Config{
-		Board:          board,
-		Quarantine:     quarantine.New(),
-		Limits:         requestlimit.New(),
-		Registry:       fleet.NewRegistry(nil),
-		Gateways:       fleet.NewGateways(fleet.Gateway{ID: id, Incarnation: fmt.Sprint("inc", f.started, "-", id), Region: region, HeartbeatAddress: address, PeerAddress: address}, time.Now()),
-		Loads:          endpointload.New(),
-		StoreStatus:    fleet.NewLatestStoreStatus(),
-		OwnStoreStatus: func(time.Time) fleet.StoreStatus { return fleet.StoreStatus{ConfigVersion: 5} },
-		Conn:           f.net.listen(address),
-		Seeds:          f.seeds,
-		Logger:         log.New(io.Discard),
+		Board:             board,
+		Quarantine:        quarantine.New(),
+		RequestQuarantine: quarantine.NewOfRequests(),
+		Limits:            requestlimit.New(),
+		Registry:          fleet.NewRegistry(nil),
+		Gateways:          fleet.NewGateways(fleet.Gateway{ID: id, Incarnation: fmt.Sprint("inc", f.started, "-", id), Region: region, HeartbeatAddress: address, PeerAddress: address}, time.Now()),
+		Loads:             endpointload.New(),
+		StoreStatus:       fleet.NewLatestStoreStatus(),
+		OwnStoreStatus:    func(time.Time) fleet.StoreStatus { return fleet.StoreStatus{ConfigVersion: 5} },
+		Conn:              f.net.listen(address),
+		Seeds:             f.seeds,
+		Logger:            log.New(io.Discard),
 	})
 	f.nodes = append(f.nodes, n)
 	n.tomb.Go(func() error { return n.Run(n.tomb) })
@@ -570,10 +571,10 @@
 			system, deadly := quarantine.HashSegment("s", "system"), quarantine.HashSegment("s", "deadly")
 			for i := range 3 {
 				n := f.nodes[i*len(f.nodes)/3]
-				n.Quarantine.RecordCompletion([]quarantine.Segment{system}, time.Now())
-				n.Quarantine.RecordCrash([]quarantine.Segment{system, deadly}, uint64(i), time.Now())
+				n.Quarantine.RecordCompletion([]quarantine.Key{system}, time.Now())
+				n.Quarantine.RecordCrash([]quarantine.Key{system, deadly}, uint64(i), time.Now(), time.Now())
 			}
-			f.requireHeldEverywhere(deadly, true, holdLimit)
+			f.requireHeldEverywhere(segmentsOf, deadly, true, holdLimit)
 			require.Zero(t, f.net.overflowCount(), "datagrams dropped by full links")
 		})
 	})
--- a/internal/controller/heartbeat/message.go
+++ b/internal/controller/heartbeat/message.go
@@ -33,6 +33,8 @@
 	// Quarantine is what the sender knows of prompt segments that crash endpoints. Every
 	// gateway passes on what is new to it, so that it reaches all regions.
 	Quarantine *quarantine.Digest `json:"quarantine,omitempty" lenient:"parts"`
+	// RequestQuarantine is the same of whole requests.
+	RequestQuarantine *quarantine.Digest `json:"request_quarantine,omitempty" lenient:"parts"`
 	// LeavingEndpoints are endpoints whose responses say that they are leaving, and whose
 	// entries don't. Every gateway passes them on.
 	LeavingEndpoints []fleet.LeavingEndpoint `json:"leaving_endpoints,omitempty"`
@@ -49,7 +51,7 @@
 
 // isNews reports whether the message holds what all gateways have to know at once.
 func (m Message) isNews() bool {
-	return m.StoreStatus != nil || m.Quarantine != nil || len(m.LeavingEndpoints) > 0 || len(m.RefusedEndpoints) > 0 ||
+	return m.StoreStatus != nil || m.Quarantine != nil || m.RequestQuarantine != nil || len(m.LeavingEndpoints) > 0 || len(m.RefusedEndpoints) > 0 ||
 		len(m.RequestLimits) > 0
 }
 
--- a/internal/controller/heartbeat/send.go
+++ b/internal/controller/heartbeat/send.go
@@ -62,7 +62,7 @@
 	self := c.ownStatus()
 	loads := c.Loads.Loads(now)
 	m := Message{
-		From: self, Loads: loads, Quarantine: c.Quarantine.Digest(now),
+		From: self, Loads: loads, Quarantine: c.Quarantine.Digest(now), RequestQuarantine: c.RequestQuarantine.Digest(now),
 		LeavingEndpoints: c.Registry.NewlyLeaving(now), RefusedEndpoints: c.Registry.NewlyRefused(now),
 		RequestLimits: c.Limits.News(now),
 	}
@@ -113,7 +113,7 @@
 	}
 	c.repeatListsForNewMembers()
 	news := Message{
-		From: m.From, StoreStatus: m.StoreStatus, Quarantine: m.Quarantine,
+		From: m.From, StoreStatus: m.StoreStatus, Quarantine: m.Quarantine, RequestQuarantine: m.RequestQuarantine,
 		LeavingEndpoints: m.LeavingEndpoints, RefusedEndpoints: m.RefusedEndpoints,
 		RequestLimits: m.RequestLimits,
 	}
@@ -174,7 +174,10 @@
 func (c *Controller) sendRemote(self fleet.GatewayStatus, loads []endpointload.EndpointLoad, hubIndex int, plan sendPlan, now time.Time) {
 	c.describeAgainToNewHubs(now)
 	summary := c.regionSummary(self, loads, cachedPrefixRepeats*remoteRounds*interval, c.remoteDescriber, plan.allMembers, now)
-	m := Message{From: self, Summaries: []RegionSummary{summary}, Quarantine: c.Quarantine.Digest(now), LeavingEndpoints: c.Registry.NewlyLeaving(now)}
+	m := Message{
+		From: self, Summaries: []RegionSummary{summary}, Quarantine: c.Quarantine.Digest(now), RequestQuarantine: c.RequestQuarantine.Digest(now),
+		LeavingEndpoints: c.Registry.NewlyLeaving(now),
+	}
 	for _, region := range c.Gateways.Regions() {
 		if region == self.Region {
 			continue
--- a/internal/controller/heartbeat/size_test.go
+++ b/internal/controller/heartbeat/size_test.go
@@ -22,14 +22,15 @@
 // loads of 80 endpoints, with two more regions of 100 gateways.
 func newLargeHub(now time.Time) *Controller {
 	c := New(Config{
-		Board:       blackboard.NewEdge(&settings.PlatformSettings{}),
-		Quarantine:  quarantine.New(),
-		Limits:      requestlimit.New(),
-		Registry:    fleet.NewRegistry(nil),
-		Gateways:    fleet.NewGateways(fleet.Gateway{ID: "gw-north-self", Incarnation: "1", Region: "north", MachineCapacity: 1}, time.Now()),
-		Loads:       endpointload.New(),
-		StoreStatus: fleet.NewLatestStoreStatus(),
-		Logger:      log.New(io.Discard),
+		Board:             blackboard.NewEdge(&settings.PlatformSettings{}),
+		Quarantine:        quarantine.New(),
+		RequestQuarantine: quarantine.NewOfRequests(),
+		Limits:            requestlimit.New(),
+		Registry:          fleet.NewRegistry(nil),
+		Gateways:          fleet.NewGateways(fleet.Gateway{ID: "gw-north-self", Incarnation: "1", Region: "north", MachineCapacity: 1}, time.Now()),
+		Loads:             endpointload.New(),
+		StoreStatus:       fleet.NewLatestStoreStatus(),
+		Logger:            log.New(io.Discard),
 	})
 	for _, region := range []string{"north", "middle", "south"} {
 		for i := range 100 {
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -75,9 +75,9 @@
 	c.addRoute(route.Route{Prefix: "/s/", Kind: route.Streaming, MaxAttempts: 2})
 	south := c.startEndpoint("e1", "south-a")
 	south.setHandler(crashOnDeadlySegment(south))
-	held := []quarantine.Segment{quarantine.HashSegment("s", deadlySegment)}
+	held := []quarantine.Key{quarantine.HashSegment("s", deadlySegment)}
 	for i := range 3 {
-		c.regions["south"].edge.Quarantine.RecordCrash(held, uint64(i), time.Now())
+		c.regions["south"].edge.Quarantine.RecordCrash(held, uint64(i), time.Now(), time.Now())
 	}
 	header := map[string]string{headerSegments: "system " + deadlySegment + " own"}
 	for _, name := range []string{"south", "north"} {
@@ -121,10 +121,10 @@
 		_ = conn.Close()
 	})
 	q := c.regions["north"].edge.Quarantine
-	held := []quarantine.Segment{quarantine.HashSegment("s", "system")}
-	q.RecordCrash(held, 1, time.Now())
-	q.RecordCrash(held, 2, time.Now())
+	held := []quarantine.Key{quarantine.HashSegment("s", "system")}
+	q.RecordCrash(held, 1, time.Now(), time.Now())
+	q.RecordCrash(held, 2, time.Now(), time.Now())
 	require.Equal(t, http.StatusOK, c.regions["north"].call(http.MethodPost, "/s/", "x", map[string]string{headerSegments: "system own"}).status)
-	q.RecordCrash(held, 3, time.Now())
+	q.RecordCrash(held, 3, time.Now(), time.Now())
 	require.Equal(t, 1, q.HeldCount())
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,13 +38,14 @@
 	retriesDenied    = telemetry.NewCounter("route_retries_denied", "requests", "route retries denied by the shared retry budget")
 	coldSends        = telemetry.NewCounter("route_cold_sends", "requests", "route requests sent to endpoints in their cold start")
 	healthAsked      = telemetry.NewCounter("route_health_checks", "requests", "health checks of endpoints whose entries are out of date")
-	crashesSeen      = telemetry.NewCounter("route_endpoint_crashes", "requests", "model requests whose endpoint crashed while it ran them")
+	crashesSeen      = telemetry.NewCounter("route_endpoint_crashes", "requests", "requests whose endpoint crashed while it ran them")
 	pausesAsked      = telemetry.NewCounter("route_pauses", "responses", "responses by which endpoints asked for a pause")
 	requestsLate     = telemetry.NewCounter("route_late", "requests", "route requests refused because they arrived too late while the gateway stops")
 	permitsTaken     = telemetry.NewCounter("route_permits", "requests", "route requests that got a permit for an endpoint that names a limit")
 	permitsDenied    = telemetry.NewCounter("route_permits_denied", "requests", "tries of route requests to get such a permit that failed")
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
+	requestsHeld     = telemetry.NewCounter("route_requests_held", "requests", "route requests refused because they crash endpoints")
 	forecastRefusals = telemetry.NewCounter("route_forecast_refusals", "requests", "route requests refused since their response would end too late or delay others")
 	requestTime      = telemetry.NewHistogram("route_time")
 )
@@ -62,8 +63,10 @@
 	Pauses *backoff.Tracker[int64]
 	// Limits are those that endpoints of this region name.
 	Limits *requestlimit.Tracker
-	// Quarantine keeps prompts that crash endpoints away from them.
-	Quarantine *quarantine.Tracker
+	// Quarantine keeps prompts that crash endpoints away from them, RequestQuarantine whole
+	// requests that do.
+	Quarantine        *quarantine.Tracker
+	RequestQuarantine *quarantine.Tracker
 	// EndpointTransport connects to endpoints of this region, GatewayTransport to
 	// gateways of other regions.
 	EndpointTransport *transport.Transport
@@ -175,6 +178,7 @@
 	if err := s.readBody(r); err != nil {
 		return s, err
 	}
+	s.requestKeys = []quarantine.Key{s.requestKey()}
 	return s, e.refusalOfLate()
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -9,6 +9,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 )
 
 // Headers between gateways.
@@ -166,5 +167,6 @@
 	if err := s.readBody(r); err != nil {
 		return s, err
 	}
+	s.requestKeys = []quarantine.Key{s.requestKey()}
 	return s, e.refusalOfLate()
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -226,6 +226,7 @@
 		RetryBudget:       budget.NewRetryBudget(budget.RetrySettings{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
 		ColdStarts:        budget.NewColdStartLimiter(budget.ColdStartSettings{Overage: 1, Slack: 2, ConcurrentSenders: 1}),
 		Quarantine:        quarantine.New(),
+		RequestQuarantine: quarantine.NewOfRequests(),
 		Pauses:            backoff.New[int64](),
 		Limits:            requestlimit.New(),
 		EndpointTransport: transport.New(dial, time.Second),
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -61,7 +61,10 @@
 	// sharedPrefix is the hash of the prefix of all segments but the last.
 	sharedPrefix uint64
 	// sharedSegments are the segments of the prompt but the last, for Quarantine.
-	sharedSegments []quarantine.Segment
+	sharedSegments []quarantine.Key
+	// requestKeys holds the key of the request for RequestQuarantine. It is empty until the
+	// body has been read.
+	requestKeys []quarantine.Key
 	// prefixKey is the rank key of requests that share all segments but the last: they
 	// prefer the same endpoint, which has the prefix cached. It is empty for requests
 	// without a shared prefix.
--- a/internal/edge/size_test.go
+++ b/internal/edge/size_test.go
@@ -38,16 +38,17 @@
 		regions[region+"-a"] = region
 	}
 	e := New(Config{
-		Board:            blackboard.NewEdge(&settings.PlatformSettings{HeartbeatInterval: time.Second, Regions: regions}),
-		Registry:         fleet.NewRegistry(regions),
-		Gateways:         fleet.NewGateways(fleet.Gateway{ID: "gw-north-self", Region: "north"}, time.Now()),
-		Codec:            testCodec{},
-		Loads:            endpointload.New(),
-		Pauses:           backoff.New[int64](),
-		Quarantine:       quarantine.New(),
-		GatewayTransport: transport.New(nil, time.Second),
-		Grants:           f,
-		Logger:           log.New(io.Discard),
+		Board:             blackboard.NewEdge(&settings.PlatformSettings{HeartbeatInterval: time.Second, Regions: regions}),
+		Registry:          fleet.NewRegistry(regions),
+		Gateways:          fleet.NewGateways(fleet.Gateway{ID: "gw-north-self", Region: "north"}, time.Now()),
+		Codec:             testCodec{},
+		Loads:             endpointload.New(),
+		Pauses:            backoff.New[int64](),
+		Quarantine:        quarantine.New(),
+		RequestQuarantine: quarantine.NewOfRequests(),
+		GatewayTransport:  transport.New(nil, time.Second),
+		Grants:            f,
+		Logger:            log.New(io.Discard),
 	})
 	for region, n := range sizeGateways {
 		for i := range n {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -99,7 +99,7 @@
 			provenAt = now
 		case now.Sub(provenAt) >= provenAfter:
 			provenAt = now
-			a.edge.Quarantine.RecordCompletion(a.sharedSegments, now)
+			a.recordProven(now)
 		}
 		if err := a.relayEvent(ctx, resp, reader, event); err != nil {
 			return a.handleRelayError(ctx, err)
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -125,7 +125,7 @@
 	}
 	sockets.add(grantConn)
 	grantController := grants.New(grantConn, logger)
-	quarantined, limits := quarantine.New(), requestlimit.New()
+	quarantined, quarantinedRequests, limits := quarantine.New(), quarantine.NewOfRequests(), requestlimit.New()
 	clock, proofs := freshness.BootClock(), freshness.NewTracker(routesync.RewriteTime)
 	s.edge = edge.New(edge.Config{
 		Board:             s.board,
@@ -136,6 +136,7 @@
 		RetryBudget:       budget.NewRetryBudget(retrySettings(site)),
 		ColdStarts:        budget.NewColdStartLimiter(coldSettings(site)),
 		Quarantine:        quarantined,
+		RequestQuarantine: quarantinedRequests,
 		Pauses:            backoff.New[int64](),
 		Limits:            limits,
 		EndpointTransport: transport.New(transport.NewDialFunc(), transport.LocalDialTimeout),
@@ -176,7 +177,7 @@
 		edge.Allowances{Edge: s.edge},
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
 		heartbeat.New(heartbeat.Config{
-			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, Limits: limits, OwnStoreStatus: s.storeStatus,
+			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, RequestQuarantine: quarantinedRequests, Limits: limits, OwnStoreStatus: s.storeStatus,
 			Conn: heartbeatConn, Seeds: seedHeartbeatAddresses(site), Logger: logger,
 		}),
 	}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -53,6 +53,7 @@
 	CodeEndpointFailed        Code = "endpoint_failed"
 	CodeIncompleteResponse    Code = "incomplete_answer"
 	CodePromptHeld            Code = "prompt_held"
+	CodeRequestHeld           Code = "request_held"
 	CodeInternal              Code = "internal"
 )
 
@@ -85,6 +86,7 @@
 	CodeEndpointFailed:        http.StatusBadGateway,
 	CodeIncompleteResponse:    http.StatusBadGateway,
 	CodePromptHeld:            http.StatusServiceUnavailable,
+	CodeRequestHeld:           http.StatusServiceUnavailable,
 	CodeInternal:              http.StatusInternalServerError,
 }
 
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Digest is what gateways tell each other about suspect segments. Ages are used instead
+// Digest is what gateways tell each other about suspects. Ages are used instead
 // of times, since clocks of machines differ.
 type Digest struct {
 	Crashes     []Crash      `json:"crashes,omitempty"`
@@ -14,26 +14,28 @@
 	Holds       []Hold       `json:"holds,omitempty"`
 }
 
-// Crash reports that an endpoint crashed while it ran a request with a segment.
+// Crash reports that an endpoint crashed while it ran a request with a key.
 type Crash struct {
-	Segment Segment `json:"seg"`
+	Key Key `json:"seg"`
 	// Endpoint identifies the endpoint's incarnation.
 	Endpoint  uint64 `json:"ep"`
 	AgeMillis int64  `json:"age_ms"`
-	// Sole is set if no other segment of the request was suspect.
+	// RunMillis is the time from the sending of the request to the crash.
+	RunMillis int64 `json:"run_ms,omitempty"`
+	// Sole is set if no other segment of the request's prompt was suspect.
 	Sole bool `json:"sole,omitempty"`
 }
 
-// Completion reports a complete response to a request with a suspect segment.
+// Completion reports a complete response to a request with a suspect key.
 type Completion struct {
-	Segment   Segment `json:"seg"`
-	AgeMillis int64   `json:"age_ms"`
+	Key       Key   `json:"seg"`
+	AgeMillis int64 `json:"age_ms"`
 }
 
-// Hold reports that a segment is held, and for how long it has been.
+// Hold reports that a key is held, and for how long it has been.
 type Hold struct {
-	Segment   Segment `json:"seg"`
-	AgeMillis int64   `json:"age_ms"`
+	Key       Key   `json:"seg"`
+	AgeMillis int64 `json:"age_ms"`
 }
 
 const (
@@ -47,12 +49,12 @@
 	// one to count. Ages leave out the time that a message took, so a completion that
 	// comes back looks a little later each time.
 	completionStep = 200 * time.Millisecond
-	// maxReported bounds each list of a Digest. The most suspect segments come first.
+	// maxReported bounds each list of a Digest. The most suspect keys come first.
 	maxReported = 32
 )
 
 // Digest returns what is to be told to other gateways now, nil if there is nothing. It
-// also holds and releases segments whose time has come, so it has to be called
+// also holds and releases keys whose time has come, so it has to be called
 // regularly.
 func (t *Tracker) Digest(now time.Time) *Digest {
 	t.mu.Lock()
@@ -63,31 +65,31 @@
 	t.expire(now)
 	t.evaluate(false, now)
 	var d Digest
-	for s, r := range t.records {
+	for k, r := range t.records {
 		if !r.heldAt.IsZero() {
-			d.Holds = append(d.Holds, Hold{Segment: s, AgeMillis: now.Sub(r.heldAt).Milliseconds()})
+			d.Holds = append(d.Holds, Hold{Key: k, AgeMillis: now.Sub(r.heldAt).Milliseconds()})
 		}
 		for endpoint, c := range r.crashes {
 			if now.Sub(c.learnedAt) <= newsTime {
-				d.Crashes = append(d.Crashes, Crash{Segment: s, Endpoint: endpoint, AgeMillis: now.Sub(c.at).Milliseconds(), Sole: c.sole})
+				d.Crashes = append(d.Crashes, Crash{Key: k, Endpoint: endpoint, AgeMillis: now.Sub(c.at).Milliseconds(), RunMillis: c.at.Sub(c.sentAt).Milliseconds(), Sole: c.sole})
 			}
 		}
 		if now.Sub(r.suspectedAt) <= suspicionTime && now.Sub(r.completionLearnedAt) <= suspicionTime {
-			d.Completions = append(d.Completions, Completion{Segment: s, AgeMillis: now.Sub(r.completedAt).Milliseconds()})
+			d.Completions = append(d.Completions, Completion{Key: k, AgeMillis: now.Sub(r.completedAt).Milliseconds()})
 		}
 	}
 	if len(d.Holds)+len(d.Crashes)+len(d.Completions) == 0 {
 		return nil
 	}
 	slices.SortFunc(d.Holds, func(a, b Hold) int {
-		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Segment, b.Segment))
+		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Key, b.Key))
 	})
 	slices.SortFunc(d.Crashes, func(a, b Crash) int {
-		return cmp.Or(cmp.Compare(len(t.records[b.Segment].crashes), len(t.records[a.Segment].crashes)),
-			cmp.Compare(a.Segment, b.Segment), cmp.Compare(a.AgeMillis, b.AgeMillis))
+		return cmp.Or(cmp.Compare(len(t.records[b.Key].crashes), len(t.records[a.Key].crashes)),
+			cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Key, b.Key))
 	})
 	slices.SortFunc(d.Completions, func(a, b Completion) int {
-		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Segment, b.Segment))
+		return cmp.Or(cmp.Compare(a.AgeMillis, b.AgeMillis), cmp.Compare(a.Key, b.Key))
 	})
 	d.Holds = d.Holds[:min(len(d.Holds), maxReported)]
 	d.Crashes = d.Crashes[:min(len(d.Crashes), maxReported)]
@@ -109,29 +111,30 @@
 		t.applyHold(h, now)
 	}
 	for _, c := range d.Crashes {
-		t.addCrash(c.Segment, c.Endpoint, crash{at: ago(c.AgeMillis, now), learnedAt: now, sole: c.Sole})
+		at := ago(c.AgeMillis, now)
+		t.addCrash(c.Key, c.Endpoint, crash{sentAt: ago(c.RunMillis, at), at: at, learnedAt: now, reported: true, sole: c.Sole})
 	}
 	t.evaluate(true, now)
 }
 
 func (t *Tracker) applyCompletion(c Completion, now time.Time) {
 	at := ago(c.AgeMillis, now)
-	if r, ok := t.records[c.Segment]; ok && at.Sub(r.completedAt) > completionStep {
-		t.complete(c.Segment, r, at, now, true)
+	if r, ok := t.records[c.Key]; ok && at.Sub(r.completedAt) > completionStep {
+		t.complete(c.Key, r, at, now, true)
 	}
-	if at.After(t.completed.get(c.Segment)) {
-		t.completed.set(c.Segment, at)
+	if at.After(t.completed.get(c.Key)) {
+		t.completed.set(c.Key, at)
 	}
 }
 
-// applyHold holds a segment that another gateway holds, unless a complete response has
+// applyHold holds a key that another gateway holds, unless a complete response has
 // cleared it since.
 func (t *Tracker) applyHold(h Hold, now time.Time) {
 	at := ago(h.AgeMillis, now)
-	r := t.record(h.Segment, now)
+	r := t.record(h.Key, now)
 	r.suspectedAt = now
 	if r.heldAt.IsZero() && at.After(r.completedAt) && now.Sub(at) < HoldTime {
-		t.hold(h.Segment, at, true, now)
+		t.hold(h.Key, at, true, now)
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -15,8 +15,8 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func segments(ids ...string) []Segment {
-	out := make([]Segment, 0, len(ids))
+func segments(ids ...string) []Key {
+	out := make([]Key, 0, len(ids))
 	for _, id := range ids {
 		out = append(out, HashSegment("s", id))
 	}
@@ -31,7 +31,8 @@
 // recordCrashes records the crash of n endpoints, numbered from first, one each 100 ms.
 func recordCrashes(t *Tracker, from time.Time, first, n int, ids ...string) {
 	for i := range n {
-		t.RecordCrash(segments(ids...), uint64(first+i), from.Add(time.Duration(i)*100*time.Millisecond))
+		crashedAt := from.Add(time.Duration(i) * 100 * time.Millisecond)
+		t.RecordCrash(segments(ids...), uint64(first+i), crashedAt.Add(-time.Millisecond), crashedAt)
 	}
 }
 
@@ -65,7 +66,7 @@
 	require.False(t, isHeld(q, "caller", at(20*time.Second)))
 	recordCrashes(q, at(21*time.Second), 10, 5, "system", "caller", "deadly")
 	require.False(t, isHeld(q, "system", at(30*time.Second)), "and for those of requests that were under way")
-	require.Equal(t, []Change{{Segment: segments("deadly")[0], Kind: Held, Crashes: 3}}, q.TakeChanges())
+	require.Equal(t, []Change{{Key: segments("deadly")[0], Kind: Held, Crashes: 3}}, q.TakeChanges())
 	require.Empty(t, q.TakeChanges())
 }
 
@@ -159,7 +160,7 @@
 	gateways := []*Tracker{New(), New(), New(), New()}
 	for i, q := range gateways[:3] {
 		q.RecordCompletion(segments("system"), at(time.Duration(i)*time.Second))
-		q.RecordCrash(segments("system", fmt.Sprint("caller", i), "deadly"), uint64(i), at(time.Duration(i)*time.Second+time.Millisecond))
+		q.RecordCrash(segments("system", fmt.Sprint("caller", i), "deadly"), uint64(i), at(time.Duration(i)*time.Second), at(time.Duration(i)*time.Second+time.Millisecond))
 	}
 	now := at(4 * time.Second)
 	exchange(t, gateways, now)
@@ -206,9 +207,9 @@
 				if crashes > 5 && now.Sub(fifthCrash) > 5*time.Second {
 					reached++
 				}
-				q.RecordCrash(segments(append(ids, "deadly")...), uint64(step), now)
+				q.RecordCrash(segments(append(ids, "deadly")...), uint64(step), now, now)
 			case kind == 4:
-				q.RecordCrash(segments(ids...), uint64(step), now)
+				q.RecordCrash(segments(ids...), uint64(step), now, now)
 			case kind > 4:
 				q.RecordCompletion(segments(ids...), now)
 			}
@@ -226,7 +227,7 @@
 	q := New()
 	for i := range 10 * maxSuspects {
 		now := at(time.Duration(i) * time.Millisecond)
-		q.RecordCrash(segments(fmt.Sprint("a", i), fmt.Sprint("b", i)), uint64(i), now)
+		q.RecordCrash(segments(fmt.Sprint("a", i), fmt.Sprint("b", i)), uint64(i), now, now)
 		q.RecordCompletion(segments(fmt.Sprint("c", i)), now)
 	}
 	require.LessOrEqual(t, len(q.records), maxSuspects)
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -12,26 +12,26 @@
 	maxGeneration = 8192
 )
 
-// recentTimes holds the last time of each of many segments for a while.
+// recentTimes holds the last time of each of many keys for a while.
 type recentTimes struct {
-	current, previous map[Segment]time.Time
+	current, previous map[Key]time.Time
 	startedAt         time.Time
 }
 
-func newRecentTimes() recentTimes { return recentTimes{current: make(map[Segment]time.Time)} }
+func newRecentTimes() recentTimes { return recentTimes{current: make(map[Key]time.Time)} }
 
 // set records a time, which is not before the ones recorded earlier.
-func (r *recentTimes) set(s Segment, at time.Time) {
+func (r *recentTimes) set(k Key, at time.Time) {
 	if len(r.current) >= maxGeneration || at.Sub(r.startedAt) > generationTime {
-		r.previous, r.current, r.startedAt = r.current, make(map[Segment]time.Time), at
+		r.previous, r.current, r.startedAt = r.current, make(map[Key]time.Time), at
 	}
-	r.current[s] = at
+	r.current[k] = at
 }
 
-// get returns the last time of a segment, zero if it is not known.
-func (r *recentTimes) get(s Segment) time.Time {
-	if at, ok := r.current[s]; ok {
+// get returns the last time of a key, zero if it is not known.
+func (r *recentTimes) get(k Key) time.Time {
+	if at, ok := r.current[k]; ok {
 		return at
 	}
-	return r.previous[s]
+	return r.previous[k]
 }
