Limit the lines of a response's header

Operators' report: an endpoint that sends a head without end ended a gateway, with the requests of all other callers. Heads were bounded at 64 KB since an earlier report, in bytes only: as very short lines, a head of 60 KB takes 1 MB once it is parsed, so that 200 requests of one broken endpoint took more than a small machine has. Class: a bound on what arrives, not on what it becomes. Change: a header has at most 256 lines, informational responses included; one with more is a response that is lost, as one over 64 KB.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -54,6 +54,8 @@
 	closed  bool
 	// sending is set once a part of the current request has been written.
 	sending bool
+	// head is the header of the response that is awaited or read.
+	head responseHead
 }
 
 // claim is the use of a pooledConn by one request. Whether the request was written is a
@@ -144,6 +146,9 @@
 		c.sending = false
 		c.current = nil
 	}
+	if !c.sending {
+		c.head.begin()
+	}
 	return true
 }
 
@@ -164,6 +169,17 @@
 
 // Read implements net.Conn.
 func (c *pooledConn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.head.add(p[:n]) {
+		return 0, &HeaderLinesError{Address: c.RemoteAddr().String()}
+	}
+	return n, err
+}
+
+// read reads from the connection and keeps waiting up to date.
+func (c *pooledConn) read(p []byte) (int, error) {
 	c.setWaiting(true)
 	if c.raw == nil {
 		defer c.setWaiting(false)
--- /dev/null
+++ b/internal/transport/responsehead_test.go
@@ -0,0 +1,66 @@
+package transport
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHeaderLinesAreCounted feeds headers in pieces of each size.
+func TestHeaderLinesAreCounted(t *testing.T) {
+	const ok, early = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n"
+	line := "A: 1\r\n"
+	for name, tc := range map[string]struct {
+		head string
+		fits bool
+	}{
+		"most lines":                   {ok + strings.Repeat(line, MaxResponseHeaderLines-2) + "\r\n", true},
+		"body of many lines":           {ok + "\r\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
+		"body without carriage return": {"HTTP/1.1 200 OK\n\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
+		"after informational":          {early + line + "\r\n" + ok + line + "\r\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
+		"too many lines":               {ok + strings.Repeat(line, MaxResponseHeaderLines+1), false},
+		"empty lines before":           {strings.Repeat("\r\n", MaxResponseHeaderLines+1), false},
+		"informational without end":    {strings.Repeat(early+"\r\n", MaxResponseHeaderLines), false},
+	} {
+		for size := 1; size <= 9; size++ {
+			var h responseHead
+			h.begin()
+			fits := true
+			for rest := []byte(tc.head); len(rest) > 0 && fits; rest = rest[min(size, len(rest)):] {
+				fits = h.add(rest[:min(size, len(rest))])
+			}
+			require.Equal(t, tc.fits, fits, "%s, %d bytes at a time", name, size)
+			require.Equal(t, !tc.fits, h.isReading, name)
+		}
+	}
+}
+
+// TestResponseWithTooManyHeaderLinesIsLost sends requests on a kept connection, the last of
+// which gets such a response.
+func TestResponseWithTooManyHeaderLinesIsLost(t *testing.T) {
+	address, _, conns := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		lines := MaxResponseHeaderLines - 10
+		if r.URL.Path == "/many" {
+			lines = MaxResponseHeaderLines
+		}
+		for range lines {
+			w.Header().Add("X-Many", "1")
+		}
+		_, _ = w.Write([]byte(strings.Repeat("\n", 2*MaxResponseHeaderLines)))
+	})
+	tr := newTransport()
+	for range 3 {
+		_, err := send(t, tr, newRequest(address, http.MethodPost, "x"))
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(1), conns.Load())
+	r := newRequest(address, http.MethodPost, "x")
+	r.Target = "/many"
+	_, err := send(t, tr, r)
+	var lost *ResponseLostError
+	var lines *HeaderLinesError
+	require.ErrorAs(t, err, &lost)
+	require.ErrorAs(t, err, &lines)
+}
