Limit the lines of a response's header in the chat half too

The same fault as at routes: engines and endpoints of actions were read through clients with a limit in bytes only. Connections to both now count the lines of each header.

--- a/internal/action/sender/sender.go
+++ b/internal/action/sender/sender.go
@@ -33,6 +33,7 @@
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // The headers between the gateway and endpoints.
@@ -93,9 +94,6 @@
 	}
 }
 
-// maxHeaderBytes bounds the header of a response.
-const maxHeaderBytes = 64 << 10
-
 // Sender is an action.Dispatcher for endpoints that speak HTTP/1.1.
 type Sender struct {
 	picker    Picker
@@ -145,14 +143,14 @@
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	transport := &http.Transport{
-		DialContext:            dial,
+	httpTransport := &http.Transport{
+		DialContext:            transport.LimitHeaderLines(transport.DialFunc(dial)),
 		Protocols:              &protocols,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 	}
-	return &Sender{picker: picker, limits: limits, transport: transport}
+	return &Sender{picker: picker, limits: limits, transport: httpTransport}
 }
 
 // Dispatch sends r to the first endpoint that accepts a connection. Once a
--- a/internal/action/sender/sender_test.go
+++ b/internal/action/sender/sender_test.go
@@ -17,6 +17,7 @@
 	"github.com/hickorystage/hickorystage/internal/action/sender"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/standin/fault"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // testEndpoint is a loopback server that counts the requests it executes.
@@ -248,3 +249,32 @@
 	require.Empty(t, h.Get("Idempotency-Key"))
 	require.Empty(t, h.Get("X-Idempotency-Key"))
 }
+
+// TestHeaderWithoutEndEndsTheDispatch lets an endpoint answer with header lines until the
+// connection is closed.
+func TestHeaderWithoutEndEndsTheDispatch(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var written atomic.Int64
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, "a:\r\n")
+			written.Add(int64(n))
+		}
+	}()
+	s := sender.New(newPicker(http.MethodPost, l.Addr().String()), sender.DefaultLimits(), nil)
+	_, err = s.Dispatch(t.Context(), newDispatchRequest())
+	var lines *transport.HeaderLinesError
+	require.ErrorAs(t, err, &lines)
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -108,11 +108,11 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: transport.LimitHeaderLines(func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
 			defer cancel()
 			return s.Dial(ctx, network, address)
-		},
+		}),
 		DisableCompression: true,
 		ReadBufferSize:     readBufferBytes,
 		WriteBufferSize:    writeBufferBytes,
--- a/internal/transport/responsehead_test.go
+++ b/internal/transport/responsehead_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -64,3 +65,35 @@
 	require.ErrorAs(t, err, &lost)
 	require.ErrorAs(t, err, &lines)
 }
+
+// TestLimitedConnectionsCountEachHeader sends requests on a kept connection of net/http, the
+// last of which gets too many lines.
+func TestLimitedConnectionsCountEachHeader(t *testing.T) {
+	address, _, conns := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		lines := MaxResponseHeaderLines - 10
+		if r.URL.Path == "/many" {
+			lines = MaxResponseHeaderLines
+		}
+		for range lines {
+			w.Header().Add("X-Many", "1")
+		}
+		_, _ = w.Write([]byte(strings.Repeat("\n", 2*MaxResponseHeaderLines)))
+	})
+	client := &http.Client{Transport: &http.Transport{DialContext: LimitHeaderLines(NewDialFunc())}}
+	defer client.CloseIdleConnections()
+	get := func(path string) error {
+		resp, err := client.Get("http://" + address + path)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	for range 3 {
+		require.NoError(t, get("/few"))
+	}
+	require.Equal(t, int64(1), conns.Load())
+	var lines *HeaderLinesError
+	require.ErrorAs(t, get("/many"), &lines)
+}
