Adopt the configuration of a forward before it is handled

Cause: of two gateways whose versions differ the newer decided, but the receiver kept its own version for all else. Class: a node shows an effect of state that it has not taken over. Change: a forward that a newer version sends to another service first brings that version into force, from the region's store reader or the sender; if it doesn't come within 300 ms the forward is refused as not run, and the sender goes elsewhere. Forwards whose service is the same under both versions are handled as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	limitsNamed      = telemetry.NewCounter("route_limits_named", "responses", "responses in which endpoints named the requests a second that they take")
 	promptsHeld      = telemetry.NewCounter("route_prompts_held", "requests", "route requests refused because a segment of their prompt crashes endpoints")
 	requestsHeld     = telemetry.NewCounter("route_requests_held", "requests", "route requests refused because they crash endpoints")
+	forwardsNewer    = telemetry.NewCounter("route_forwards_newer", "requests", "forwarded requests refused because they were forwarded under a newer configuration that sends them to another service")
 	forecastRefusals = telemetry.NewCounter("route_forecast_refusals", "requests", "route requests refused since their response would end too late or delay others")
 	requestTime      = telemetry.NewHistogram("route_time")
 )
@@ -77,6 +79,9 @@
 	// Credit asks the coordinators of client accounts for credit. It may be nil if this
 	// gateway is the only one.
 	Credit CreditSender
+	// Configs fetches newer configurations from other gateways. If it is nil, they come into
+	// force by themselves only.
+	Configs Configs
 	// Memory is the account of the bodies and responses that requests hold. If it is
 	// nil, nothing is refused for them.
 	Memory *memory.Account
@@ -94,6 +99,13 @@
 	Logger       *log.Logger
 }
 
+// Configs brings newer configurations into force.
+type Configs interface {
+	// Fetch fetches the configuration of another gateway that has the given version, and
+	// reports whether it could be fetched and decoded.
+	Fetch(ctx context.Context, gateway string, version uint64) bool
+}
+
 // Edge serves the requests of callers and those forwarded by other gateways. It
 // is safe for concurrent use.
 type Edge struct {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/route"
 )
 
 // Headers between gateways.
@@ -139,14 +141,54 @@
 	s.run(ctx)
 }
 
+// newerConfigWait is how long a forwarded request may wait for the configuration that it was
+// forwarded under: a round trip between regions and a fetch within the region.
+const newerConfigWait = 300 * time.Millisecond
+
+// adoptForwarded brings the configuration into force that a request was forwarded under, if
+// that is newer and sends the request to another service. It gives up after newerConfigWait.
+func (e *Edge) adoptForwarded(ctx context.Context, r *http.Request, attemptID string, info *forwardInfo) {
+	table, changed := e.Board.Routes.Watch()
+	if table == nil || e.Configs == nil || info.Version <= table.Version || servesAs(table, r, attemptID, info.Service) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, newerConfigWait)
+	defer cancel()
+	// The store reader of this region is nearer, and mostly has it already.
+	for _, gateway := range []string{e.Gateways.StoreReader(time.Now()), info.From} {
+		if gateway == e.Gateways.Self().ID {
+			continue
+		}
+		if e.Configs.Fetch(ctx, gateway, info.Version) && e.Board.Routes.Get().Version >= info.Version {
+			return
+		}
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		if table, changed = e.Board.Routes.Watch(); table.Version >= info.Version {
+			return
+		}
+	}
+}
+
+// servesAs reports whether a configuration sends the request to the service.
+func servesAs(table *route.Table, r *http.Request, attemptID, service string) bool {
+	matched := table.Match(r.Host, r.URL.Path)
+	return matched != nil && matched.SelectService(attemptID) == service
+}
+
 // openForwardedSession is openSession for a request that another gateway forwarded.
 // Its route and home regions are checked against the configuration of this gateway
 // too: while the configurations differ, the stricter of the two applies. If they
-// choose different services, the newer configuration decides.
+// choose different services, the request is refused as not run.
 func (e *Edge) openForwardedSession(w http.ResponseWriter, r *http.Request, info *forwardInfo, arrived time.Time) (*session, error) {
 	r.Header.Del(headerForward)
 	s := e.newSession(w, r, arrived)
 	s.forwarded = info
+	e.adoptForwarded(r.Context(), r, s.req.AttemptID, info)
 	if err := s.match(r); err != nil {
 		return s, err
 	}
@@ -157,7 +199,9 @@
 		if info.Version < s.table.Version {
 			return s, failure.Refuse(failure.CodeNotFound, "the request was forwarded under an older configuration")
 		}
-		s.service = s.serviceNamed(info.Service)
+		// The next request of a caller here would be handled by the older one.
+		forwardsNewer.Inc()
+		return s, failure.Refuse(failure.CodeNotReady, "the request was forwarded under version %d of the configuration", info.Version).WithRetryAfter(shortRetryDelay)
 	}
 	s.deadline = arrived.Add(time.Duration(info.RemainingMillis) * time.Millisecond)
 	s.arrived = arrived.Add(time.Duration(info.ObjectiveMillis)*time.Millisecond - s.route.Objective)
--- a/internal/edge/forward_version_test.go
+++ b/internal/edge/forward_version_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,3 +37,50 @@
 	own := c.regions["south"].call(http.MethodGet, "/q/", "", map[string]string{headerID: "id-2"})
 	require.False(t, forwarded.body == "answer of new" && own.body == "answer of old", "%q after %q", own.body, forwarded.body)
 }
+
+// fetchedConfigs lets the south fetch the newer configuration from the given gateway only.
+type fetchedConfigs struct {
+	edge   *Edge
+	from   string
+	newer  *route.Table
+	failed []string
+}
+
+func (f *fetchedConfigs) Fetch(_ context.Context, gateway string, _ uint64) bool {
+	if gateway != f.from {
+		f.failed = append(f.failed, gateway)
+		return false
+	}
+	f.edge.Board.Routes.Set(f.newer)
+	return true
+}
+
+// TestForwardBringsANewerConfigurationIntoForce checks that a gateway that learns from a forward
+// of a newer version serves it, and its own callers, by that version.
+func TestForwardBringsANewerConfigurationIntoForce(t *testing.T) {
+	c, newer := newVersionFixture(t)
+	south := c.regions["south"].edge
+	reader := fleet.GatewayStatus{Gateway: fleet.Gateway{ID: "reader", Incarnation: "1", Region: "south", MachineCapacity: 9}, Seq: 1}
+	south.Gateways.ApplyStatus(reader, time.Now())
+	for _, from := range []string{"reader", "gw-north"} {
+		south.Board.Routes.Set(route.NewTable(1, c.routes, nil, c.limits))
+		south.Configs = &fetchedConfigs{edge: south, from: from, newer: newer}
+		require.Equal(t, "answer of new", c.regions["north"].call(http.MethodGet, "/q/", "", nil).body, from)
+		require.Equal(t, "answer of new", c.regions["south"].call(http.MethodGet, "/q/", "", nil).body, from)
+	}
+	require.Equal(t, []string{"reader"}, south.Configs.(*fetchedConfigs).failed, "the own region is asked first")
+}
+
+// TestForwardAwaitsANewerConfigurationForAMoment checks a forward whose configuration is being
+// fetched already, and one whose configuration doesn't come.
+func TestForwardAwaitsANewerConfigurationForAMoment(t *testing.T) {
+	c, newer := newVersionFixture(t)
+	south := c.regions["south"].edge
+	south.Configs = &fetchedConfigs{}
+	began := time.Now()
+	got := c.regions["north"].call(http.MethodGet, "/q/", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "refused as not run")
+	require.GreaterOrEqual(t, time.Since(began), newerConfigWait)
+	time.AfterFunc(newerConfigWait/3, func() { south.Board.Routes.Set(newer) })
+	require.Equal(t, "answer of new", c.regions["north"].call(http.MethodGet, "/q/", "", nil).body)
+}
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -160,6 +160,7 @@
 		Board: s.board, Gateways: s.gateways, StoreStatus: latestStatus, Source: p.OperatorSource, Client: peerClient,
 		StartupWait: startupWait(site), Proofs: proofs, Clock: clock, Logger: logger,
 	})
+	s.edge.Configs = routeController
 	proofController := configproof.New(configproof.Config{
 		Board: s.board, Gateways: s.gateways, Tracker: proofs, Clock: clock, Peers: grantController, Configs: routeController, Logger: logger,
 	})
