--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -89,6 +89,16 @@
 	require.True(t, tr.Observe(Observation{AsOf: at(1), Version: 3, Era: 7, IsDirect: true}, 3, at(1.1)))
 }
 
+// TestAnswerOfAnUnfetchedVersionProvesNothing guards against a gateway that hears that another
+// one is current, can't fetch that one's configuration, and serves by its own older one.
+func TestAnswerOfAnUnfetchedVersionProvesNothing(t *testing.T) {
+	tr := NewTracker(rewriteTime)
+	require.True(t, tr.Observe(Observation{AsOf: at(0), Version: 1, IsDirect: true}, 1, at(0.1)))
+	require.False(t, tr.Observe(Observation{AsOf: at(2), Version: 3}, 1, at(4)))
+	require.False(t, tr.MayServe(at(0).Add(bound+1), bound))
+	require.True(t, tr.Observe(Observation{AsOf: at(2), Version: 3}, 3, at(4)), "fetched")
+}
+
 // TestNoRequestRunsAfterTheBound plays random sequences of configurations, reads with
 // delays, and freezes at gateways that ask each other. A request that MayServe lets pass
 // must find every configuration that had been acknowledged a bound before.
