Take any whole answer for a sign that a request is sound

A request that endpoints answer with a client or server error was never cleared of the crashes under which it happened to run: three of them, with answers in between, held it for ten minutes. Segments of prompts still need a success. Evidence: the test failed before with status 404 and 500 to come, passes now with 200, 404 and 500, and a request without an answer in between is held as before.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -151,9 +151,9 @@
 		}
 	}
 	a.log("done", "endpoint", a.endpoint.ID, "status", resp.StatusCode, "bytes", sent)
+	a.recordCompletion(resp)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return outcome{done: true}, endpointload.Failed
 	}
-	a.recordCompletion(resp)
 	return outcome{done: true}, endpointload.Succeeded
 }
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -72,12 +72,16 @@
 const provenAfter = time.Second
 
 // recordCompletion records a complete response of the endpoint, which shows that neither the
-// request nor the segments of its prompt crash it. A response without a length whose endpoint
-// crashes looks complete and shows nothing.
+// request nor, if it was served, the segments of its prompt crash it. A response without a
+// length whose endpoint crashes looks complete and shows nothing.
 func (a *attempt) recordCompletion(resp *http.Response) {
 	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if a.gateway == nil && isFramed && resp.StatusCode < http.StatusMultipleChoices {
+	switch {
+	case a.gateway != nil || !isFramed:
+	case resp.StatusCode < http.StatusMultipleChoices:
 		a.recordProven(time.Now())
+	default:
+		a.edge.RequestQuarantine.RecordCompletion(a.requestKeys, time.Now())
 	}
 }
 
--- a/internal/edge/deadly_test.go
+++ b/internal/edge/deadly_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/route"
 )
 
@@ -86,3 +88,32 @@
 		})
 	}
 }
+
+// TestAnsweredRequestIsNotHeld guards against refusing a request that endpoints answer, with
+// whatever status, since two of them crashed under it before and another one does later.
+func TestAnsweredRequestIsNotHeld(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		c := newCluster(t, "north")
+		c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent, MaxAttempts: 1})
+		e := c.startEndpoint("e1", "north-a")
+		e.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "answer")
+		})
+		q := c.regions["north"].edge.RequestQuarantine
+		key := []quarantine.Key{quarantine.HashRequest(quarantine.Request{Service: "s", Method: http.MethodGet, Target: "/q/x"})}
+		crash := func(endpoint uint64) {
+			now := time.Now()
+			q.RecordCrash(key, endpoint, now, now.Add(time.Millisecond))
+			time.Sleep(2 * time.Millisecond)
+		}
+		crash(1)
+		crash(2)
+		require.Equal(t, status, c.regions["north"].call(http.MethodGet, "/q/x", "", nil).status)
+		crash(3)
+		require.Zero(t, q.HeldCount(), "status %d", status)
+		crash(4)
+		crash(5)
+		require.Equal(t, 1, q.HeldCount(), "status %d: held without a response in between", status)
+	}
+}
