--- a/internal/edge/allowance_random_test.go
+++ b/internal/edge/allowance_random_test.go
@@ -77,7 +77,7 @@
 // of a cut for the whole fleet, since they have restarted in it and the store's list names
 // none of the others.
 func TestAllowanceHoldsWhenGatewaysRestartInACut(t *testing.T) {
-	for _, seed := range []uint64{141, 145, 188} {
+	for _, seed := range []uint64{141, 145, 188, 233} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playRandomFaults(t, seed, 9) })
 		})
