Remember the crashes of a request for as long as it would be held

A request that crashes each endpoint and comes once in 40 s was never held: a crash counted for a minute, as with segments, so that two were known at most. A whole request is the same each time, and complete responses clear it, so its crashes count for ten minutes now. Evidence: the test failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -87,8 +87,10 @@
 	// sent the request later, if either is known from another gateway. Ages leave out the time
 	// that a message took, so that endpoints lost together seem to be lost one after the other.
 	resendMargin = 150 * time.Millisecond
-	// crashMemory is how long a crash counts.
-	crashMemory = time.Minute
+	// crashMemory is how long a crash counts against a segment, which many requests have in
+	// common, and requestCrashMemory how long it does against a request.
+	crashMemory        = time.Minute
+	requestCrashMemory = HoldTime
 	// HoldTime is how long a key is held. After that a single crash holds it again.
 	HoldTime = 10 * time.Minute
 )
@@ -286,9 +288,17 @@
 	}
 }
 
+// crashMemory returns how long a crash counts.
+func (t *Tracker) crashMemory() time.Duration {
+	if t.ofRequests {
+		return requestCrashMemory
+	}
+	return crashMemory
+}
+
 // addCrash adds the crash of an endpoint, unless it is known or says nothing about the key.
 func (t *Tracker) addCrash(k Key, endpoint uint64, c crash) {
-	if c.learnedAt.Sub(c.at) > crashMemory || t.isExplained(k, endpoint) {
+	if c.learnedAt.Sub(c.at) > t.crashMemory() || t.isExplained(k, endpoint) {
 		return
 	}
 	r := t.record(k, c.learnedAt)
@@ -464,7 +474,7 @@
 			continue
 		}
 		for endpoint, c := range r.crashes {
-			if now.Sub(c.at) > crashMemory {
+			if now.Sub(c.at) > t.crashMemory() {
 				delete(r.crashes, endpoint)
 			}
 		}
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -172,3 +172,20 @@
 		seen[HashRequest(r)] = true
 	}
 }
+
+// TestRequestThatComesSeldomIsHeld sends a request that crashes each endpoint once in 40 s.
+func TestRequestThatComesSeldomIsHeld(t *testing.T) {
+	q := NewOfRequests()
+	for i := range 3 {
+		now := at(time.Duration(i) * 40 * time.Second)
+		require.False(t, isRequestHeld(q, "deadly", now))
+		crashRequest(q, "deadly", i, now)
+		for n := range 40 {
+			q.Digest(now.Add(time.Duration(n) * time.Second))
+		}
+	}
+	require.True(t, isRequestHeld(q, "deadly", at(81*time.Second)))
+	q.Digest(at(time.Hour))
+	q.Digest(at(2 * time.Hour))
+	require.Empty(t, q.records)
+}
