Read the store for what can't be fetched only after a while

In a large region fetches fail while all gateways fetch from one at the same time, most of all after they were all killed, and each of them then read all entries from the store. Evidence: the tests of the bounds hold, and new checks find no call of the store in the first second and a half of failing fetches; both failed on the code before.

--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -84,6 +84,9 @@
 	isOutOfDate bool
 	// failedReads counts the consecutive failed reads.
 	failedReads int
+	// behindSince is when the entries of the store reader could not be fetched first; zero if
+	// they could last time.
+	behindSince time.Time
 }
 
 // New returns the controller.
@@ -163,11 +166,10 @@
 	c.recordVerified(readAt)
 	c.observeEra(status.Era)
 	if status.EndpointsFingerprint != c.Registry.Fingerprint() && !c.fetchFromPeer(ctx, from) {
-		// A gateway may hear the store reader and not reach it, for instance while their link
-		// is cut in one direction.
-		c.readIfDue(ctx, time.Now())
+		c.readUnfetched(ctx)
 		return
 	}
+	c.behindSince = time.Time{}
 	c.Registry.RecordCurrent(readAt)
 	// The entries now follow the store reader at a revision that is not known
 	// here. A watch from the own last revision may miss changes that the fetch
@@ -175,6 +177,20 @@
 	c.watchFrom = store.Revision{}
 }
 
+// readUnfetched reads the store if entries could not be fetched from the store reader for as
+// long as this gateway would wait if it didn't hear it. A gateway may hear the store reader and
+// not reach it, for instance while their link is cut in one direction. Fetches also fail while a
+// whole region fetches at once; reads of all entries would then overload the store.
+func (c *Controller) readUnfetched(ctx context.Context) {
+	now := time.Now()
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
+	if now.Sub(c.behindSince) >= fleet.StaleAfter(c.Board.Settings.Get().Limits.EndpointDrain) {
+		c.readIfDue(ctx, now)
+	}
+}
+
 // fetchFromPeer replaces the entries by those of a peer, and reports whether that
 // succeeded.
 func (c *Controller) fetchFromPeer(ctx context.Context, id string) bool {
--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -413,8 +413,10 @@
 			leaving := endpoint(id)
 			leaving.State = fleet.Draining
 			d.source.set(leaving)
-			before := d.usable()
-			hear(bound)
+			before, calls := d.usable(), d.source.callCount()
+			hear(time.Second)
+			require.Equal(t, calls, d.source.callCount(), "a fetch may fail because a whole region fetches at once")
+			hear(bound - time.Second)
 			require.Equal(t, before-1, d.usable())
 		}
 		before := d.source.callCount()
--- a/internal/controller/routesync/fetch_test.go
+++ b/internal/controller/routesync/fetch_test.go
@@ -88,3 +88,14 @@
 		require.Equal(t, uint64(8), version(c))
 	})
 }
+
+// TestFetchThatFailsForAMomentDoesNotCallTheStore guards against a region whose gateways all read
+// the store, since they all fetch from one gateway at the same time.
+func TestFetchThatFailsForAMomentDoesNotCallTheStore(t *testing.T) {
+	besideUnreachableReader(t, func(c *Controller, s *fakeSource, hear func(time.Duration)) {
+		s.addChange(Change{Routes: table(8)})
+		before := s.callCount()
+		hear(1500 * time.Millisecond)
+		require.Equal(t, before, s.callCount())
+	})
+}
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -102,6 +102,9 @@
 	// fetching is held during a fetch from a peer: a new version is heard of in heartbeats
 	// and from proofs at about the same time.
 	fetching sync.Mutex
+	// behindSince is when a version was heard of that has not come into force since; zero if
+	// there is none.
+	behindSince time.Time
 	// unfetchedReadAt is when a version that could not be fetched was last read from the store.
 	unfetchedReadAt time.Time
 	// watchFrom is the revision to watch from; zero requires a read of everything.
@@ -168,18 +171,25 @@
 	c.watchFrom = store.Revision{}
 	c.observeEra(status.Era)
 	c.applyEvacuations(status)
-	if status.ConfigVersion > c.Board.Routes.Get().Version && !c.fetchFromPeer(ctx, from, status.ConfigVersion) && !c.readUnfetched(ctx, status.ConfigVersion) {
-		return
+	if status.ConfigVersion > c.Board.Routes.Get().Version {
+		if c.behindSince.IsZero() {
+			c.behindSince = time.Now()
+		}
+		if !c.fetchFromPeer(ctx, from, status.ConfigVersion) && !c.readUnfetched(ctx, status.ConfigVersion) {
+			return
+		}
 	}
+	c.behindSince = time.Time{}
 	c.recordStoreReachable()
 }
 
 // readUnfetched reads from the store a version that could not be fetched from the store reader,
 // and reports whether it is in force then. A gateway may hear the store reader and not reach
-// it, for instance while their link is cut in one direction.
+// it, for instance while their link is cut in one direction. It waits for as long as if it
+// didn't hear it: fetches also fail while a whole region fetches at once.
 func (c *Controller) readUnfetched(ctx context.Context, version uint64) bool {
 	now := time.Now()
-	if now.Sub(c.unfetchedReadAt) < unfetchedReadInterval {
+	if now.Sub(c.behindSince) < c.staleAfter() || now.Sub(c.unfetchedReadAt) < unfetchedReadInterval {
 		return false
 	}
 	c.unfetchedReadAt = now
