Give each process of a test an address that no other one gets

Cause: FreeAddress bound port 0 on 127.0.0.1, closed the listener and returned the address. The kernel chose the same port again for another process before the first had bound it, and that one exited with "address already in use".

Change: addresses come from a loopback address of the test process's own, since outgoing connections have 127.0.0.1 as their source, and none is returned twice. A wait that fails logs the state and the last lines of each process. The hostile tests use the same address instead of their own formula. No check is changed.

--- a/internal/hostile/targets_test.go
+++ b/internal/hostile/targets_test.go
@@ -95,8 +95,7 @@
 	store.PutConfig(config)
 
 	dir := t.TempDir()
-	ip := fmt.Sprintf("127.88.%d.1", 1+os.Getpid()%250)
-	callers, ready, peers := processtest.FreeAddress(t, ip), processtest.FreeAddress(t, ip), processtest.FreeAddress(t, ip)
+	callers, ready, peers := processtest.FreeAddress(t), processtest.FreeAddress(t), processtest.FreeAddress(t)
 	settingsFile := filepath.Join(dir, "node.yaml")
 	require.NoError(t, os.WriteFile(settingsFile, fmt.Appendf(nil, `node-name: gw
 zone: north-a
@@ -110,7 +109,7 @@
 bounds: {contact-ms: 5000, drain-ms: 3000, grace-s: 8, config-ms: 3000, evacuate-ms: 5000,
   retry-budget-ratio: 0.2, budget-window-s: 10, budget-slack: 50, cold-overage: 1.5, cold-slack: 3, ttl_max_s: 5}
 platform: {address: %q, ttl-min-ms: 1000}
-`, ip, callers, ready, peers, memoryLimitMB, maxDescriptors, storeServer.Listener.Addr()), 0o600))
+`, processtest.LoopbackIP(), callers, ready, peers, memoryLimitMB, maxDescriptors, storeServer.Listener.Addr()), 0o600))
 	binary := filepath.Join(processtest.Build(t, "hickorystage"), "hickorystage")
 	target := &target{
 		process:   processtest.StartLogged(t, dir, "gw", []string{"HICKORYSTAGE_SETTINGS=" + settingsFile}, binary, "gateway", "--metrics-port", "0"),
--- a/internal/processtest/chat.go
+++ b/internal/processtest/chat.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,7 +69,7 @@
 // Addr returns the address with the given name, which is a free one at the first call.
 func (d *ChatDeployment) Addr(name string) string {
 	if d.addresses[name] == "" {
-		d.addresses[name] = FreeAddress(d.T, "127.0.0.1")
+		d.addresses[name] = FreeAddress(d.T)
 	}
 	return d.addresses[name]
 }
@@ -92,7 +94,8 @@
 	require.NoError(d.T, err, string(out))
 }
 
-// Await waits until ok returns true.
+// Await waits until ok returns true. If that takes longer than awaitTimeout, it ends the
+// test and logs what has become of each process.
 func (d *ChatDeployment) Await(what string, ok func() bool) {
 	d.T.Helper()
 	for deadline := time.Now().Add(awaitTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
@@ -100,6 +103,9 @@
 			return
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(d.Processes)) {
+		d.T.Logf("%s: %s", name, d.Processes[name].describe())
+	}
 	d.T.Fatalf("condition not met: %s", what)
 }
 
