Count the gateways of data centres that a restarted gateway hasn't heard

Cause: such a gateway remembers only those that it hears. Each side of the cut took itself for the whole fleet and handed out the whole limit.

Change: the settings name all data centres. Until the store's list has been read, a gateway assumes as many gateways in a data centre that it remembers none of as in the others on average. The simulated fleet of the tests gets data centres and settings that name them, as deployments have; the harness of the other tests has read an empty list, as a gateway that has run for a minute.

--- a/internal/edge/allowance_cluster_test.go
+++ b/internal/edge/allowance_cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/route"
+	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
@@ -32,7 +33,13 @@
 	allowanceTick = 10 * time.Millisecond
 )
 
-var allowanceRegions = []string{"north", "south", "west"}
+var (
+	allowanceRegions = []string{"north", "south", "west"}
+	allowanceSite    = &settings.PlatformSettings{
+		HeartbeatInterval: simulatedHeartbeat,
+		Regions:           map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"},
+	}
+)
 
 // allowanceFleet simulates the gateways of three regions that serve one account.
 type allowanceFleet struct {
@@ -91,11 +98,11 @@
 	id := fmt.Sprint("gw-", g.index)
 	g.starts++
 	g.seq, g.isDown = 0, false
-	board := blackboard.NewEdge(testSite)
+	board := blackboard.NewEdge(allowanceSite)
 	board.Routes.Set(g.fleet.table)
 	g.edge = New(Config{
 		Board:            board,
-		Gateways:         fleet.NewGateways(fleet.Gateway{ID: id, Incarnation: fmt.Sprint(g.starts), Region: g.region(), GrantAddress: id}, time.Now()),
+		Gateways:         fleet.NewGateways(fleet.Gateway{ID: id, Incarnation: fmt.Sprint(g.starts), Region: g.region(), DataCentre: g.region() + "-a", GrantAddress: id}, time.Now()),
 		GatewayTransport: transport.New(nil, time.Second),
 		Credit:           g,
 		Logger:           log.New(io.Discard),
--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -61,8 +61,8 @@
 // matters for the coordination of accounts.
 type coordinationView struct {
 	builtAt time.Time
-	// members are the other gateways that may still run, by id. total is their number with
-	// this gateway.
+	// members are the other gateways that may still run, by id. total is the number of all
+	// that may, with this gateway and those of data centres that it has never heard of.
 	members map[string]fleet.RememberedGateway
 	total   int
 	// candidates are the gateways that may coordinate: those of at least leastCapacity.
@@ -109,7 +109,8 @@
 	if k.view != nil && slices.Equal(candidates.ids, k.view.candidates.ids) {
 		candidates.byEndpoint = k.view.candidates.byEndpoint
 	}
-	v.candidates, v.total = candidates, len(v.members)+1
+	v.candidates = candidates
+	v.total = len(v.members) + 1 + gateways.CountUnheard(maps.Keys(k.edge.Board.Settings.Get().Regions))
 	k.view = v
 	return v
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -235,6 +235,8 @@
 		RegionSpill:       true,
 		Logger:            log.New(io.Discard),
 	})
+	// The store lists no other gateway.
+	r.edge.Gateways.ApplyStoreList(nil, started)
 	r.callerServer = httptest.NewServer(r.edge.CallerHandler())
 	r.peerServer = httptest.NewServer(r.edge.PeerHandler(http.NotFoundHandler()))
 	c.t.Cleanup(r.callerServer.Close)
--- a/internal/fleet/coordination.go
+++ b/internal/fleet/coordination.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -65,3 +66,28 @@
 	}
 	return true
 }
+
+// CountUnheard returns the number of gateways that may run in those of the given data
+// centres of which this gateway remembers none: as many in each as in the others on average.
+// It returns 0 once the store's list has been read, which names the gateways everywhere.
+func (g *Gateways) CountUnheard(dataCentres iter.Seq[string]) int {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if g.hasStoreList {
+		return 0
+	}
+	gateways, heard := 1, map[string]bool{g.self.DataCentre: true}
+	for _, m := range g.known {
+		if !m.status.Leaving && g.isRemembered(m) {
+			gateways++
+			heard[m.status.DataCentre] = true
+		}
+	}
+	unheard := 0
+	for name := range dataCentres {
+		if !heard[name] {
+			unheard++
+		}
+	}
+	return (unheard*gateways + len(heard) - 1) / len(heard)
+}
--- a/internal/fleet/coordination_test.go
+++ b/internal/fleet/coordination_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,19 @@
 	require.True(t, g.HearsAll(at(time.Second)))
 	require.False(t, g.HearsAll(at(time.Second+SilenceTimeout+time.Millisecond)), "both are silent")
 }
+
+// TestGatewaysOfUnheardDataCentresAreCounted guards against a gateway that has started behind
+// a cut, without the store's list, and takes its side for the whole fleet.
+func TestGatewaysOfUnheardDataCentresAreCounted(t *testing.T) {
+	dataCentres := slices.Values([]string{"north-a", "north-b", "south-a", "west-a"})
+	g := NewGateways(Gateway{ID: "a", DataCentre: "north-a"}, at(0))
+	require.Equal(t, 3, g.CountUnheard(dataCentres))
+	for _, id := range []string{"b", "c"} {
+		g.ApplyStatus(GatewayStatus{Gateway: Gateway{ID: id, Incarnation: "1", DataCentre: "north-b"}, Seq: 1}, at(time.Second))
+	}
+	require.Equal(t, 3, g.CountUnheard(dataCentres), "two data centres, of one and a half gateways each")
+	g.ApplyStatus(GatewayStatus{Gateway: Gateway{ID: "d", Incarnation: "1", DataCentre: "south-a"}, Seq: 1, Leaving: true}, at(time.Second))
+	require.Equal(t, 3, g.CountUnheard(dataCentres), "its only gateway is leaving")
+	g.ApplyStoreList(nil, at(2*time.Second))
+	require.Zero(t, g.CountUnheard(dataCentres))
+}
