Keep back the parts of data centres that don't hear the coordinator

Change: a coordinator asks two gateways of each data centre of which none has answered it or asked it for credit since its start, with the existing question for nothing.

--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -155,6 +155,7 @@
 		c.askedAt, response.Starting = now, c.bucket.IsStarting(now)
 		return response
 	}
+	k.reach.record(view, ask.Gateway)
 	limit := allowance.Limit{PerSecond: ask.PerSecond, Burst: ask.Burst}
 	if table := k.edge.Board.Routes.Get(); table != nil && table.Version > ask.Version {
 		if a, ok := table.Accounts.ByName(ask.Account); ok {
@@ -218,11 +219,11 @@
 }
 
 // share returns the part of an account's limit that this gateway hands out: that of the
-// gateways which it hears, as far as none of them uses its own part.
+// gateways which it hears and reaches, as far as none of them uses its own part.
 func (k *allowances) share(name string, c *coordinatedAccount, now, realNow time.Time) float64 {
 	view, counted := k.currentView(realNow), 1
 	for id, g := range view.members {
-		if g.IsAlive && !c.contacts.IsLost(id, now) {
+		if g.IsAlive && !c.contacts.IsLost(id, now) && !k.reach.isUnanswered(g.DataCentre, now) {
 			counted++
 		}
 	}
@@ -280,6 +281,7 @@
 		})
 	}
 	var asks []creditAsk
+	var coordinated *account.Account
 	for a := range accounts.All() {
 		if a.Allowance.IsLimited() {
 			asks = append(asks, k.askSuccessor(a, now, realNow)...)
@@ -288,8 +290,11 @@
 		if c := k.coordinated[a.Name]; a.Allowance.IsLimited() && (c == nil || c.bucket == nil) && view.coordinatorOf(a.Name) == self {
 			k.coordinate(a.Name, now, realNow).bucket.Configure(limitOf(a), k.bounds())
 		}
+		if k.coordinated[a.Name] != nil {
+			coordinated = a
+		}
 	}
-	return asks
+	return append(asks, k.probeDataCentres(coordinated, now, realNow)...)
 }
 
 // resetAfterFreeze empties all buckets if this gateway has stood still. The caller must
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -50,6 +50,7 @@
 	view        *coordinationView
 	// confirmed holds, by id, the gateways that have answered as coordinators.
 	confirmed map[string]confirmation
+	reach     reach
 	// toldTotal is the largest number of gateways that another one has lately remembered,
 	// toldAt when it said so.
 	toldTotal int
@@ -86,7 +87,7 @@
 	return &allowances{
 		edge: e, now: func() time.Time { return time.Unix(0, int64(clock.Now())) }, wake: make(chan struct{}, 1),
 		accounts: make(map[string]*limitedAccount), coordinated: make(map[string]*coordinatedAccount),
-		confirmed: make(map[string]confirmation),
+		confirmed: make(map[string]confirmation), reach: newReach(),
 	}
 }
 
@@ -267,6 +268,7 @@
 	k.mu.Lock()
 	now := k.now()
 	k.noteTotal(g.Gateways, now)
+	k.reach.record(k.currentView(time.Now()), g.Gateway)
 	if g.Coordinator == "" && !g.Starting {
 		k.confirm(g.Gateway, now)
 	}
