Count gateways behind a cut of more than a minute

What callers would see: an account served beyond its bound when regions lose each other for longer than a minute, which our target names as an hour now and then. Found by a test, not reported.

Cause: a gateway forgets those that it hasn't heard, and that the store hasn't listed, for 60 s. The leases of gateways that are cut off from the store end too. After that each side took itself for the whole fleet.

Change: where a gateway remembers none of a data centre that the settings name, it counts for two hours those that it last knew there. Single gateways that end in a data centre that is heard aren't counted, nor those that have left.

--- a/internal/edge/allowance_faults_test.go
+++ b/internal/edge/allowance_faults_test.go
@@ -182,3 +182,41 @@
 		}
 	}
 }
+
+// TestAllowanceHoldsInALongCut guards against groups that have been apart for so long that
+// they forget each other, and each hand out the whole limit.
+func TestAllowanceHoldsInALongCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		isWest := func(g *allowanceGateway) bool { return g.region() == "west" }
+		f := newAllowanceFleet(t)
+		rate := f.account.Allowance.RatePerSecond
+		f.run(12*time.Second, 0.1*rate)
+		f.setHears(func(from, to *allowanceGateway) bool { return isWest(from) == isWest(to) })
+		for range 10 {
+			f.run(9*time.Second, 0.1*rate)
+			// The store can't be reached from the west, and its leases of gateways there end.
+			var listed []fleet.Gateway
+			for _, g := range f.gateways {
+				if !isWest(g) {
+					listed = append(listed, g.edge.Gateways.Self())
+				}
+			}
+			for _, g := range f.gateways {
+				if !isWest(g) {
+					g.edge.Gateways.ApplyStoreList(listed, time.Now())
+				}
+			}
+		}
+		f.takeCounts()
+		f.run(12*time.Second, 5*rate)
+		time.Sleep(time.Second)
+		for _, g := range f.gateways {
+			g.tomb.Kill(nil)
+			require.NoError(t, g.tomb.Wait())
+		}
+		served, refused := f.takeCounts()
+		t.Logf("served %.0f, refused %.0f; worst window %.3f", served, refused, f.worst())
+		require.LessOrEqual(t, f.worst(), 1.0)
+		require.GreaterOrEqual(t, served*allowanceCost/(12*rate), 0.8)
+	})
+}
--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -110,7 +110,7 @@
 		candidates.byEndpoint = k.view.candidates.byEndpoint
 	}
 	v.candidates = candidates
-	v.total = len(v.members) + 1 + gateways.CountUnheard(maps.Keys(k.edge.Board.Settings.Get().Regions))
+	v.total = len(v.members) + 1 + gateways.CountUnheard(maps.Keys(k.edge.Board.Settings.Get().Regions), now)
 	k.view = v
 	return v
 }
--- a/internal/fleet/coordination.go
+++ b/internal/fleet/coordination.go
@@ -68,26 +68,38 @@
 }
 
 // CountUnheard returns the number of gateways that may run in those of the given data
-// centres of which this gateway remembers none: as many in each as in the others on average.
-// It returns 0 once the store's list has been read, which names the gateways everywhere.
-func (g *Gateways) CountUnheard(dataCentres iter.Seq[string]) int {
+// centres of which this gateway remembers none. They are as many as it last knew there:
+// gateways that all fell silent, and that the store no longer lists, may be behind a cut. In
+// data centres of which it has never known one there are as many as in each of the others on
+// average, or none once the store's list has been read.
+func (g *Gateways) CountUnheard(dataCentres iter.Seq[string], now time.Time) int {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	if g.hasStoreList {
-		return 0
-	}
-	gateways, heard := 1, map[string]bool{g.self.DataCentre: true}
+	gateways, heard, lost := 1, map[string]bool{g.self.DataCentre: true}, make(map[string]int)
 	for _, m := range g.known {
-		if !m.status.Leaving && g.isRemembered(m) {
+		switch {
+		case m.status.Leaving:
+		case g.isRemembered(m):
 			gateways++
 			heard[m.status.DataCentre] = true
+		case now.Sub(m.lastContact()) <= lostRetention:
+			lost[m.status.DataCentre]++
+		}
+	}
+	for id, l := range g.lost {
+		if g.known[id] == nil && now.Sub(l.lastSeen) <= lostRetention {
+			lost[l.dataCentre]++
 		}
 	}
-	unheard := 0
+	unheard, unknown := 0, 0
 	for name := range dataCentres {
-		if !heard[name] {
-			unheard++
+		switch {
+		case heard[name]:
+		case lost[name] > 0:
+			unheard += lost[name]
+		case !g.hasStoreList:
+			unknown++
 		}
 	}
-	return (unheard*gateways + len(heard) - 1) / len(heard)
+	return unheard + (unknown*gateways+len(heard)-1)/len(heard)
 }
--- a/internal/fleet/coordination_test.go
+++ b/internal/fleet/coordination_test.go
@@ -69,13 +69,46 @@
 func TestGatewaysOfUnheardDataCentresAreCounted(t *testing.T) {
 	dataCentres := slices.Values([]string{"north-a", "north-b", "south-a", "west-a"})
 	g := NewGateways(Gateway{ID: "a", DataCentre: "north-a"}, at(0))
-	require.Equal(t, 3, g.CountUnheard(dataCentres))
+	require.Equal(t, 3, g.CountUnheard(dataCentres, at(time.Second)))
 	for _, id := range []string{"b", "c"} {
 		g.ApplyStatus(GatewayStatus{Gateway: Gateway{ID: id, Incarnation: "1", DataCentre: "north-b"}, Seq: 1}, at(time.Second))
 	}
-	require.Equal(t, 3, g.CountUnheard(dataCentres), "two data centres, of one and a half gateways each")
+	require.Equal(t, 3, g.CountUnheard(dataCentres, at(time.Second)), "two data centres, of one and a half gateways each")
 	g.ApplyStatus(GatewayStatus{Gateway: Gateway{ID: "d", Incarnation: "1", DataCentre: "south-a"}, Seq: 1, Leaving: true}, at(time.Second))
-	require.Equal(t, 3, g.CountUnheard(dataCentres), "its only gateway is leaving")
+	require.Equal(t, 3, g.CountUnheard(dataCentres, at(time.Second)), "its only gateway is leaving")
 	g.ApplyStoreList(nil, at(2*time.Second))
-	require.Zero(t, g.CountUnheard(dataCentres))
+	require.Zero(t, g.CountUnheard(dataCentres, at(time.Second)))
+}
+
+// TestGatewaysBehindALongCutAreCounted guards against groups that forget each other in a cut
+// of an hour, and against gateways that ended one by one and are counted as if they ran.
+func TestGatewaysBehindALongCutAreCounted(t *testing.T) {
+	dataCentres := slices.Values([]string{"north-a", "south-a", "south-b", "west-a"})
+	g, seq := NewGateways(Gateway{ID: "n1", DataCentre: "north-a"}, at(0)), uint64(0)
+	hear := func(id, dataCentre string, isLeaving bool, now time.Time) {
+		seq++
+		g.ApplyStatus(GatewayStatus{Gateway: Gateway{ID: id, Incarnation: "1", DataCentre: dataCentre}, Seq: seq, Leaving: isLeaving}, now)
+	}
+	for _, id := range []string{"s1", "s2", "s3"} {
+		hear(id, "south-a", false, at(0))
+	}
+	hear("b1", "south-b", false, at(0))
+	hear("b1", "south-b", true, at(time.Second))
+	hear("w1", "west-a", false, at(0))
+	hear("w2", "west-a", false, at(0))
+	for s := time.Duration(1); s <= 200; s++ {
+		hear("w2", "west-a", false, at(s*time.Second))
+		if s == 100 {
+			require.Equal(t, 4, g.CountUnheard(dataCentres, at(s*time.Second)), "the store may list others where one has left")
+		}
+		if s > 100 {
+			g.ApplyStoreList([]Gateway{{ID: "w2", Incarnation: "1", DataCentre: "west-a"}}, at(s*time.Second))
+		}
+	}
+	require.Equal(t, 3, g.CountUnheard(dataCentres, at(200*time.Second)), "one data centre has left, another one is heard")
+	require.Zero(t, g.CountUnheard(slices.Values([]string{"north-a", "west-a"}), at(200*time.Second)), "the settings no longer name it")
+	hear("s2", "south-a", false, at(201*time.Second))
+	require.Zero(t, g.CountUnheard(dataCentres, at(201*time.Second)))
+	g.ApplyStoreList(nil, at(3*time.Hour))
+	require.Zero(t, g.CountUnheard(dataCentres, at(3*time.Hour)))
 }
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -54,6 +55,10 @@
 // assumed to use its share of the limits that all gateways share.
 const silentRetention = 60 * time.Second
 
+// lostRetention is how long the gateways of a data centre that isn't heard at all are assumed
+// to run: regions lose each other for an hour now and then.
+const lostRetention = 2 * time.Hour
+
 // Gateways is this gateway's view of its peers. It is safe for concurrent use.
 type Gateways struct {
 	self    Gateway
@@ -73,6 +78,8 @@
 	contactAt time.Time
 	// hasStoreList is set once the store's list has been applied.
 	hasStoreList bool
+	// lost holds, by id, the gateways that have been forgotten without having left.
+	lost map[string]lostGateway
 	// lastSummary is when the newest summary of each region was created.
 	lastSummary map[string]time.Time
 	// changes counts the changes that can make a memberList or a regionSize wrong at
@@ -96,6 +103,12 @@
 // of SilenceTimeout, after which a gateway drops out of Alive.
 const memberListTTL = 100 * time.Millisecond
 
+// lostGateway is a gateway that has been forgotten.
+type lostGateway struct {
+	dataCentre string
+	lastSeen   time.Time
+}
+
 type member struct {
 	status GatewayStatus
 	// lastSeen is the time of the last status, zero if there was none; listedAt
@@ -114,7 +127,7 @@
 // NewGateways returns an empty view for the gateway self, which started at the given
 // time.
 func NewGateways(self Gateway, startedAt time.Time) *Gateways {
-	return &Gateways{self: self, startedAt: startedAt, known: make(map[string]*member), lastSummary: make(map[string]time.Time), lists: make(map[string]memberList)}
+	return &Gateways{self: self, startedAt: startedAt, known: make(map[string]*member), lastSummary: make(map[string]time.Time), lists: make(map[string]memberList), lost: make(map[string]lostGateway)}
 }
 
 // Self returns this gateway.
@@ -323,10 +336,24 @@
 			m.listedAt = now
 		}
 		if now.Sub(m.lastSeen) > silentRetention && now.Sub(m.listedAt) > silentRetention {
+			if !m.status.Leaving {
+				g.lost[id] = lostGateway{dataCentre: m.status.DataCentre, lastSeen: m.lastContact()}
+			}
 			delete(g.known, id)
 			g.changes++
 		}
 	}
+	maps.DeleteFunc(g.lost, func(id string, l lostGateway) bool {
+		return g.known[id] != nil || now.Sub(l.lastSeen) > lostRetention
+	})
+}
+
+// lastContact returns when the gateway was last seen or listed.
+func (m *member) lastContact() time.Time {
+	if m.lastSeen.After(m.listedAt) {
+		return m.lastSeen
+	}
+	return m.listedAt
 }
 
 // NewlySilent returns the gateways that ceased to be alive since the last call.
