Count gateways behind a long cut in the retry budget too

What callers would see: the repeats that a service gets exceed the budget that all gateways share when data centres lose each other for longer than a minute.

Cause: the slack is divided by the gateways that are remembered, and those behind a cut are forgotten after 60 s, so that each side used all of it.

Change: the gateways of data centres that aren't heard count as for allowances.

--- a/internal/edge/cold_test.go
+++ b/internal/edge/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -125,3 +126,41 @@
 	require.LessOrEqual(t, spendAll(gateways, started.Add(30*time.Second)), slack)
 	require.LessOrEqual(t, spendAll(gateways, started.Add(10*time.Minute)), slack)
 }
+
+// TestRetryBudgetHoldsInALongCut lets the gateways of two data centres spend all that they
+// may on retries after they haven't heard each other for minutes.
+func TestRetryBudgetHoldsInALongCut(t *testing.T) {
+	const slack = 100
+	started := time.Now()
+	gateways := regionGateways(t, started)
+	north, south := gateways[:gatewaysInRegion/2], gateways[gatewaysInRegion/2:]
+	for _, e := range gateways {
+		self := e.Gateways.Self()
+		if self.DataCentre = "north-a"; slices.Contains(south, e) {
+			self.DataCentre = "south-a"
+		}
+		e.Gateways = fleet.NewGateways(self, started)
+	}
+	for seq := range uint64(60) {
+		now := started.Add(time.Duration(seq+1) * 5 * time.Second)
+		for _, side := range [][]*Edge{north, south} {
+			for _, e := range side {
+				hear(e, side, seq+1, now)
+				e.Gateways.ApplyStoreList(nil, now)
+			}
+		}
+		if seq == 0 {
+			for _, e := range gateways {
+				hear(e, gateways, 1, now)
+			}
+		}
+	}
+	retries := 0
+	for _, e := range gateways {
+		for e.trySpendRetry("s", started.Add(5*time.Minute)) {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, slack)
+	require.GreaterOrEqual(t, retries, slack/2)
+}
--- a/internal/edge/session.go
+++ b/internal/edge/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -196,11 +197,17 @@
 func (e *Edge) trySpendRetry(service string, now time.Time) bool {
 	gateways := budget.UnknownGateways
 	if e.Gateways.IsSettled(now) {
-		gateways = e.Gateways.CountRemembered()
+		gateways = e.countGateways(now)
 	}
 	return e.RetryBudget.TrySpend(service, gateways, now)
 }
 
+// countGateways returns the number of gateways that may run, with this one and those behind
+// a cut.
+func (e *Edge) countGateways(now time.Time) int {
+	return e.Gateways.CountRemembered() + e.Gateways.CountUnheard(maps.Keys(e.Board.Settings.Get().Regions), now)
+}
+
 // refusalFor returns the refusal for a decision not to place the request.
 func (s *session) refusalFor(d placement.Decision) *failure.Refusal {
 	code := failure.CodeOverloaded
