Don't take a peer's response for whole that is cut off at the limit

Cause: a fetch read at most 4 MB and returned what it had, with no error. A peer that sent a valid document and then bytes without end was believed.

Change: a longer response is a *ResponseTooLongError.

Result: TestTooLongResponseIsNotTakenForWhole and the case body of TestEndlessResponsesOfPeers got no error before, and pass. The five other cases of the latter (header value, many headers, informational responses, trailer, refusal) held before: each fetch fails, closes the connection and has taken less than 20 MB.

--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -47,6 +47,14 @@
 	return fmt.Sprintf("peer responded with status %d", e.Status)
 }
 
+// ResponseTooLongError reports that a peer's response has more than maxResponseBytes.
+type ResponseTooLongError struct{ Address string }
+
+// Error implements error.
+func (e *ResponseTooLongError) Error() string {
+	return fmt.Sprintf("the response of peer %s has more than %d bytes", e.Address, maxResponseBytes)
+}
+
 // Sources holds the functions that return the data a gateway serves to its
 // peers. They may be called concurrently.
 type Sources struct {
@@ -157,6 +165,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.WithStack(&StatusError{Status: resp.StatusCode})
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	return body, errors.Wrap(err, "read response of peer")
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read response of peer")
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errors.WithStack(&ResponseTooLongError{Address: address})
+	}
+	return body, nil
 }
