Limit the lines of a response's header in the remaining clients

Cause: the limit of 256 header lines held for endpoints, forwards and the chat half's calls, not for fetches from other gateways of both halves, polls of endpoints, and the store's answers. There only 64 KB held, which very short lines make to many times that in memory.

Change: these clients dial through the same limit. New tests also cover answers that actions keep for a repeat.

Polls of endpoints and the chat half's store have the limit without a test of their own.

--- a/internal/action/sender/sender_test.go
+++ b/internal/action/sender/sender_test.go
@@ -278,3 +278,32 @@
 	var lines *transport.HeaderLinesError
 	require.ErrorAs(t, err, &lines)
 }
+
+// TestBodyWithoutEndEndsTheDispatch lets an endpoint answer with a body that is written until
+// the connection is closed. What is kept for a repeat has a limit.
+func TestBodyWithoutEndEndsTheDispatch(t *testing.T) {
+	const buffersOfSockets = 16 << 20
+	taken := make(chan int64, 1)
+	e := newTestEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		written, block := int64(0), make([]byte, 16<<10)
+		for {
+			n, err := w.Write(block)
+			if written += int64(n); err != nil {
+				taken <- written
+				return
+			}
+		}
+	})
+	limits := sender.DefaultLimits()
+	s := sender.New(newPicker(http.MethodPost, e.address), limits, nil)
+	_, err := s.Dispatch(t.Context(), newDispatchRequest())
+	var tooLong *sender.ResponseTooLongError
+	require.ErrorAs(t, err, &tooLong)
+	select {
+	case n := <-taken:
+		require.Less(t, n, limits.MaxBodyBytes+buffersOfSockets)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+	require.EqualValues(t, 1, e.executed.Load())
+}
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -64,14 +64,11 @@
 // endpoint. onLeaving is called for reports that say that an endpoint is leaving;
 // a leaving endpoint is not polled again. A nil dial uses a plain net.Dialer.
 func New(board *blackboard.Board, interval time.Duration, onLeaving func(), dial DialFunc) *Controller {
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
 	return &Controller{
 		board:     board,
 		view:      membership.New(board),
 		interval:  interval,
-		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes}},
+		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: transport.LimitHeaderLines(transport.DialFunc(dial)), MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes}},
 		onLeaving: onLeaving,
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -77,15 +77,16 @@
 		defer cancel()
 		return dial(ctx, network, address)
 	}
+	limited := transport.LimitHeaderLines(dialWithTimeout)
 	pooled := &http.Transport{
-		DialContext:         dialWithTimeout,
+		DialContext:         limited,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 	}
 	unpooled := &http.Transport{
-		DialContext:       dialWithTimeout,
+		DialContext:       limited,
 		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 const testSecret = "a-secret-of-gateways"
@@ -99,3 +103,24 @@
 	var lost *ResponseLostError
 	require.True(t, errors.As(err, &lost))
 }
+
+// TestHeadersOfManyLinesAreRefused guards against responses of a peer whose short lines take
+// many times their size in memory.
+func TestHeadersOfManyLinesAreRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 1000)+"Content-Length: 2\r\n\r\n[]")
+		}
+	}()
+	_, err = NewClient(NewSigner("gw-1", []string{testSecret}), nil).FetchEndpoints(context.Background(), listener.Addr().String())
+	var tooMany *transport.HeaderLinesError
+	require.ErrorAs(t, err, &tooMany)
+}
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -113,7 +113,7 @@
 	return &Client{http: &http.Client{
 		Timeout: fetchTimeout,
 		Transport: &http.Transport{
-			DialContext: dial, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+			DialContext: transport.LimitHeaderLines(dial), IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 		},
 	}}
 }
--- a/internal/peerfetch/peerfetch_test.go
+++ b/internal/peerfetch/peerfetch_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // endlessPeer accepts connections, and answers each with first and then with more, again and
@@ -97,6 +99,15 @@
 	}
 }
 
+// TestFetchedHeadersOfManyLinesAreRefused guards against responses of a peer whose short lines
+// take many times their size in memory.
+func TestFetchedHeadersOfManyLinesAreRefused(t *testing.T) {
+	p := startEndlessPeer(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 1000)+"Content-Length: 2\r\n\r\n[]", "")
+	_, err := NewClient((&net.Dialer{}).DialContext).FetchEndpoints(context.Background(), p.address)
+	var tooMany *transport.HeaderLinesError
+	require.ErrorAs(t, err, &tooMany)
+}
+
 // TestTooLongResponseIsNotTakenForWhole guards against a configuration that is cut off at the
 // limit and still parses.
 func TestTooLongResponseIsNotTakenForWhole(t *testing.T) {
--- a/internal/platform/httpclient.go
+++ b/internal/platform/httpclient.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hickorystage/hickorystage/internal/telemetry"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // maxErrorBodyBytes bounds the body of an error response.
@@ -81,7 +82,7 @@
 		baseURL: strings.TrimSuffix(baseURL, "/"),
 		opts:    o,
 		transport: &http.Transport{
-			DialContext:            o.dial,
+			DialContext:            transport.LimitHeaderLines(transport.DialFunc(o.dial)),
 			MaxIdleConnsPerHost:    o.MaxIdleConns,
 			IdleConnTimeout:        o.IdleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
