--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -34,6 +34,7 @@
 	defer out.Close()
 	level, _ := log.ParseLevel(edgeSettings.LogLevel)
 	logger := telemetry.NewLogger(out, level).With("instance", platformSettings.Instance)
+	telemetry.RedirectStandardLog(logger)
 	setGCPercent()
 	setMemoryLimit(platformSettings.MemoryBytes)
 	store := platform.NewStore(platformSettings.StoreAddress, platform.StoreOptions{})
--- a/cmd/hickorystage/gateway.go
+++ b/cmd/hickorystage/gateway.go
@@ -34,6 +34,7 @@
 	}
 	level, _ := log.ParseLevel(s.LogLevel)
 	logger := telemetry.NewLogger(os.Stderr, level).With("instance", s.ID)
+	telemetry.RedirectStandardLog(logger)
 	flush, err := startTracing(s)
 	if err != nil {
 		logger.Error("tracing failed to start", "err", err)
