Hold chats and service calls that crash endpoints

What callers would see: a chat that ends the engine that runs it is sent to the next engine, and by its caller to the next gateway, until none is left.

Cause: the chat half related no crashes to requests.

Change: the relay says of an attempt that broke off whether its endpoint refuses connections. The gateway counts these crashes by the hash of account, model and prompt, or of service, method, path and body, with the tracker that routes use, refuses what is held before it is queued and before each further attempt, and gossip carries the tracker's digest to all gateways at once after a crash. The in-memory network of the tests refuses connections as a kernel does.

Nothing of routes is changed.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -33,6 +33,7 @@
 	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peer"
 	"github.com/hickorystage/hickorystage/internal/platform"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/rendezvous"
 	"github.com/hickorystage/hickorystage/internal/sched"
@@ -115,7 +116,8 @@
 		Membership: view, SchedulerData: data, Pauses: backoff.New[string](),
 		OnLeaving: func() { a.gossip.NotifyPeers() }, Logger: logger,
 	}
-	a.relay = relay.New(a.newRelaySettings(data, admission))
+	requestQuarantine := quarantine.NewOfRequests()
+	a.relay = relay.New(a.newRelaySettings(data, admission, requestQuarantine))
 	a.gateway = gateway.New(gateway.Config{
 		Board:         a.board,
 		Membership:    view,
@@ -124,18 +126,22 @@
 		Admission:     admission,
 		Pauses:        a.signals.Pauses,
 		Relay:         a.relay,
-		Peers:         a.peers,
-		Memory:        a.memory,
-		Logger:        logger,
-		AdminToken:    s.AdminToken,
-		MaxBodyBytes:  s.MaxBodyBytes,
-		BodyTimeout:   s.BodyTimeout,
-		Drain:         a.Drain,
+
+		RequestQuarantine: requestQuarantine,
+
+		Peers:        a.peers,
+		Memory:       a.memory,
+		Logger:       logger,
+		AdminToken:   s.AdminToken,
+		MaxBodyBytes: s.MaxBodyBytes,
+		BodyTimeout:  s.BodyTimeout,
+		Drain:        a.Drain,
 	})
 	a.actions = a.newActions(store)
 	a.gateway.Actions = a.actions
 	a.gossip = gossip.New(a.board, a.peers, s.PeerExchangeInterval, s.Peers, rendezvous.Weight(s.ID, a.board.Self.Incarnation), logger)
 	a.gossip.ShareUsage(admission)
+	a.gossip.ShareQuarantine(requestQuarantine)
 	a.controllers = []controller.Controller{
 		configsync.New(configsync.Config{Board: a.board, Store: store, Peers: a.peers, Parse: newIntentParser(), Log: logger}),
 		register.New(register.Config{Board: a.board, Directory: directory, Log: logger}),
@@ -154,17 +160,20 @@
 	return a
 }
 
-func (a *App) newRelaySettings(data *datastore.Store, admission *admit.Controller) relay.Settings {
+func (a *App) newRelaySettings(data *datastore.Store, admission *admit.Controller, requests *quarantine.Tracker) relay.Settings {
 	return relay.Settings{
 		DialTimeout:       a.settings.DialTimeout,
 		HeaderTimeout:     a.settings.ResponseHeaderTimeout,
 		FirstTokenTimeout: a.settings.FirstTokenTimeout,
 		NextTokenTimeout:  a.settings.ChunkTimeout,
 		RetryBudget:       gateway.RetryBudget{Admission: admission},
-		Observer:          gateway.AttemptObserver{SchedulerData: data, Signals: a.signals},
-		Tracer:            telemetry.Tracer(),
-		Dial:              a.network.Dial,
-		Logger:            a.logger,
+		Observer: gateway.AttemptObserver{
+			SchedulerData: data, Signals: a.signals,
+			Crashes: gateway.Crashes{Requests: requests, OnCrash: func() { a.gossip.NotifyPeers() }},
+		},
+		Tracer: telemetry.Tracer(),
+		Dial:   a.network.Dial,
+		Logger: a.logger,
 	}
 }
 
--- a/internal/app/deployment_test.go
+++ b/internal/app/deployment_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,8 @@
 	services  map[string]*service.Server
 	gateways  map[string]*testGateway
 	servers   map[string]*http.Server
+	// cleanupMu guards cleanups.
+	cleanupMu sync.Mutex
 	cleanups  []func()
 	logOutput io.Writer
 }
@@ -325,12 +328,21 @@
 	for _, e := range d.engines {
 		_ = e.Close()
 	}
+	d.cleanupMu.Lock()
+	defer d.cleanupMu.Unlock()
 	for _, stop := range d.cleanups {
 		stop()
 	}
 	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 }
 
+// addCleanup adds what close does at its end.
+func (d *testDeployment) addCleanup(f func()) {
+	d.cleanupMu.Lock()
+	defer d.cleanupMu.Unlock()
+	d.cleanups = append(d.cleanups, f)
+}
+
 // closeAndCheckMemory is close. Whatever the test did, no request may leave bytes in the
 // memory account of its gateway.
 func (d *testDeployment) closeAndCheckMemory() {
@@ -374,7 +386,7 @@
 // client returns a caller in the gateway's region with connections of its own.
 func (d *testDeployment) client(gw *testGateway, key string) *caller.Client {
 	transport := &http.Transport{DialContext: d.net.Host(gw.region, "caller").Dial}
-	d.cleanups = append(d.cleanups, transport.CloseIdleConnections)
+	d.addCleanup(transport.CloseIdleConnections)
 	return &caller.Client{HTTP: &http.Client{Transport: transport}, Address: gw.callerAddress, Key: key}
 }
 
--- a/internal/controller/gossip/gossip.go
+++ b/internal/controller/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -60,6 +61,7 @@
 type Controller struct {
 	board    *blackboard.Board
 	usage    UsageTracker
+	requests *quarantine.Tracker
 	view     *membership.View
 	client   Exchanger
 	interval time.Duration
@@ -94,6 +96,7 @@
 	return &Controller{
 		board:           board,
 		usage:           noUsage{},
+		requests:        quarantine.NewOfRequests(),
 		view:            membership.New(board),
 		client:          client,
 		interval:        interval,
@@ -108,6 +111,10 @@
 // Run.
 func (c *Controller) ShareUsage(usage UsageTracker) { c.usage = usage }
 
+// ShareQuarantine adds to exchanges what this gateway knows of requests that crash
+// endpoints. Call it before Run.
+func (c *Controller) ShareQuarantine(requests *quarantine.Tracker) { c.requests = requests }
+
 type noUsage struct{}
 
 func (noUsage) TopUsage(int, time.Time) []admit.CustomerUsage       { return nil }
@@ -189,6 +196,7 @@
 func (c *Controller) buildExchange(now time.Time) peer.Exchange {
 	msg := c.view.BuildExchange(c.SelfStatus(), c.rotation.Add(1), now)
 	msg.Usage = c.usage.TopUsage(peer.MaxUsage, now)
+	msg.RequestQuarantine = c.requests.Digest(now)
 	return msg
 }
 
@@ -206,11 +214,27 @@
 	if suspicion != nil && c.refute(suspicion.Epoch) {
 		c.NotifyPeers()
 	}
+	if msg.RequestQuarantine != nil {
+		c.requests.Apply(msg.RequestQuarantine, now)
+	}
+	if c.logQuarantine() {
+		c.NotifyPeers()
+	}
 	if c.board.Retired.Len() > before {
 		c.NotifyPeers()
 	}
 }
 
+// logQuarantine writes one line for each request that has been held or released since the
+// last call, and reports whether there is one.
+func (c *Controller) logQuarantine() bool {
+	changes := c.requests.TakeChanges()
+	for _, change := range changes {
+		c.logger.Warn("request that crashes endpoints", "key", change.Key, "change", change.Kind, "crashes", change.Crashes, "reported", change.Reported)
+	}
+	return len(changes) > 0
+}
+
 // refute starts the epoch after the suspected one and reports whether it did. It
 // does nothing if the suspected epoch is over already.
 func (c *Controller) refute(epoch uint64) bool {
--- a/internal/controller/gossip/regions.go
+++ b/internal/controller/gossip/regions.go
@@ -90,5 +90,7 @@
 	return peer.Exchange{
 		From:    c.SelfStatus(),
 		Regions: []blackboard.RegionSummary{c.view.LocalRegionSummary(c.summarySeq.Add(1), now)},
+
+		RequestQuarantine: c.requests.Digest(now),
 	}
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -12,6 +12,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched"
 )
@@ -91,12 +92,18 @@
 		EstimatedTokens:    req.PromptTokens + req.OutputTokens,
 		FirstTokenDeadline: c.deadline.Add(-time.Duration(req.OutputTokens) * g.SchedulerData.MeanTokenInterval(req.Groups[0])),
 	}
+	key := quarantine.HashRequest(quarantine.Request{
+		Service: parsed.Model, Account: c.customerName, Method: http.MethodPost, Target: relay.ChatPath, Body: [][]byte{parsed.Prompt},
+	})
+	if err := g.heldRefusal(key); err != nil {
+		return err
+	}
 	req.ExcludedEndpoints = g.withPaused(nil, req.Groups...)
 	decision, err := g.Dispatcher.Acquire(ctx, admission, req)
 	if err != nil {
 		return g.afterPauses(err, req.ID, req.Groups...)
 	}
-	picker := &chatPicker{g: g, call: c, req: req, admission: admission, pendingDecision: &decision}
+	picker := &chatPicker{g: g, call: c, req: req, admission: admission, repeatKey: key, pendingDecision: &decision}
 	hold := g.Memory.Open(memory.Response)
 	defer hold.Close()
 	var summary relay.Summary
@@ -112,6 +119,7 @@
 		Priority:  c.priority,
 		Resume:    parsed.Resume,
 		Hold:      hold,
+		RepeatKey: key,
 	}, picker.pick, g.newSink(w, r, c, parsed, hold))
 	g.recordChat(ctx, summary, err)
 	if err != nil && !summary.ResponseStarted {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hickorystage/hickorystage/internal/membership"
 	"github.com/hickorystage/hickorystage/internal/memory"
 	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -41,10 +42,13 @@
 	SchedulerData *datastore.Store
 	Admission     *admit.Controller
 	// Pauses are those that endpoints have asked this gateway for, by incarnation.
-	Pauses  *backoff.Tracker[string]
-	Relay   *relay.Relay
-	Actions *action.Manager
-	Peers   *peer.Client
+	Pauses *backoff.Tracker[string]
+	// RequestQuarantine holds requests that crash endpoint after endpoint. If it is nil, none
+	// is held.
+	RequestQuarantine *quarantine.Tracker
+	Relay             *relay.Relay
+	Actions           *action.Manager
+	Peers             *peer.Client
 	// Memory is the account of the bodies and responses that requests hold. If it is
 	// nil, nothing is refused for them.
 	Memory *memory.Account
@@ -73,6 +77,9 @@
 	if cfg.Memory == nil {
 		cfg.Memory = memory.NewAccount(0)
 	}
+	if cfg.RequestQuarantine == nil {
+		cfg.RequestQuarantine = quarantine.NewOfRequests()
+	}
 	return &Gateway{Config: cfg, inFlight: inflight.New(), memoryLog: memoryLog{interval: memoryLogInterval}}
 }
 
--- a/internal/gateway/picker.go
+++ b/internal/gateway/picker.go
@@ -11,6 +11,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/peer"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/relay"
 	"github.com/hickorystage/hickorystage/internal/sched"
 	"github.com/hickorystage/hickorystage/internal/sched/datastore"
@@ -27,6 +28,7 @@
 	call      *call
 	req       *sched.Request
 	admission admit.Request
+	repeatKey quarantine.Key
 	// pendingDecision is a decision that no attempt has used yet, or nil.
 	pendingDecision *sched.Decision
 	// forwarded is set once the request has used its only forward to another
@@ -36,6 +38,9 @@
 
 // pick implements relay.Picker.
 func (p *chatPicker) pick(ctx context.Context, tried map[string]bool) (relay.Target, error) {
+	if err := p.g.heldRefusal(p.repeatKey); err != nil {
+		return relay.Target{}, err
+	}
 	p.req.ExcludedEndpoints = p.g.withPaused(tried, p.req.Groups...)
 	p.req.TimeToDeadline = p.call.remaining()
 	p.applyCurrentIntent()
@@ -175,6 +180,7 @@
 type AttemptObserver struct {
 	SchedulerData *datastore.Store
 	Signals       *EndpointSignals
+	Crashes       Crashes
 }
 
 // AttemptStarted implements relay.Observer. It does nothing: the dispatcher has
@@ -197,6 +203,7 @@
 func (o AttemptObserver) AttemptEnded(a relay.Attempt, r relay.Result) {
 	if a.Target.Peer == nil {
 		o.SchedulerData.RecordEnd(a.Target.ID, a.RequestID, datastoreResult(r.Kind), time.Now())
+		o.Crashes.attemptEnded(a, r)
 	}
 }
 
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -13,6 +13,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/intent"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/relay"
 )
 
@@ -41,6 +42,7 @@
 	if ct := r.Header.Get("Content-Type"); ct != "" {
 		header.Set("Content-Type", ct)
 	}
+	key := quarantine.HashRequest(quarantine.Request{Service: name, Account: c.customerName, Method: r.Method, Target: path, Body: [][]byte{c.body}})
 	hold := g.Memory.Open(memory.Response)
 	defer hold.Close()
 	resp, _, err := g.Relay.Call(r.Context(), relay.ServiceRequest{
@@ -51,7 +53,8 @@
 		Header:    header,
 		Body:      c.body,
 		Hold:      hold,
-	}, (&servicePicker{g: g, call: c, service: name, group: spec.Group}).pick)
+		RepeatKey: key,
+	}, (&servicePicker{g: g, call: c, service: name, group: spec.Group, repeatKey: key}).pick)
 	if err != nil {
 		return err
 	}
@@ -81,12 +84,16 @@
 	call             *call
 	service          string
 	group            string
+	repeatKey        quarantine.Key
 	forwardAttempted bool
 }
 
 // pick implements relay.Picker. It checks the permitted regions of the current
 // configuration, which may have changed since the call arrived.
 func (p *servicePicker) pick(_ context.Context, tried map[string]bool) (relay.Target, error) {
+	if err := p.g.heldRefusal(p.repeatKey); err != nil {
+		return relay.Target{}, err
+	}
 	p.call = p.call.narrowedTo(p.g.Board.Intent.Get())
 	if !p.call.permitted[p.g.Board.Self.Region] {
 		return relay.Target{}, failure.Refuse(failure.CodeResidencyNotPermitted, "this region may not process the customer's data")
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -12,6 +12,7 @@
 	"github.com/hickorystage/hickorystage/internal/admit"
 	"github.com/hickorystage/hickorystage/internal/blackboard"
 	"github.com/hickorystage/hickorystage/internal/lenient"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 )
 
 // Paths of the peer listener.
@@ -111,6 +112,8 @@
 	Regions          []blackboard.RegionSummary `json:"regions,omitempty" lenient:"parts"`
 	// Usage is the usage, at the sender, of the customers with the most of it.
 	Usage []admit.CustomerUsage `json:"usage,omitempty"`
+	// RequestQuarantine is what the sender knows of requests that crash endpoints.
+	RequestQuarantine *quarantine.Digest `json:"request_quarantine,omitempty" lenient:"parts"`
 	// Unreadable tells the receiver which parts of its last exchange the sender can't read.
 	Unreadable *lenient.Report `json:"unreadable,omitempty"`
 	// Problems are set by the receiver: the parts of this exchange that can't be read.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -20,6 +20,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
+	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
 // maxErrorBodyBytes limits how much of an error response is read.
@@ -190,12 +191,28 @@
 		x.relay.cancels.enqueue(x.attempt.Target, x.attempt.ID)
 	}
 	res := Result{Kind: kind, Status: x.status, Tokens: x.tokens, Duration: now().Sub(x.attempt.StartedAt), Err: err}
+	res.EndpointEnded = x.hasEndpointEnded(kind)
 	resultCounters[kind].Inc()
 	x.endSpan(res)
 	x.relay.settings.Observer.AttemptEnded(x.attempt, res)
 	return res
 }
 
+// hasEndpointEnded reports whether a response broke off since its endpoint has ended, which
+// then refuses connections, rather than the connection alone.
+func (x *exchange) hasEndpointEnded(kind ResultKind) bool {
+	if x.attempt.Target.Peer != nil || kind != ResultTruncated && kind != ResultConnLost {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(x.callerCtx, x.relay.settings.DialTimeout)
+	defer cancel()
+	conn, err := x.relay.settings.Dial(ctx, "tcp", x.attempt.Target.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return transport.IsRefusal(err)
+}
+
 func (x *exchange) endSpan(res Result) {
 	x.span.SetAttributes(attribute.String("attempt.result", string(res.Kind)), attribute.Int64("attempt.tokens", int64(res.Tokens)))
 	if res.Err != nil {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,6 +11,7 @@
 	"github.com/hickorystage/hickorystage/internal/bodyread"
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 )
 
 // ServiceRequest is one idempotent call of an HTTP service that is not a model.
@@ -24,6 +25,8 @@
 	Body   []byte
 	// Hold is charged for the response; nil if nothing is to be charged.
 	Hold *memory.Holder
+	// RepeatKey is as that of a ChatRequest.
+	RepeatKey quarantine.Key
 }
 
 // ServiceResponse is the complete response of a service.
@@ -37,7 +40,7 @@
 // a complete response or a *failure.Refusal. A status from 400 to 499 other
 // than 429 is the service's own and returned as a response.
 func (r *Relay) Call(ctx context.Context, req ServiceRequest, pick Picker) (*ServiceResponse, Summary, error) {
-	c := &serviceCall{requestState: newRequestState(r, ChatRequest{RequestID: req.RequestID, Customer: req.Customer}, pick, nopSink{}), req: req}
+	c := &serviceCall{requestState: newRequestState(r, ChatRequest{RequestID: req.RequestID, Customer: req.Customer, RepeatKey: req.RepeatKey}, pick, nopSink{}), req: req}
 	for {
 		target, newConn, err := c.nextTarget(ctx)
 		if err != nil {
@@ -65,7 +68,7 @@
 	c.summary.Target = target
 	attempt := Attempt{
 		ID: c.relay.settings.NewAttemptID(), RequestID: c.req.RequestID, Customer: c.req.Customer,
-		Target: target, Number: c.summary.Attempts, StartedAt: now(),
+		Target: target, Number: c.summary.Attempts, StartedAt: now(), RepeatKey: c.req.RepeatKey,
 	}
 	x := c.relay.newExchange(ctx, attempt, newConn)
 	resp, err := c.exchangeCall(x)
--- a/internal/relay/chatstream.go
+++ b/internal/relay/chatstream.go
@@ -27,6 +27,7 @@
 	attempt := Attempt{
 		ID: s.relay.settings.NewAttemptID(), RequestID: s.req.RequestID, Customer: s.req.Customer,
 		Target: target, Number: s.summary.Attempts, NextSeq: s.nextSeq, StartedAt: now(),
+		RepeatKey: s.req.RepeatKey,
 	}
 	x := s.relay.newExchange(ctx, attempt, newConn)
 	err := s.exchangeChat(x)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -8,6 +8,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/quarantine"
 )
 
 // Headers of each request to an endpoint. The response must carry the
@@ -75,6 +76,8 @@
 	Resume *Resume
 	// Hold is charged for what is kept of the response; nil if nothing is to be charged.
 	Hold *memory.Holder
+	// RepeatKey is the same for all requests that are alike. It is passed on to the Observer.
+	RepeatKey quarantine.Key
 }
 
 // Resume requests the rest of a response, from the token with the number
@@ -109,6 +112,8 @@
 	// attempt resumes a response.
 	NextSeq   uint64
 	StartedAt time.Time
+	// RepeatKey is that of the request.
+	RepeatKey quarantine.Key
 }
 
 // Observer is notified of each attempt, for the scheduler's statistics. Its
@@ -192,6 +197,9 @@
 	Tokens uint64
 	// Duration is the time from the attempt's start to its end.
 	Duration time.Duration
+	// EndpointEnded is set if the response broke off and the endpoint refuses connections:
+	// it has crashed or been killed.
+	EndpointEnded bool
 	// Err is the cause of a failure, nil for ResultOK.
 	Err error
 }
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Listener accepts the connections that Dial opens within this process. After
@@ -39,7 +40,7 @@
 	case l.conns <- server:
 		return nil
 	case <-l.done:
-		return l.opError("dial", net.ErrClosed)
+		return l.opError("dial", syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		return l.opError("dial", ctx.Err())
 	}
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -153,8 +154,11 @@
 		<-ctx.Done()
 		return nil, dialError(address, ctx.Err())
 	}
-	if l == nil || killed {
+	switch {
+	case killed:
 		return nil, dialError(address, net.ErrClosed)
+	case l == nil:
+		return nil, dialError(address, syscall.ECONNREFUSED)
 	}
 	if !n.awaitResumed([2]string{h.name, to.name}, ctx.Done()) {
 		return nil, dialError(address, ctx.Err())
