Fetch only the endpoint entries that have changed

Cause: whenever an entry changed, each gateway fetched all entries, 305 KB for 3,000 endpoints, from the one store reader of its region. At 100 gateways a region these fetches filled its link, timed out after 0.7 s and were made again.

Change: a follower names the fingerprint of its entries. The reader keeps the ids that changed between its last 256 states and sends those entries, or all if it doesn't know the state. A follower that doesn't arrive at the reader's fingerprint fetches all. Fingerprints are as before, and gateways of earlier builds send and get all entries.

--- a/internal/controller/discovery/discovery.go
+++ b/internal/controller/discovery/discovery.go
@@ -36,9 +36,10 @@
 )
 
 var (
-	reads        = telemetry.NewCounter("endpoint_reads", "calls", "reads of endpoint entries from the store")
-	readFailures = telemetry.NewCounter("endpoint_read_failures", "calls", "failed reads of endpoint entries")
-	fetches      = telemetry.NewCounter("endpoint_fetches", "calls", "fetches of endpoint entries from other gateways")
+	reads          = telemetry.NewCounter("endpoint_reads", "calls", "reads of endpoint entries from the store")
+	readFailures   = telemetry.NewCounter("endpoint_read_failures", "calls", "failed reads of endpoint entries")
+	fetches        = telemetry.NewCounter("endpoint_fetches", "calls", "fetches of endpoint entries from other gateways")
+	changesFetched = telemetry.NewCounter("endpoint_changes_fetched", "calls", "such fetches in which only the changed entries were sent")
 )
 
 // Source reads the endpoints' entries from the store.
@@ -191,26 +192,61 @@
 	}
 }
 
-// fetchFromPeer replaces the entries by those of a peer, and reports whether that
-// succeeded.
+// fetchFromPeer brings the entries into the state of those of a peer, and reports whether
+// that succeeded.
 func (c *Controller) fetchFromPeer(ctx context.Context, id string) bool {
 	gw, ok := c.Gateways.Get(id)
 	if !ok {
 		return false
 	}
 	fetches.Inc()
-	list, err := c.Client.FetchEndpoints(ctx, gw.PeerAddress)
+	var err error
+	if c.Board.EndpointsDiscovered.Get() {
+		err = c.fetchChanges(ctx, gw.PeerAddress)
+	} else {
+		err = c.fetchAll(ctx, gw.PeerAddress)
+	}
 	if err != nil {
 		c.Logger.Warn("cannot fetch endpoints from gateway", "gateway", id, "err", err)
-		return false
 	}
+	return err == nil
+}
+
+func (c *Controller) fetchAll(ctx context.Context, address string) error {
+	list, err := c.Client.FetchEndpoints(ctx, address)
+	if err == nil {
+		c.replace(list)
+	}
+	return err
+}
+
+// fetchChanges fetches what has changed since the state of the entries here, or all of them
+// if the peer doesn't know that state or the changes don't lead to the peer's.
+func (c *Controller) fetchChanges(ctx context.Context, address string) error {
+	changes, all, err := c.Client.FetchEndpointsSince(ctx, address, c.Registry.Fingerprint())
+	switch {
+	case err != nil:
+		return err
+	case changes == nil:
+		c.replace(all)
+		return nil
+	}
+	c.reportChanges(c.Registry.Apply(changes.AsEntries(), time.Now()))
+	if c.Registry.Fingerprint() != changes.Fingerprint {
+		return c.fetchAll(ctx, address)
+	}
+	changesFetched.Inc()
+	return nil
+}
+
+// replace replaces the entries by those of a peer.
+func (c *Controller) replace(list []fleet.Endpoint) {
 	entries := make([]fleet.Entry, 0, len(list))
 	for i := range list {
 		entries = append(entries, fleet.Entry{ID: list[i].ID, Endpoint: &list[i]})
 	}
 	c.reportChanges(c.Registry.Replace(entries, time.Now()))
 	c.setDiscovered()
-	return true
 }
 
 func (c *Controller) setDiscovered() {
--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -424,3 +424,59 @@
 		require.Equal(t, before, d.source.callCount(), "the store is not called once the entries are the reader's")
 	})
 }
+
+// TestOnlyChangedEntriesAreFetched guards against a region whose gateways all fetch all entries
+// from one gateway at each change, and against a follower that believes changes which don't lead
+// it to the entries of the store reader.
+func TestOnlyChangedEntriesAreFetched(t *testing.T) {
+	reader := fleet.NewRegistry(map[string]string{"north-a": "north"})
+	fetched := 0
+	var distort func(*fleet.EntryChanges)
+	server := httptest.NewServer(peerfetch.Handler(peerfetch.Sources{
+		Endpoints: func() []fleet.Endpoint {
+			fetched++
+			return reader.Entries(time.Now())
+		},
+		EndpointsSince: func(fingerprint uint64) (fleet.EntryChanges, bool) {
+			changes, ok := reader.EntriesSince(fingerprint, time.Now())
+			if distort != nil {
+				distort(&changes)
+			}
+			return changes, ok
+		},
+	}))
+	t.Cleanup(server.Close)
+	c, gateway := newControllerBesideReader(t, &fakeSource{down: true}, nil)
+	gateway.PeerAddress = strings.TrimPrefix(server.URL, "http://")
+	c.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: gateway, Seq: 2}, time.Now())
+	for id := range strings.SplitSeq("abcdefghij", "") {
+		e := endpoint(id)
+		reader.Apply([]fleet.Entry{{ID: id, Endpoint: &e}}, time.Now())
+	}
+	follow := func() {
+		t.Helper()
+		c.StoreStatus.Set("reader", fleet.StoreStatus{EndpointsFingerprint: reader.Fingerprint(), EndpointsAgeMillis: 100}, time.Now())
+		c.refresh(context.Background(), time.Now())
+		require.Equal(t, reader.Fingerprint(), c.Registry.Fingerprint())
+	}
+	follow()
+	require.Equal(t, 1, fetched)
+
+	leaving := endpoint("a")
+	leaving.State = fleet.Draining
+	reader.Apply([]fleet.Entry{{ID: "a", Endpoint: &leaving}, {ID: "b", Deleted: true}}, time.Now())
+	follow()
+	require.Equal(t, 1, fetched, "the changes are enough")
+	require.Len(t, c.Registry.Usable("s", time.Second, time.Now()), 8)
+
+	reader.Apply([]fleet.Entry{{ID: "c", Deleted: true}}, time.Now())
+	distort = func(changes *fleet.EntryChanges) { changes.Removed = nil }
+	follow()
+	require.Equal(t, 2, fetched, "the changes lead elsewhere")
+	distort = nil
+
+	other := endpoint("x")
+	c.Registry.Apply([]fleet.Entry{{ID: "x", Endpoint: &other}}, time.Now())
+	follow()
+	require.Equal(t, 3, fetched, "the reader never had these entries")
+}
--- a/internal/edgeserver/listeners.go
+++ b/internal/edgeserver/listeners.go
@@ -95,9 +95,10 @@
 		return err
 	}
 	if s.peerServer, err = s.openServer(site.PeerAddress, s.edge.PeerHandler(peerfetch.Handler(peerfetch.Sources{
-		Endpoints:   s.endpointEntries,
-		Routes:      s.rawRoutes,
-		StoreStatus: s.knownStoreStatus,
+		Endpoints:      s.endpointEntries,
+		EndpointsSince: s.endpointChanges,
+		Routes:         s.rawRoutes,
+		StoreStatus:    s.knownStoreStatus,
 	})), peers); err != nil {
 		return err
 	}
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -291,6 +291,15 @@
 	return s.registry.Entries(time.Now())
 }
 
+// endpointChanges returns the changes of the entries since they had the given fingerprint, and
+// whether they are known.
+func (s *Server) endpointChanges(fingerprint uint64) (fleet.EntryChanges, bool) {
+	if !s.board.EndpointsDiscovered.Get() {
+		return fleet.EntryChanges{}, false
+	}
+	return s.registry.EntriesSince(fingerprint, time.Now())
+}
+
 // rawRoutes returns the configuration as operators wrote it, nil if there is none.
 func (s *Server) rawRoutes() []byte {
 	if routes := s.board.Routes.Get(); routes != nil {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,15 +1,12 @@
 package fleet
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is the state of one endpoint's key in the store.
@@ -61,6 +58,7 @@
 	// changes counts the changes of any of these.
 	changes         uint64
 	lastFingerprint atomic.Pointer[fingerprint]
+	history         entryHistory
 
 	usableMu sync.Mutex
 	// usable holds the last result of Usable for each service.
@@ -410,19 +408,11 @@
 	if last := r.lastFingerprint.Load(); last != nil && last.changes == changes {
 		return last.hash
 	}
-	f := fingerprint{changes: changes, hash: r.computeFingerprint()}
+	f := fingerprint{changes: changes, hash: r.history.record(r.Entries(time.Time{}))}
 	r.lastFingerprint.Store(&f)
 	return f.hash
 }
 
-func (r *Registry) computeFingerprint() uint64 {
-	h := xxhash.New()
-	for _, e := range r.Entries(time.Time{}) {
-		_, _ = fmt.Fprintf(h, "%s %d %s %s %s %d %d %t\n", e.ID, e.Incarnation, e.Service, e.Address, e.DataCentre, e.Slots, e.State, e.ColdRemaining > 0)
-	}
-	return h.Sum64()
-}
-
 // Get returns the view of an endpoint, and whether the endpoint is known.
 func (r *Registry) Get(id string) (EndpointView, bool) {
 	r.mu.RLock()
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -4,12 +4,14 @@
 package peerfetch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +29,10 @@
 	pathStatus    = "/v1/store-status"
 )
 
+// paramSince is the parameter of pathEndpoints for the fingerprint of the entries that the
+// sender has, in hexadecimal digits.
+const paramSince = "since"
+
 const (
 	// fetchTimeout limits the duration of a fetch. Except at their start,
 	// gateways fetch only from peers in their own region.
@@ -61,6 +67,9 @@
 	// Endpoints returns the entries of all endpoints, or nil while they are not
 	// known.
 	Endpoints func() []fleet.Endpoint
+	// EndpointsSince returns the changes of the entries since they had the given fingerprint,
+	// and whether they are known. If it is nil, all entries are sent each time.
+	EndpointsSince func(fingerprint uint64) (fleet.EntryChanges, bool)
 	// Routes returns the configuration in force as operators wrote it, or nil
 	// if there is none.
 	Routes func() []byte
@@ -72,7 +81,11 @@
 // Handler serves the data of s to peers.
 func Handler(s Sources) http.Handler {
 	mux := goji.NewMux()
-	mux.HandleFunc(pat.Get(pathEndpoints), func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc(pat.Get(pathEndpoints), func(w http.ResponseWriter, r *http.Request) {
+		if changes, ok := s.changesFor(r); ok {
+			_ = json.NewEncoder(w).Encode(changes)
+			return
+		}
 		endpoints := s.Endpoints()
 		if endpoints == nil {
 			w.WriteHeader(http.StatusNotFound)
@@ -105,6 +118,15 @@
 	return mux
 }
 
+// changesFor returns the changes of the entries since the state that a request names.
+func (s Sources) changesFor(r *http.Request) (fleet.EntryChanges, bool) {
+	fingerprint, err := strconv.ParseUint(r.URL.Query().Get(paramSince), 16, 64)
+	if err != nil || s.EndpointsSince == nil {
+		return fleet.EntryChanges{}, false
+	}
+	return s.EndpointsSince(fingerprint)
+}
+
 // Client fetches data from peers. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -132,6 +154,22 @@
 	return out, nil
 }
 
+// FetchEndpointsSince returns what has changed of the endpoint entries known to the peer at
+// address, given as host:port, since they had the given fingerprint. If the peer doesn't know
+// that, changes is nil and all has all entries.
+func (c *Client) FetchEndpointsSince(ctx context.Context, address string, fingerprint uint64) (changes *fleet.EntryChanges, all []fleet.Endpoint, err error) {
+	body, err := c.fetch(ctx, address, pathEndpoints+"?"+paramSince+"="+strconv.FormatUint(fingerprint, 16))
+	if err != nil {
+		return nil, nil, err
+	}
+	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
+		err = json.Unmarshal(body, &changes)
+	} else {
+		err = json.Unmarshal(body, &all)
+	}
+	return changes, all, errors.Wrap(err, "decode endpoints of peer")
+}
+
 // FetchStoreStatus returns what the peer at address, given as host:port, knows of the
 // store's content.
 func (c *Client) FetchStoreStatus(ctx context.Context, address string) (fleet.StoreStatus, error) {
