Don't send on requests whose callers leave while a gateway is busy

Change: right before an attempt is sent, in both halves, the socket is asked again whether the caller has left.

Runs that have begun are still cancelled only when the process comes to it.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/placement"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
@@ -249,6 +250,7 @@
 // send sends the request to the endpoint or the gateway of the attempt, and
 // returns once the response header has been read.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
+	httpserver.CancelIfLeft(ctx)
 	header := a.header.Clone()
 	httpmeta.StripHopByHop(header)
 	call := transport.Request{Method: a.method, Target: a.target, Host: a.host, Header: header}
--- a/internal/edge/departed_test.go
+++ b/internal/edge/departed_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,6 +54,48 @@
 	}
 }
 
+// TestCallersThatLeaveBeforeTheirRequestsAreSentReachNoEndpoint guards against work for callers
+// that give up while the gateway is short of processor time: the ends of their connections wait
+// behind everything else that it has to do.
+func TestCallersThatLeaveBeforeTheirRequestsAreSentReachNoEndpoint(t *testing.T) {
+	const callers = 50
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		t.Run(dataCentre, func(t *testing.T) {
+			c := newCluster(t, "north", "south")
+			c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent, MaxAttempts: 1})
+			e := c.startEndpoint("e1", dataCentre)
+			require.Equal(t, http.StatusOK, c.regions["north"].call(http.MethodGet, "/q/", "", nil).status)
+			before := requestCount(e)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			var conns sync.Map
+			var handled atomic.Int32
+			handler := c.regions["north"].edge.CallerHandler()
+			s := httpserver.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				defer handled.Add(1)
+				if conn, ok := conns.Load(r.RemoteAddr); ok {
+					_ = conn.(net.Conn).Close()
+				}
+				handler.ServeHTTP(w, r)
+			}), httpserver.Config{Limits: func() httpserver.Limits { return httpserver.Limits{HeaderTimeout: 10 * time.Second} }})
+			done := make(chan error, 1)
+			go func() { done <- s.Serve(l) }()
+			for i := range callers {
+				conn, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				conns.Store(conn.LocalAddr().String(), conn)
+				_, err = fmt.Fprintf(conn, "GET /q/ HTTP/1.1\r\nHost: a.example\r\n%s: id-%d\r\n\r\n", headerID, i)
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return handled.Load() == int32(i+1) }, 10*time.Second, time.Millisecond)
+			}
+			require.NoError(t, s.Close())
+			require.NoError(t, <-done)
+			require.Equal(t, before, requestCount(e), "requests of %d", callers)
+		})
+	}
+}
+
 // TestLeavingEndsWorkBehindFurtherBytes guards against endpoints that work on for callers that
 // have left behind a part of their next request, in both directions of a forward.
 func TestLeavingEndsWorkBehindFurtherBytes(t *testing.T) {
--- a/internal/httpserver/hangup.go
+++ b/internal/httpserver/hangup.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// CancelIfLeft cancels the request whose context is ctx, or that ctx descends from, if its
+// caller has closed the connection or its sending direction. The server does so by itself, but
+// late where the process is short of processor time, so that work which is about to begin
+// would begin for nobody. Other contexts are left alone.
+func CancelIfLeft(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelIfHungUp()
+}
+
 // watchHangup cancels the request as soon as its caller has left, until ctx, the request's
 // context, ends. It takes the place of net/http, which stops watching a connection at the first
 // byte behind a request.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -19,6 +19,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/failure"
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
+	"github.com/hickorystage/hickorystage/internal/httpserver"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
@@ -91,6 +92,7 @@
 	if peer := x.attempt.Target.Peer; peer != nil {
 		peer.Prepare(req, body)
 	}
+	httpserver.CancelIfLeft(x.callerCtx)
 	resp, err := x.pool.transport(x.newConn).RoundTrip(req)
 	if err != nil {
 		return nil, err
