Limit the check of whether an engine has ended

Cause: after a response that broke off the relay dials the endpoint to see whether it refuses connections, for up to the dial timeout. Where the dial hangs, behind a cut, the next attempt waited for that.

Change: 250 ms, since a refusal takes a round trip. Found on reading; not measured under a cut. TestChatThatEndsEnginesIsHeld and the relay's tests pass.

--- a/internal/edge/allowancecoordinator.go
+++ b/internal/edge/allowancecoordinator.go
@@ -62,7 +62,7 @@
 type coordinationView struct {
 	builtAt time.Time
 	// members are the other gateways that may still run, by id. total is the number of all
-	// that may, with this gateway and those of data centres that it has never heard of.
+	// that may, with this gateway and those of data centres that aren't heard.
 	members map[string]fleet.RememberedGateway
 	total   int
 	// candidates are the gateways that may coordinate: those of at least leastCapacity.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -200,13 +200,17 @@
 	return res
 }
 
+// endedCheckTimeout limits the check of whether an endpoint refuses connections. It holds up
+// the next attempt.
+const endedCheckTimeout = 250 * time.Millisecond
+
 // hasEndpointEnded reports whether a response broke off since its endpoint has ended, which
 // then refuses connections, rather than the connection alone.
 func (x *exchange) hasEndpointEnded(kind ResultKind) bool {
 	if x.attempt.Target.Peer != nil || kind != ResultTruncated && kind != ResultConnLost {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(x.callerCtx, x.relay.settings.DialTimeout)
+	ctx, cancel := context.WithTimeout(x.callerCtx, endedCheckTimeout)
 	defer cancel()
 	conn, err := x.relay.settings.Dial(ctx, "tcp", x.attempt.Target.Address)
 	if err == nil {
