Wake the allowances' loop by a function instead of a timer channel

The loops of 18 gateways expire at the same instants.

Change: the timer calls wakeUp, and the loop waits on its own channel only. No check is changed, and the tests go on under the race detector.

--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -351,14 +351,13 @@
 
 // Run implements controller.Controller.
 func (a Allowances) Run(t *tomb.Tomb) error {
-	timer := time.NewTimer(0)
+	timer := time.AfterFunc(0, a.Edge.allowances.wakeUp)
 	defer timer.Stop()
 	for {
 		select {
 		case <-t.Dying():
 			return nil
 		case <-a.Edge.allowances.wake:
-		case <-timer.C:
 		}
 		timer.Reset(a.Edge.allowances.tick())
 	}
