Remove an action's record before its callers are answered

Callers saw: a call under a key that is repeated right after its answer could get that answer again (store_restored, unknown) although the claim had been written again meanwhile.

Cause: an attempt that doesn't hold its key finished its record, which wakes the callers, and removed the record only then; a repeat in between found the finished record.

Change: such records are removed first. The older test also counted store calls, and asked another gateway for the key, while the first one still wrote its outcome; it now waits for that write, in virtual time, and checks the same things.

--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -123,8 +123,7 @@
 	m.recordStep(ctx, StepReserve)
 	release, refused := m.admit(ctx, c, exec)
 	if refused != nil {
-		m.records.finish(k, rec, &result{outcome: failure.Unknown, code: refused.Code, message: refused.Message})
-		m.removeRecord(k, rec)
+		m.dropRecord(k, rec, &result{outcome: failure.Unknown, code: refused.Code, message: refused.Message})
 		return
 	}
 	defer release()
--- a/internal/action/pendingoutcomes.go
+++ b/internal/action/pendingoutcomes.go
@@ -60,14 +60,12 @@
 	m.records.withLock(k, func(bool) {
 		maybeWritten = rec.claim.maybeWritten
 		rec.claim.abandoned = true
-		if rec.phase != phaseFinished {
-			rec.finish(resultStoreUnavailable)
-		}
 	})
 	if !maybeWritten {
-		m.removeRecord(k, rec)
+		m.dropRecord(k, rec, resultStoreUnavailable)
 		return
 	}
+	m.records.finish(k, rec, resultStoreUnavailable)
 	m.pendingOutcomes.add(k, rec)
 }
 
@@ -78,6 +76,13 @@
 // resultAbandoned is the result of abandoned attempts, once the store holds it.
 var resultAbandoned = &result{outcome: failure.NotRun, code: failure.CodeStoreUnavailable, message: "the action was not sent, since the store was away"}
 
+// dropRecord finishes rec with res, for a key that this attempt doesn't hold. The record is
+// removed first: a caller that repeats the call after the answer must not get the answer again.
+func (m *Manager) dropRecord(k recordKey, rec *record, res *result) {
+	m.removeRecord(k, rec)
+	m.records.finish(k, rec, res)
+}
+
 // removeRecord removes a record that is not needed, and releases its quota.
 func (m *Manager) removeRecord(k recordKey, rec *record) {
 	m.records.remove(k, rec)
@@ -92,8 +97,7 @@
 		r := keyReusedRefusal(res.outcome)
 		res = &result{outcome: r.Outcome, code: r.Code, message: r.Message}
 	}
-	m.records.finish(k, rec, res)
-	m.removeRecord(k, rec)
+	m.dropRecord(k, rec, res)
 }
 
 // resultOfClaim returns the result of a claim of another attempt.
--- a/internal/action/restore_test.go
+++ b/internal/action/restore_test.go
@@ -60,26 +60,43 @@
 // although the gateway that ran them still runs. The lease of the first outcome has ended with
 // the restore.
 func TestGatewayWritesItsClaimsAgainAfterARestore(t *testing.T) {
-	for _, closedMeanwhile := range []bool{false, true} {
-		s := newRestoredStore(t)
-		a, b := s.startGateway("a", s.dispatcher), s.startGateway("b", s.dispatcher)
-		copied := s.kv.Dump()
-		s.requireRan(a)
-		a.WritePendingOutcomes(t.Context(), 10)
-		s.kv.Restore(copied)
-		if closedMeanwhile {
-			s.requireClosed(b)
-			s.requireClosed(b)
-		}
-		for range 3 {
-			a.WritePendingOutcomes(t.Context(), 10)
+	synctest.Test(t, func(t *testing.T) {
+		for _, closedMeanwhile := range []bool{false, true} {
+			requireClaimsWrittenAgain(t, closedMeanwhile)
 		}
-		s.requireRan(b)
-		s.requireRan(a)
-		calls := s.calls.Load()
+	})
+}
+
+func requireClaimsWrittenAgain(t *testing.T, closedMeanwhile bool) {
+	s := newRestoredStore(t)
+	a, b := s.startGateway("a", s.dispatcher), s.startGateway("b", s.dispatcher)
+	copied := s.kv.Dump()
+	s.requireRan(a)
+	synctest.Wait()
+	a.WritePendingOutcomes(t.Context(), 10)
+	s.kv.Restore(copied)
+	if closedMeanwhile {
+		s.requireClosed(b)
+		s.requireClosed(b)
+	}
+	for range 3 {
 		a.WritePendingOutcomes(t.Context(), 10)
-		require.Equal(t, calls+1, s.calls.Load(), "only the question for the era is repeated")
 	}
+	s.requireRan(b)
+	s.requireRan(a)
+	calls := s.calls.Load()
+	a.WritePendingOutcomes(t.Context(), 10)
+	require.Equal(t, calls+1, s.calls.Load(), "only the question for the era is repeated")
+}
+
+// TestRepeatAfterAnAnswerGetsNoOldAnswer guards against a key that is answered once more from a
+// record that its answer has ended.
+func TestRepeatAfterAnAnswerGetsNoOldAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 500 {
+			requireClaimsWrittenAgain(t, true)
+		}
+	})
 }
 
 // TestClaimOfARunningActionOutlastsARestore restores the store while the action runs.
