Don't count an outcome as stored that a restore has lost

Callers would see: the outcome of a key stays unknown (store_restored) at other gateways although the gateway that ran it still runs.

Cause: a write that the store acknowledged before a restore, but whose response was handled after the gateway had noted the restore, marked the outcome as stored; and a claim written meanwhile was taken off the pending ones by whichever writer ended last.

Change: outcome and claim count as stored only in the newest era that the gateway knows, and a pending claim is taken off under the lock of its record.

--- a/internal/action/claim.go
+++ b/internal/action/claim.go
@@ -235,12 +235,17 @@
 	return nil, nil
 }
 
-// setConfirmed notes that the store holds the claim for rec's attempt.
+// setConfirmed notes that the store holds the claim for rec's attempt in the given era. If the
+// store has been restored since, the claim is pending.
 func (m *Manager) setConfirmed(k recordKey, rec *record, version, era uint64, outcomeStored bool) {
 	m.records.withLock(k, func(bool) {
 		rec.claim.confirmed = true
 		rec.claim.version, rec.claim.era = version, era
-		rec.claim.outcomeStored = outcomeStored
+		isPresent := era >= m.lastEra.Load()
+		rec.claim.outcomeStored = outcomeStored && isPresent
+		if !isPresent {
+			m.pendingOutcomes.add(k, rec)
+		}
 	})
 }
 
--- a/internal/action/pendingoutcomes.go
+++ b/internal/action/pendingoutcomes.go
@@ -200,8 +200,20 @@
 			return false
 		}
 	}
-	m.pendingOutcomes.remove(k)
-	return true
+	return m.settlePending(k, rec)
+}
+
+// settlePending takes rec off the pending claims unless the store has been restored, or the
+// run has ended, since the claim was last written. It reports whether rec is off.
+func (m *Manager) settlePending(k recordKey, rec *record) bool {
+	settled := false
+	m.records.withLock(k, func(bool) {
+		settled = !rec.claim.confirmed || rec.claim.outcomeStored || rec.result == nil && rec.claim.era >= m.lastEra.Load()
+		if settled {
+			m.pendingOutcomes.remove(k)
+		}
+	})
+	return settled
 }
 
 // resultToStore returns the result to be stored for a claim whose record has the result res.
@@ -220,7 +232,7 @@
 	opts := platform.PutOptions{IfVersion: &claim.version, Era: claim.era, Lease: m.getClaimLease(ctx)}
 	entry, err := m.storePut(ctx, claim.storeKey, m.encodeRecordClaim(rec, v), opts)
 	if err == nil {
-		m.setOutcomeStored(k, rec, entry.Version, res)
+		m.setOutcomeStored(k, rec, entry.Version, claim.era, res)
 		return true
 	}
 	var restored *platform.RestoredError
@@ -234,7 +246,7 @@
 	}
 	entry, found, err := m.readClaim(ctx, claim.storeKey)
 	if errors.As(err, &missing) {
-		m.setOutcomeStored(k, rec, 0, res)
+		m.setOutcomeStored(k, rec, 0, claim.era, res)
 		return true
 	}
 	if err != nil {
@@ -246,7 +258,7 @@
 	}
 	// Either the store holds the outcome, or the claim was removed and the key
 	// has been claimed again. There is nothing left to write.
-	m.setOutcomeStored(k, rec, entry.Version, res)
+	m.setOutcomeStored(k, rec, entry.Version, claim.era, res)
 	return true
 }
 
@@ -269,16 +281,17 @@
 	if !claim.outcomeStored {
 		return m.addOutcomeToClaim(ctx, k, rec, claim, resultAbandoned)
 	}
-	m.setOutcomeStored(k, rec, claim.version, resultAbandoned)
+	m.setOutcomeStored(k, rec, claim.version, claim.era, resultAbandoned)
 	return true
 }
 
-// setOutcomeStored notes that nothing about the claim is left to be written.
-// res replaces the result of an abandoned attempt.
-func (m *Manager) setOutcomeStored(k recordKey, rec *record, version uint64, res *result) {
+// setOutcomeStored notes that nothing about the claim is left to be written, unless the store
+// has been restored since era, in which the outcome was stored. res replaces the result of an
+// abandoned attempt.
+func (m *Manager) setOutcomeStored(k recordKey, rec *record, version, era uint64, res *result) {
 	now := m.elapsed()
 	m.records.withLock(k, func(bool) {
-		rec.claim.outcomeStored = true
+		rec.claim.outcomeStored = era >= m.lastEra.Load()
 		rec.claim.version = version
 		rec.removeAt = now + m.limits.ClaimRecordRetention
 		if rec.claim.abandoned {
--- a/internal/action/restore_test.go
+++ b/internal/action/restore_test.go
@@ -1,6 +1,8 @@
 package action_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/action"
 	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/platform"
 )
 
 // restoredStore is a store with gateways that use it, and a copy of it to be restored.
@@ -99,6 +102,47 @@
 	})
 }
 
+// lateStore is a store that acknowledges the first outcome only when release is closed.
+type lateStore struct {
+	*countingStore
+	written, release chan struct{}
+	once             sync.Once
+}
+
+func (s *lateStore) Put(ctx context.Context, key string, value []byte, opts platform.PutOptions) (platform.Entry, error) {
+	entry, err := s.countingStore.Put(ctx, key, value, opts)
+	if opts.IfVersion != nil && *opts.IfVersion != 0 {
+		s.once.Do(func() {
+			close(s.written)
+			<-s.release
+		})
+	}
+	return entry, err
+}
+
+// TestOutcomeAcknowledgedAfterARestoreIsWrittenAgain guards against an outcome that the store
+// has lost and that counts as stored, since its write is acknowledged after the restore is noted.
+func TestOutcomeAcknowledgedAfterARestoreIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestoredStore(t)
+		late := &lateStore{countingStore: s.countingStore, written: make(chan struct{}), release: make(chan struct{})}
+		a := action.New(action.Config{Incarnation: "a", Dispatcher: s.dispatcher, Store: late})
+		t.Cleanup(func() { require.NoError(t, a.Stop()) })
+		b := s.startGateway("b", s.dispatcher)
+		copied := s.kv.Dump()
+		s.requireRan(a)
+		<-late.written
+		s.kv.Restore(copied)
+		a.WritePendingOutcomes(t.Context(), 0)
+		close(late.release)
+		synctest.Wait()
+		for range 3 {
+			a.WritePendingOutcomes(t.Context(), 10)
+		}
+		s.requireRan(b)
+	})
+}
+
 // TestClaimOfARunningActionOutlastsARestore restores the store while the action runs.
 func TestClaimOfARunningActionOutlastsARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/action/storeera.go
+++ b/internal/action/storeera.go
@@ -110,7 +110,7 @@
 		case res == nil:
 			return true
 		default:
-			m.setOutcomeStored(k, rec, entry.Version, res)
+			m.setOutcomeStored(k, rec, entry.Version, era.Number, res)
 			return true
 		}
 	}
@@ -121,7 +121,7 @@
 	claimsWrittenAgain.Inc()
 	m.setConfirmed(k, rec, entry.Version, era.Number, false)
 	if res != nil {
-		m.setOutcomeStored(k, rec, entry.Version, res)
+		m.setOutcomeStored(k, rec, entry.Version, era.Number, res)
 	}
 	return true
 }
