Spread callers and forwards by the processor capacity of gateways

Cause: the directory named each gateway once, and forwards took turns evenly, whatever the processor of a machine.

Change: a gateway says its processor capacity in its status. The directory repeats the addresses of larger machines, at most 64 in all, and forwards take turns in proportion.

TestDirectorySpreadsCallersByProcessorCapacity fails with the directory as it was.

--- a/internal/controller/heartbeat/unreadable.go
+++ b/internal/controller/heartbeat/unreadable.go
@@ -131,6 +131,8 @@
 			s.GrantAddress = known.GrantAddress
 		case "strength":
 			s.MachineCapacity = known.MachineCapacity
+		case "millicores":
+			s.Millicores = known.Millicores
 		case "seq":
 			s.Seq = known.Seq + 1
 		case "ready":
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -15,6 +15,9 @@
 	// after their heartbeats stopped: the network to the region may be down for
 	// this gateway and up for the caller.
 	silentGatewayWindow = 5 * time.Second
+	// maxDirectoryAddresses is the number of addresses that callers read from a directory
+	// response.
+	maxDirectoryAddresses = 64
 )
 
 // Addresses returns the addresses (host:port) at which the ready gateways of a
@@ -61,16 +64,32 @@
 }
 
 // readyAddresses returns the addresses of the ready gateways in the list, preceded by
-// this gateway's own if it is ready and in the region.
+// this gateway's own if it is ready and in the region. Callers choose one at random, so those
+// of machines with more processor capacity are repeated.
 func (e *Edge) readyAddresses(gateways []fleet.GatewayStatus, region string) []string {
-	var out []string
+	var ready []fleet.Gateway
 	if self := e.Gateways.Self(); region == self.Region && e.IsReady() {
-		out = append(out, self.CallerAddress)
+		ready = append(ready, self)
 	}
 	for _, g := range gateways {
 		if g.Ready {
-			out = append(out, g.CallerAddress)
+			ready = append(ready, g.Gateway)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	shares := fleet.Shares(ready, maxDirectoryAddresses)
+	var out []string
+	for round := 0; ; round++ {
+		before := len(out)
+		for i, g := range ready {
+			if shares[i] > round {
+				out = append(out, g.CallerAddress)
+			}
+		}
+		if len(out) == before {
+			return out
 		}
 	}
-	return out
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -290,6 +290,19 @@
 	}
 }
 
+// TestDirectorySpreadsCallersByProcessorCapacity guards against small gateways that get as many
+// callers as large ones, fall behind and notice late that callers have left.
+func TestDirectorySpreadsCallersByProcessorCapacity(t *testing.T) {
+	north := newCluster(t, "north").regions["north"].edge
+	for id, millicores := range map[string]int{"large": 800, "small-1": 200, "small-2": 200} {
+		north.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{
+			ID: id, Incarnation: "1", Region: "south", CallerAddress: id, Millicores: millicores,
+		}, Seq: 1, Ready: true}, time.Now())
+	}
+	addresses, _ := north.Addresses("a.example", "south")
+	require.ElementsMatch(t, []string{"large", "large", "large", "large", "small-1", "small-2"}, addresses)
+}
+
 func TestDirectory(t *testing.T) {
 	c := newCluster(t, "north", "south")
 	north := c.regions["north"].edge
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -285,18 +285,7 @@
 	return limit <= 0 || s.edge.mayCoordinateCold(view.ID, now) && s.edge.ColdStarts.TryRecord(view.ID, limit, now)
 }
 
-// remoteGateway returns a ready gateway of another region, chosen round-robin, and
-// false if there is none.
+// remoteGateway returns a ready gateway of another region, and false if there is none.
 func (e *Edge) remoteGateway(region string, now time.Time) (fleet.GatewayStatus, bool) {
-	alive := e.Gateways.Alive(region, now)
-	if len(alive) == 0 {
-		return fleet.GatewayStatus{}, false
-	}
-	first := int(e.nextGateway.Add(1) % uint64(len(alive)))
-	for i := range alive {
-		if g := alive[(first+i)%len(alive)]; g.Ready {
-			return g, true
-		}
-	}
-	return fleet.GatewayStatus{}, false
+	return fleet.ReadyInTurn(e.Gateways.Alive(region, now), e.nextGateway.Add(1))
 }
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -109,6 +109,7 @@
 		HeartbeatAddress: heartbeatAddress,
 		GrantAddress:     grantAddress,
 		MachineCapacity:  machineCapacity(site),
+		Millicores:       millicores(site),
 	}, time.Now())
 	s.registry = fleet.NewRegistry(site.Regions)
 	loads := endpointload.New()
@@ -217,9 +218,12 @@
 // machineCapacity returns the link capacity in Mbit/s or the processor capacity in
 // thousandths of a core, whichever is less.
 func machineCapacity(s *settings.PlatformSettings) int {
-	return int(min(s.LinkMbps, millicoresPerCore*s.CPUCores))
+	return min(int(s.LinkMbps), millicores(s))
 }
 
+// millicores returns the processor capacity in thousandths of a core.
+func millicores(s *settings.PlatformSettings) int { return int(millicoresPerCore * s.CPUCores) }
+
 const millicoresPerCore = 1000
 
 // defaultStartupWait is how long a starting gateway waits for the data of a gateway
--- a/internal/fleet/gateways.go
+++ b/internal/fleet/gateways.go
@@ -26,6 +26,9 @@
 	// MachineCapacity orders gateways by the network and CPU capacity of their
 	// machines.
 	MachineCapacity int `json:"strength"`
+	// Millicores is the processor capacity of the machine in thousandths of a core; 0 if it
+	// isn't known.
+	Millicores int `json:"millicores,omitempty"`
 }
 
 // GatewayStatus is what a gateway says of itself in a heartbeat.
