Measure how far a gateway is behind its sockets

Change: a gateway sends itself a datagram ten times a second and measures how long it waits until it is read. Counters read_lag_us and read_late, a warning from 250 ms on. Timers don't show it, since Go serves them before sockets.

TestLagShowsAShortageOfProcessorTime, 60 busy goroutines on one thread: 100 ms or more.

--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -25,6 +25,7 @@
 	"github.com/hickorystage/hickorystage/internal/controller/discovery"
 	"github.com/hickorystage/hickorystage/internal/controller/grants"
 	"github.com/hickorystage/hickorystage/internal/controller/heartbeat"
+	"github.com/hickorystage/hickorystage/internal/controller/lagprobe"
 	"github.com/hickorystage/hickorystage/internal/controller/peerlist"
 	"github.com/hickorystage/hickorystage/internal/controller/reload"
 	"github.com/hickorystage/hickorystage/internal/controller/routesync"
@@ -39,6 +40,7 @@
 	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/readlag"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/store"
@@ -125,6 +127,13 @@
 		return nil, &ListenError{Address: grantAddress, Cause: err}
 	}
 	sockets.add(grantConn)
+	probeAddress := net.JoinHostPort(site.IP, strconv.Itoa(site.FirstPort+2))
+	probeConn, err := net.ListenPacket("udp", probeAddress)
+	if err != nil {
+		return nil, &ListenError{Address: probeAddress, Cause: err}
+	}
+	sockets.add(probeConn)
+	lag := &readlag.Meter{}
 	grantController := grants.New(grantConn, logger)
 	quarantined, quarantinedRequests, limits := quarantine.New(), quarantine.NewOfRequests(), requestlimit.New()
 	clock, proofs := freshness.BootClock(), freshness.NewTracker(routesync.RewriteTime)
@@ -175,6 +184,7 @@
 		}),
 		peerlist.New(s.board, p.Store, s.gateways, logger),
 		stats.New(logger),
+		lagprobe.New(probeConn, lag, logger),
 		grantController,
 		edge.Allowances{Edge: s.edge},
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
