Count the time before a request is read against its deadline

Callers saw (GONE): a request was sent to an endpoint 0.5 to 0.9 s after its caller's deadline had passed.

Change: a request counts as arrived earlier by the lag of the gateway, for those of callers and those of other gateways.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,7 +96,10 @@
 	// pace is off. PaceReporter tells other gateways of them; it may be nil.
 	Pace         *pace.Tracker
 	PaceReporter PaceReporter
-	Logger       *log.Logger
+	// ReadLag returns how long bytes that have arrived wait until this process reads them. If
+	// it is nil, they count as read at once.
+	ReadLag func(now time.Time) time.Duration
+	Logger  *log.Logger
 }
 
 // Configs brings newer configurations into force.
@@ -151,7 +154,7 @@
 func (e *Edge) CallerHandler() http.Handler { return http.HandlerFunc(e.serveCaller) }
 
 func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := e.arrivalTime(time.Now())
 	e.inFlight.Begin()
 	defer e.inFlight.End()
 	requestsReceived.Inc()
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -118,7 +118,7 @@
 }
 
 func (e *Edge) serveForwarded(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := e.arrivalTime(time.Now())
 	var info forwardInfo
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &info); err != nil {
 		// Without the outcome the forwarding gateway would take the request for one that
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -157,6 +157,7 @@
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
 		Pace:              newPace(p.EndpointPace),
 		PaceReporter:      grantController,
+		ReadLag:           lag.Lag,
 		ResponseForecast:  p.ResponseForecast,
 		RegionSpill:       p.RegionSpill,
 		Logger:            logger,
