--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -1,6 +1,13 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/failure"
+	"github.com/hickorystage/hickorystage/internal/telemetry"
+)
+
+var requestsShed = telemetry.NewCounter("route_shed", "requests", "route requests refused because this gateway was behind its sockets")
 
 // readLag returns how long bytes that are read at now have waited at most.
 func (e *Edge) readLag(now time.Time) time.Duration {
@@ -13,3 +20,16 @@
 // arrivalTime returns when a request whose header is read at now may have arrived. Deadlines are
 // counted from then: a gateway that reads late must not work on for callers that have left.
 func (e *Edge) arrivalTime(now time.Time) time.Time { return now.Add(-e.readLag(now)) }
+
+// overloadRefusal returns the refusal of a request that this gateway is too far behind to serve,
+// nil for all others. The request's route is known, its body hasn't been read.
+func (s *session) overloadRefusal() error {
+	now := time.Now()
+	lag := s.edge.readLag(now)
+	if s.edge.shedder.Admit(s.priority(), lag, now) {
+		return nil
+	}
+	requestsShed.Inc()
+	return failure.Refuse(failure.CodeOverloaded, "the gateway is %d ms behind its sockets", lag.Milliseconds()).
+		WithRetryAfter(max(lag, shortRetryDelay))
+}
