Allow for the lag of a gateway in the timeouts of fetches and store calls

Cause: a fetch of the configuration or of entries had 700 ms, a call on the store 900 ms. A gateway that is that far behind its sockets gives each of them up although the response has arrived, and begins anew.

Change: such calls get three times the lag in addition, for the connection, the header and the body.

--- a/cmd/hickorystage/edge.go
+++ b/cmd/hickorystage/edge.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hickorystage/hickorystage/internal/edgeserver"
+	"github.com/hickorystage/hickorystage/internal/readlag"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/platform"
@@ -37,7 +38,8 @@
 	telemetry.RedirectStandardLog(logger)
 	setGCPercent()
 	setMemoryLimit(platformSettings.MemoryBytes)
-	store := platform.NewStore(platformSettings.StoreAddress, platform.StoreOptions{})
+	lag := &readlag.Meter{}
+	store := platform.NewStore(platformSettings.StoreAddress, platform.StoreOptions{ReadLag: lag.Lag})
 	server, err := edgeserver.New(platformSettings, edgeserver.Platform{
 		Settings: func() (*settings.PlatformSettings, error) {
 			changed, err := platform.ReadSettings(path)
@@ -48,6 +50,7 @@
 		},
 		SettingsChanged: hangupSignals(),
 		Store:           store,
+		Lag:             lag,
 		OperatorSource:  platform.OperatorSource{Store: store},
 		EndpointSource:  platform.EndpointSource{Store: store},
 		Codec:           platform.HeaderCodec{},
--- a/internal/controller/discovery/discovery_test.go
+++ b/internal/controller/discovery/discovery_test.go
@@ -289,7 +289,7 @@
 		Gateways:    fleet.NewGateways(fleet.Gateway{ID: "self", Region: "north"}, time.Now()),
 		StoreStatus: fleet.NewLatestStoreStatus(),
 		Source:      source,
-		Client:      peerfetch.NewClient(nil),
+		Client:      peerfetch.NewClient(nil, nil),
 		OnRemoved:   func(string, string) {},
 		Logger:      log.New(io.Discard),
 	})
@@ -342,7 +342,7 @@
 		Gateways:    fleet.NewGateways(fleet.Gateway{ID: "self", Region: "south"}, time.Now()),
 		StoreStatus: fleet.NewLatestStoreStatus(),
 		Source:      source,
-		Client:      peerfetch.NewClient(nil),
+		Client:      peerfetch.NewClient(nil, nil),
 		OnRemoved:   func(string, string) {},
 		Logger:      log.New(io.Discard),
 	})
@@ -394,7 +394,7 @@
 			defer cancel()
 			<-ctx.Done()
 			return nil, ctx.Err()
-		})
+		}, nil)
 		defer time.Sleep(2 * time.Second) // The last dial gives up.
 		seq := uint64(0)
 		hear := func(period time.Duration) {
--- a/internal/controller/routesync/fetch_test.go
+++ b/internal/controller/routesync/fetch_test.go
@@ -31,7 +31,7 @@
 		const interval = 250 * time.Millisecond
 		s := newFakeSource()
 		c := newController(t, s)
-		c.Client = peerfetch.NewClient(neverConnects)
+		c.Client = peerfetch.NewClient(neverConnects, nil)
 		c.Board.Settings.Set(&settings.PlatformSettings{Limits: settings.Limits{ConfigPropagation: 3 * time.Second, Evacuation: 5 * time.Second}})
 		reader := fleet.Gateway{ID: "reader", Incarnation: "1", Region: "north", MachineCapacity: 9, PeerAddress: "192.0.2.1:1"}
 		seq := uint64(0)
--- a/internal/controller/routesync/routesync_test.go
+++ b/internal/controller/routesync/routesync_test.go
@@ -156,7 +156,7 @@
 		Gateways:    fleet.NewGateways(fleet.Gateway{ID: "self", Region: "north"}, time.Now()),
 		StoreStatus: fleet.NewLatestStoreStatus(),
 		Source:      s,
-		Client:      peerfetch.NewClient(nil),
+		Client:      peerfetch.NewClient(nil, nil),
 		Proofs:      freshness.NewTracker(RewriteTime),
 		Clock:       sinceClock{time.Now()},
 		Logger:      log.New(adoptions.Watch(t, "gateway", io.Discard)),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/hickorystage/hickorystage/internal/overload"
 	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
+	"github.com/hickorystage/hickorystage/internal/readlag"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
@@ -97,9 +98,8 @@
 	// pace is off. PaceReporter tells other gateways of them; it may be nil.
 	Pace         *pace.Tracker
 	PaceReporter PaceReporter
-	// ReadLag returns how long bytes that have arrived wait until this process reads them. If
-	// it is nil, they count as read at once.
-	ReadLag func(now time.Time) time.Duration
+	// ReadLag is how far this process is behind its sockets; nil means not at all.
+	ReadLag readlag.Func
 	Logger  *log.Logger
 }
 
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -54,6 +54,8 @@
 	// SettingsChanged receives a value when the settings have to be read again.
 	SettingsChanged <-chan struct{}
 	Store           store.Store
+	// Lag is filled by the server; nil if nothing else uses it.
+	Lag *readlag.Meter
 	// OperatorSource reads the operators' configuration, EndpointSource the entries
 	// of endpoints.
 	OperatorSource routesync.Source
@@ -133,7 +135,10 @@
 		return nil, &ListenError{Address: probeAddress, Cause: err}
 	}
 	sockets.add(probeConn)
-	lag := &readlag.Meter{}
+	lag := p.Lag
+	if lag == nil {
+		lag = &readlag.Meter{}
+	}
 	grantController := grants.New(grantConn, logger)
 	quarantined, quarantinedRequests, limits := quarantine.New(), quarantine.NewOfRequests(), requestlimit.New()
 	clock, proofs := freshness.BootClock(), freshness.NewTracker(routesync.RewriteTime)
@@ -166,7 +171,7 @@
 	grantController.SetCreditKeeper(s.edge)
 	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
-	peerClient := peerfetch.NewClient(transport.NewDialFunc())
+	peerClient := peerfetch.NewClient(transport.NewDialFunc(), lag.Lag)
 	routeController := routesync.New(routesync.Config{
 		Board: s.board, Gateways: s.gateways, StoreStatus: latestStatus, Source: p.OperatorSource, Client: peerClient,
 		StartupWait: startupWait(site), Proofs: proofs, Clock: clock, Logger: logger,
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -19,6 +19,7 @@
 	"goji.io/pat"
 
 	"github.com/hickorystage/hickorystage/internal/fleet"
+	"github.com/hickorystage/hickorystage/internal/readlag"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
@@ -34,8 +35,9 @@
 const paramSince = "since"
 
 const (
-	// fetchTimeout limits the duration of a fetch. Except at their start,
-	// gateways fetch only from peers in their own region.
+	// fetchTimeout limits the duration of a fetch, without the time by which this process is
+	// behind its sockets. Except at their start, gateways fetch only from peers in their own
+	// region.
 	fetchTimeout = 700 * time.Millisecond
 	// maxResponseBytes limits the size of a response; a configuration has at
 	// most 1 MB.
@@ -128,12 +130,14 @@
 }
 
 // Client fetches data from peers. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http    *http.Client
+	readLag readlag.Func
+}
 
-// NewClient returns a client that opens connections with dial.
-func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{http: &http.Client{
-		Timeout: fetchTimeout,
+// NewClient returns a client that opens connections with dial. readLag may be nil.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), readLag readlag.Func) *Client {
+	return &Client{readLag: readLag, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext: transport.LimitHeaderLines(dial), IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 		},
@@ -191,6 +195,8 @@
 }
 
 func (c *Client) fetch(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.readLag.Extend(fetchTimeout))
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "create request to peer")
--- a/internal/peerfetch/peerfetch_test.go
+++ b/internal/peerfetch/peerfetch_test.go
@@ -71,7 +71,7 @@
 		"refusal":                 {"HTTP/1.1 404 Not Found\r\n\r\n", strings.Repeat(" ", 16<<10)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := NewClient((&net.Dialer{}).DialContext)
+			client := NewClient((&net.Dialer{}).DialContext, nil)
 			for path, fetch := range map[string]func(address string) error{
 				pathRoutes: func(address string) error {
 					_, err := client.FetchRoutes(context.Background(), address)
@@ -103,7 +103,7 @@
 // take many times their size in memory.
 func TestFetchedHeadersOfManyLinesAreRefused(t *testing.T) {
 	p := startEndlessPeer(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 1000)+"Content-Length: 2\r\n\r\n[]", "")
-	_, err := NewClient((&net.Dialer{}).DialContext).FetchEndpoints(context.Background(), p.address)
+	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchEndpoints(context.Background(), p.address)
 	var tooMany *transport.HeaderLinesError
 	require.ErrorAs(t, err, &tooMany)
 }
@@ -112,7 +112,34 @@
 // limit and still parses.
 func TestTooLongResponseIsNotTakenForWhole(t *testing.T) {
 	p := startEndlessPeer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n{}"+strings.Repeat(" ", 5000000-2), "")
-	_, err := NewClient((&net.Dialer{}).DialContext).FetchRoutes(context.Background(), p.address)
+	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchRoutes(context.Background(), p.address)
 	var tooLong *ResponseTooLongError
 	require.ErrorAs(t, err, &tooLong)
 }
+
+// TestFetchAwaitsWhatThisProcessReadsLate guards against a configuration that is never in force
+// at a gateway that is behind its sockets, since each fetch is given up before its response,
+// which has arrived, is read.
+func TestFetchAwaitsWhatThisProcessReadsLate(t *testing.T) {
+	const (
+		lag  = 600 * time.Millisecond
+		late = fetchTimeout + lag
+	)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(late):
+			_, _ = w.Write([]byte("{}"))
+		case <-r.Context().Done():
+		}
+	})}
+	defer s.Close()
+	go func() { _ = s.Serve(listener) }()
+	for behind, wantErr := range map[time.Duration]bool{0: true, lag: false} {
+		client := NewClient((&net.Dialer{}).DialContext, func(time.Time) time.Duration { return behind })
+		_, err := client.FetchRoutes(t.Context(), listener.Addr().String())
+		require.Equal(t, wantErr, err != nil, "behind by %v: %v", behind, err)
+	}
+}
--- a/internal/readlag/readlag.go
+++ b/internal/readlag/readlag.go
@@ -11,6 +11,23 @@
 // MaxLag is the largest lag that is reported. A probe that takes longer counts as lost.
 const MaxLag = 3 * time.Second
 
+// Func returns the lag at now.
+type Func func(now time.Time) time.Duration
+
+// awaitedEvents is how often a call waits for its socket: for the connection, the header and
+// the body.
+const awaitedEvents = 3
+
+// Extend returns timeout, the limit on the duration of a call, with the time for which the call
+// may wait unread. A process that is behind would otherwise give up responses that have arrived,
+// each time anew. A nil Func stands for no lag.
+func (f Func) Extend(timeout time.Duration) time.Duration {
+	if f == nil {
+		return timeout
+	}
+	return timeout + awaitedEvents*f(time.Now())
+}
+
 // Meter computes the lag from probes that the process sends to itself, one at a time. It is
 // safe for concurrent use.
 type Meter struct {
