Don't take a lost probe for a gateway that is seconds behind

By reading: while one probe was on its way no other was sent, so that a lost datagram stood for a lag of up to 3 s, for which nearly all requests would be refused. Now each interval has its probe, and those before one that arrives are lost. The step of overload is named by what it is; its values are the same.

--- a/internal/controller/lagprobe/lagprobe.go
+++ b/internal/controller/lagprobe/lagprobe.go
@@ -69,13 +69,8 @@
 }
 
 func (c *Controller) send() {
-	now := time.Now()
-	number, ok := c.meter.Send(now)
-	if !ok {
-		return
-	}
+	number := c.meter.Send(time.Now())
 	if _, err := c.conn.WriteTo(binary.BigEndian.AppendUint64(nil, number), c.conn.LocalAddr()); err != nil {
-		// It counts as lost.
 		c.logger.Warn("cannot send a probe to itself", "err", err)
 	}
 }
--- a/internal/controller/lagprobe/lagprobe_test.go
+++ b/internal/controller/lagprobe/lagprobe_test.go
@@ -1,6 +1,7 @@
 package lagprobe_test
 
 import (
+	"encoding/binary"
 	"io"
 	"net"
 	"runtime"
@@ -41,23 +42,29 @@
 	require.NoError(t, tb.Wait())
 }
 
+// silentConn sends nothing.
+type silentConn struct{ net.PacketConn }
+
+// WriteTo implements net.PacketConn.
+func (silentConn) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
+
 // TestForeignDatagramsAreNoProbes guards against a lag that others can set.
 func TestForeignDatagramsAreNoProbes(t *testing.T) {
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
 	meter := &readlag.Meter{}
-	number, ok := meter.Send(time.Now())
-	require.True(t, ok)
-	c := lagprobe.New(conn, meter, log.New(io.Discard))
+	c := lagprobe.New(silentConn{conn}, meter, log.New(io.Discard))
 	var tb tomb.Tomb
 	tb.Go(func() error { return c.Run(&tb) })
 	other, err := net.Dial("udp", conn.LocalAddr().String())
 	require.NoError(t, err)
-	_, err = other.Write([]byte{0, 0, 0, 0, 0, 0, 0, byte(number)})
-	require.NoError(t, err)
-	_, err = other.Write([]byte("no probe"))
-	require.NoError(t, err)
-	require.Never(t, func() bool { _, free := meter.Send(time.Now()); return free }, 300*time.Millisecond, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		for number := range uint64(250) {
+			_, err := other.Write(binary.BigEndian.AppendUint64(nil, number))
+			require.NoError(t, err)
+		}
+		return meter.Lag(time.Now()) >= 500*time.Millisecond
+	}, 20*time.Second, 10*time.Millisecond)
 	tb.Kill(nil)
 	require.NoError(t, tb.Wait())
 	require.NoError(t, other.Close())
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -12,13 +12,14 @@
 	// Target is the lag that is tolerated: little of the time in which short requests are
 	// served.
 	Target = 50 * time.Millisecond
-	// The share that is refused changes every interval: it grows by a step, by more the larger
-	// the lag, while the lag exceeds Target, and shrinks more slowly, so that it settles.
-	interval   = 100 * time.Millisecond
-	growth     = 0.1
-	maxGrowth  = 0.4
-	shrinkage  = 0.04
-	maxRefused = 0.95
+	// The share that is refused changes every interval: it grows, in proportion to the lag,
+	// while that exceeds Target, and shrinks more slowly, so that it settles. Some requests are
+	// always served, which show what the gateway can do.
+	interval        = 100 * time.Millisecond
+	growthPerTarget = 0.05
+	maxGrowth       = 0.4
+	shrinkage       = 0.04
+	maxRefused      = 0.95
 	// priorities is the number of priorities; 0 is the most urgent.
 	priorities = 10
 )
@@ -62,7 +63,7 @@
 	}
 	s.changed = now
 	if lag > Target {
-		s.share = min(s.share+min(growth*float64(lag)/float64(Target)/2, maxGrowth), maxRefused)
+		s.share = min(s.share+min(growthPerTarget*float64(lag)/float64(Target), maxGrowth), maxRefused)
 	} else {
 		s.share = max(s.share-shrinkage*float64(passed)/float64(interval), 0)
 	}
--- a/internal/readlag/readlag.go
+++ b/internal/readlag/readlag.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// MaxLag is the largest lag that is reported. A probe that takes longer counts as lost.
-const MaxLag = 3 * time.Second
-
 // Func returns the lag at now.
 type Func func(now time.Time) time.Duration
 
@@ -28,48 +25,50 @@
 	return timeout + awaitedEvents*f(time.Now())
 }
 
-// Meter computes the lag from probes that the process sends to itself, one at a time. It is
+// maxOutstanding bounds the probes that have not arrived yet, and with them the lag that is
+// reported: a probe beyond it counts as lost.
+const maxOutstanding = 30
+
+// Meter computes the lag from probes that the process sends to itself in regular intervals. It is
 // safe for concurrent use.
 type Meter struct {
 	mu sync.Mutex
-	// outstanding is the number of the probe that has not arrived yet; 0 for none.
-	outstanding uint64
-	sentAt      time.Time
-	number      uint64
-	last        time.Duration
+	// sent holds when the probes were sent that have not arrived yet, the oldest first; next
+	// is the number of the probe after them.
+	sent []time.Time
+	next uint64
+	last time.Duration
 }
 
-// Send returns the number of the probe to be sent now, and false while another one is on its
-// way.
-func (m *Meter) Send(now time.Time) (number uint64, ok bool) {
+// Send returns the number of the probe that is sent now.
+func (m *Meter) Send(now time.Time) (number uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.outstanding != 0 && now.Sub(m.sentAt) < MaxLag {
-		return 0, false
+	if len(m.sent) == maxOutstanding {
+		m.sent = m.sent[1:]
 	}
-	m.number++
-	m.outstanding, m.sentAt = m.number, now
-	return m.number, true
+	m.sent = append(m.sent, now)
+	m.next++
+	return m.next - 1
 }
 
-// Receive records the arrival of a probe.
+// Receive records the arrival of a probe. Earlier ones that have not arrived are lost.
 func (m *Meter) Receive(number uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if number == 0 || number != m.outstanding {
-		return
+	if oldest := m.next - uint64(len(m.sent)); number >= oldest && number < m.next {
+		m.last = now.Sub(m.sent[number-oldest])
+		m.sent = m.sent[number-oldest+1:]
 	}
-	m.outstanding = 0
-	m.last = min(now.Sub(m.sentAt), MaxLag)
 }
 
-// Lag returns the lag at now, at most MaxLag: that of the last probe, or the age of the one
-// that has not arrived yet if that is longer. It is 0 before the first probe.
+// Lag returns the lag at now: that of the last probe, or the age of the oldest one that has not
+// arrived yet if that is longer. It is 0 before the first probe.
 func (m *Meter) Lag(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.outstanding == 0 {
+	if len(m.sent) == 0 {
 		return m.last
 	}
-	return min(max(m.last, now.Sub(m.sentAt)), MaxLag)
+	return max(m.last, now.Sub(m.sent[0]))
 }
