--- a/internal/peerfetch/peerfetch_test.go
+++ b/internal/peerfetch/peerfetch_test.go
@@ -1,75 +1,25 @@
 package peerfetch
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hickorystage/hickorystage/internal/standin/endless"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
-// endlessPeer accepts connections, and answers each with first and then with more, again and
-// again, until the other side closes.
-type endlessPeer struct {
-	address string
-	// written counts the bytes that were taken of all answers. ended gets a value when the
-	// other side has closed a connection.
-	written atomic.Int64
-	ended   chan struct{}
-}
-
-func startEndlessPeer(t *testing.T, first, more string) *endlessPeer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	p := &endlessPeer{address: listener.Addr().String(), ended: make(chan struct{}, 1)}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.answer(conn, first, more)
-		}
-	}()
-	return p
-}
-
-func (p *endlessPeer) answer(conn net.Conn, first, more string) {
-	defer conn.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-		return
-	}
-	for text := first; ; text = more {
-		n, err := conn.Write([]byte(text))
-		if p.written.Add(int64(n)); err != nil {
-			p.ended <- struct{}{}
-			return
-		}
-	}
-}
-
 // TestEndlessResponsesOfPeers guards against a peer whose response never ends, and against one
 // that is cut off and taken for whole.
 func TestEndlessResponsesOfPeers(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n"
 	// maxTaken is what the limit of a response and the buffers of the sockets hold.
 	const maxTaken = maxResponseBytes + 16<<20
-	for name, c := range map[string]struct{ first, more string }{
-		"body":                    {ok + "\r\n", strings.Repeat(" ", 16<<10)},
-		"header value":            {ok + "X-Long: ", strings.Repeat("x", 16<<10)},
-		"many headers":            {ok, strings.Repeat("a:\r\n", 1000)},
-		"informational responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
-		"trailer":                 {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n", "X-Trailer: 1\r\n"},
-		"refusal":                 {"HTTP/1.1 404 Not Found\r\n\r\n", strings.Repeat(" ", 16<<10)},
-	} {
+	for name, response := range endless.Responses() {
 		t.Run(name, func(t *testing.T) {
 			client := NewClient((&net.Dialer{}).DialContext, nil)
 			for path, fetch := range map[string]func(address string) error{
@@ -86,14 +36,9 @@
 					return err
 				},
 			} {
-				p := startEndlessPeer(t, c.first, c.more)
-				require.Error(t, fetch(p.address), path)
-				select {
-				case <-p.ended:
-				case <-time.After(10 * time.Second):
-					t.Fatalf("%s: the connection stays open", path)
-				}
-				require.Less(t, p.written.Load(), int64(maxTaken), path)
+				p := endless.Start(t, response)
+				require.Error(t, fetch(p.Address), path)
+				p.RequireClosed(t, maxTaken)
 			}
 		})
 	}
@@ -102,8 +47,8 @@
 // TestFetchedHeadersOfManyLinesAreRefused guards against responses of a peer whose short lines
 // take many times their size in memory.
 func TestFetchedHeadersOfManyLinesAreRefused(t *testing.T) {
-	p := startEndlessPeer(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 1000)+"Content-Length: 2\r\n\r\n[]", "")
-	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchEndpoints(context.Background(), p.address)
+	p := endless.Start(t, endless.Response{First: "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 1000) + "Content-Length: 2\r\n\r\n[]"})
+	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchEndpoints(context.Background(), p.Address)
 	var tooMany *transport.HeaderLinesError
 	require.ErrorAs(t, err, &tooMany)
 }
@@ -111,8 +56,8 @@
 // TestTooLongResponseIsNotTakenForWhole guards against a configuration that is cut off at the
 // limit and still parses.
 func TestTooLongResponseIsNotTakenForWhole(t *testing.T) {
-	p := startEndlessPeer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n{}"+strings.Repeat(" ", 5000000-2), "")
-	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchRoutes(context.Background(), p.address)
+	p := endless.Start(t, endless.Response{First: "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n{}" + strings.Repeat(" ", 5000000-2)})
+	_, err := NewClient((&net.Dialer{}).DialContext, nil).FetchRoutes(context.Background(), p.Address)
 	var tooLong *ResponseTooLongError
 	require.ErrorAs(t, err, &tooLong)
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/platform"
 	"github.com/hickorystage/hickorystage/internal/standin/directory"
+	"github.com/hickorystage/hickorystage/internal/standin/endless"
 	"github.com/hickorystage/hickorystage/internal/standin/fault"
 	"github.com/hickorystage/hickorystage/internal/standin/kv"
 	"github.com/hickorystage/hickorystage/internal/standin/memnet"
@@ -422,3 +423,35 @@
 		require.Equal(t, uint64(7), store.Era().Number)
 	}
 }
+
+// TestEndlessResponsesOfTheServices guards against a store or directory whose response never
+// ends. A call fails within its timeout.
+func TestEndlessResponsesOfTheServices(t *testing.T) {
+	// maxTaken is what the limits of responses and the buffers of the sockets hold.
+	const maxTaken = 64 << 20
+	for name, response := range endless.Responses() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for op, call := range map[string]func(s *platform.HTTPStore) error{
+				"get": func(s *platform.HTTPStore) error {
+					_, err := s.Get(t.Context(), "k")
+					return err
+				},
+				"list": func(s *platform.HTTPStore) error {
+					_, err := s.List(t.Context(), "k")
+					return err
+				},
+				"put": func(s *platform.HTTPStore) error {
+					_, err := s.Put(t.Context(), "k", nil, platform.PutOptions{})
+					return err
+				},
+			} {
+				server := endless.Start(t, response)
+				store := platform.NewHTTPStore("http://"+server.Address, platform.Options{ResponseTimeout: 500 * time.Millisecond})
+				require.Error(t, call(store), op)
+				server.RequireClosed(t, maxTaken)
+				store.Close()
+			}
+		})
+	}
+}
