Fetches and calls on the store are limited by their progress

Callers saw requests handled by version 17 more than 5 s after version 20 had been acknowledged (CONFIG).

Cause: a fetch from another gateway had 700 ms, a call on the store 900 ms, whatever its size. A configuration may have 1 MB, 1.4 MB from the store; a link of 10 Mbit/s takes 0.84 and 1.12 s for that. Each attempt was given up while its bytes arrived, and the next began anew.

Change: a call is given up after 700 or 900 ms without a byte, or if less than 256 KB/s arrive on average after that. A fetch goes on when the forwarded request or proof that began it gives up, and runs beside the controller, so that evacuations don't wait for it.

TestFetchesForProofsDontQueue holds the attempt that is under way in place of the mutex that is gone; its checks are the same.

--- a/internal/controller/routesync/proof.go
+++ b/internal/controller/routesync/proof.go
@@ -55,18 +55,3 @@
 	c.prove(revision, startedAt)
 	return nil
 }
-
-// Fetch adopts the configuration of another gateway that has the given version, and
-// reports whether it could be fetched and decoded. It may be called while the controller
-// runs. It fetches nothing during another fetch: answers with proofs come several times a
-// second, and would wait in line without a bound for a gateway whose fetches time out.
-func (c *Controller) Fetch(ctx context.Context, gateway string, version uint64) bool {
-	if c.isInForce(version) {
-		return true
-	}
-	if !c.fetching.TryLock() {
-		return false
-	}
-	defer c.fetching.Unlock()
-	return c.fetchLocked(ctx, gateway, version)
-}
--- a/internal/controller/routesync/proof_test.go
+++ b/internal/controller/routesync/proof_test.go
@@ -143,10 +143,13 @@
 func TestFetchesForProofsDontQueue(t *testing.T) {
 	c := newController(t, newFakeSource())
 	c.Board.Routes.Set(table(5))
-	c.fetching.Lock()
+	release := make(chan struct{})
+	_, started := c.startCatchUp(func(context.Context) bool { <-release; return false })
+	require.True(t, started)
 	done := make(chan bool)
 	go func() { done <- c.Fetch(t.Context(), "unknown", 6) }()
 	require.False(t, <-done, "another fetch is under way")
 	require.True(t, c.Fetch(t.Context(), "unknown", 5))
-	c.fetching.Unlock()
+	close(release)
+	c.stopCatchUp()
 }
--- a/internal/controller/routesync/routesync.go
+++ b/internal/controller/routesync/routesync.go
@@ -99,13 +99,19 @@
 // Controller keeps the configuration and evacuations of the blackboard up to date.
 type Controller struct {
 	Config
-	// fetching is held during a fetch from a peer: a new version is heard of in heartbeats
-	// and from proofs at about the same time.
-	fetching sync.Mutex
+	// background is the context of the attempts to catch up; tasks counts them.
+	background    context.Context
+	endBackground context.CancelFunc
+	tasks         sync.WaitGroup
+	mu            sync.Mutex
+	// catchingUp is the attempt that is under way; nil for none. A new version is heard of in
+	// heartbeats, from proofs and from forwarded requests at about the same time.
+	catchingUp *catchUp
 	// behindSince is when a version was heard of that has not come into force since; zero if
 	// there is none.
 	behindSince time.Time
 	// unfetchedReadAt is when a version that could not be fetched was last read from the store.
+	// It belongs to the attempt that is under way.
 	unfetchedReadAt time.Time
 	// watchFrom is the revision to watch from; zero requires a read of everything.
 	watchFrom store.Revision
@@ -117,13 +123,18 @@
 }
 
 // New returns the controller.
-func New(c Config) *Controller { return &Controller{Config: c} }
+func New(config Config) *Controller {
+	c := &Controller{Config: config}
+	c.background, c.endBackground = context.WithCancel(context.Background())
+	return c
+}
 
 // Name implements controller.Controller.
 func (c *Controller) Name() string { return "routesync" }
 
 // Run implements controller.Controller.
 func (c *Controller) Run(t *tomb.Tomb) error {
+	defer c.stopCatchUp()
 	ctx := t.Context(context.Background())
 	c.StoreStatus.WaitForFirst(ctx, c.StartupWait)
 	for ctx.Err() == nil {
@@ -152,8 +163,7 @@
 	case !known && status.ConfigVersion > 0 && c.adoptFromPeer(ctx, status, from):
 		return nil
 	case known && isFresh && !c.Gateways.IsStoreReader(now):
-		c.followStoreReader(ctx, status, from)
-		c.waitForStatus(ctx, changed)
+		c.waitForStatus(ctx, changed, c.followStoreReader(status, from))
 		return nil
 	case c.watchFrom.IsZero(), !c.rewrittenAt.IsZero() && !now.Before(c.rewrittenAt):
 		return c.readAll(ctx)
@@ -162,43 +172,28 @@
 	}
 }
 
-// followStoreReader applies the status of the store reader, and fetches the
-// configuration from it if it has a newer version.
-func (c *Controller) followStoreReader(ctx context.Context, status fleet.StoreStatus, from string) {
+// followStoreReader applies the status of the store reader. If it has a newer version of the
+// configuration, followStoreReader returns the attempt to catch up with it, and otherwise nil.
+func (c *Controller) followStoreReader(status fleet.StoreStatus, from string) *catchUp {
 	// The state now follows the store reader at a revision that is not known here.
 	// A watch from the own last revision may miss changes that the status brought,
 	// so the next read of the store has to read everything.
 	c.watchFrom = store.Revision{}
 	c.observeEra(status.Era)
 	c.applyEvacuations(status)
-	if status.ConfigVersion > c.Board.Routes.Get().Version {
+	if version := status.ConfigVersion; !c.isInForce(version) {
 		if c.behindSince.IsZero() {
 			c.behindSince = time.Now()
 		}
-		if !c.fetchFromPeer(ctx, from, status.ConfigVersion) && !c.readUnfetched(ctx, status.ConfigVersion) {
-			return
-		}
+		since := c.behindSince
+		running, _ := c.startCatchUp(func(ctx context.Context) bool {
+			return c.fetchFromPeer(ctx, from, version) || c.readUnfetched(ctx, version, since)
+		})
+		return running
 	}
 	c.behindSince = time.Time{}
 	c.recordStoreReachable()
-}
-
-// readUnfetched reads from the store a version that could not be fetched from the store reader,
-// and reports whether it is in force then. A gateway may hear the store reader and not reach
-// it, for instance while their link is cut in one direction. It waits for as long as if it
-// didn't hear it: fetches also fail while a whole region fetches at once.
-func (c *Controller) readUnfetched(ctx context.Context, version uint64) bool {
-	now := time.Now()
-	if now.Sub(c.behindSince) < c.staleAfter() || now.Sub(c.unfetchedReadAt) < unfetchedReadInterval {
-		return false
-	}
-	c.unfetchedReadAt = now
-	unfetched.Inc()
-	if err := c.ReadConfig(ctx); err != nil {
-		c.Logger.Warn("cannot read from the store the configuration that could not be fetched", "version", version, "err", err)
-		return false
-	}
-	return c.isInForce(version)
+	return nil
 }
 
 // applyEvacuations applies the evacuations of a store status, unless this gateway knows
@@ -220,7 +215,8 @@
 func (c *Controller) adoptFromPeer(ctx context.Context, status fleet.StoreStatus, from string) bool {
 	// This gateway serves as soon as it has the configuration.
 	c.applyEvacuations(status)
-	return c.fetchFromPeer(ctx, from, status.ConfigVersion)
+	running, _ := c.startCatchUp(func(ctx context.Context) bool { return c.fetchFromPeer(ctx, from, status.ConfigVersion) })
+	return running.wait(ctx) && c.isInForce(status.ConfigVersion)
 }
 
 // staleAfter returns the age of the last known response of the store from which on a
@@ -230,53 +226,29 @@
 	return fleet.StaleAfter(min(limits.ConfigPropagation, limits.Evacuation))
 }
 
-// waitForStatus waits until changed is closed by the next status, or the last
-// status is stale.
-func (c *Controller) waitForStatus(ctx context.Context, changed <-chan struct{}) {
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-time.After(max(time.Until(c.StoreStatus.OperatorsReadAt().Add(c.staleAfter())), time.Millisecond)):
-	}
-}
-
-// fetchFromPeer fetches and adopts the configuration of a peer that has at least the given
-// version, and reports whether it could be fetched and decoded. It fetches nothing if the
-// version has come into force meanwhile.
-func (c *Controller) fetchFromPeer(ctx context.Context, id string, version uint64) bool {
-	c.fetching.Lock()
-	defer c.fetching.Unlock()
-	return c.fetchLocked(ctx, id, version)
-}
-
-// isInForce reports whether the version, or a newer one, is in force.
-func (c *Controller) isInForce(version uint64) bool {
-	routes := c.Board.Routes.Get()
-	return routes != nil && routes.Version >= version
-}
-
-// fetchLocked is fetchFromPeer with c.fetching held.
-func (c *Controller) fetchLocked(ctx context.Context, id string, version uint64) bool {
-	if c.isInForce(version) {
-		return true
-	}
-	gw, ok := c.Gateways.Get(id)
-	if !ok {
-		return false
-	}
-	raw, err := c.Client.FetchRoutes(ctx, gw.PeerAddress)
-	if err != nil {
-		c.Logger.Warn("cannot fetch configuration from gateway", "gateway", id, "err", err)
-		return false
+// waitForStatus waits until changed is closed by the next status, the attempt to catch up, if
+// any, succeeds, or the last status is stale.
+func (c *Controller) waitForStatus(ctx context.Context, changed <-chan struct{}, running *catchUp) {
+	stale := time.After(max(time.Until(c.StoreStatus.OperatorsReadAt().Add(c.staleAfter())), time.Millisecond))
+	var done <-chan struct{}
+	if running != nil {
+		done = running.done
 	}
-	table, err := c.Source.Decode(raw)
-	if err != nil {
-		c.apply(Change{Err: err})
-		return false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			return
+		case <-stale:
+			return
+		case <-done:
+			if running.succeeded {
+				return
+			}
+			done = nil
+		}
 	}
-	fetched.Inc()
-	c.adopt(table)
-	return true
 }
 
 // watch waits for changes in the store and applies them.
--- a/internal/controller/routesync/routesync_test.go
+++ b/internal/controller/routesync/routesync_test.go
@@ -232,7 +232,7 @@
 		follow := func(age time.Duration) {
 			c.StoreStatus.Set("reader", fleet.StoreStatus{ConfigVersion: 7, OperatorsAgeMillis: age.Milliseconds()}, time.Now())
 			status, from, _, _ := c.StoreStatus.Get()
-			c.followStoreReader(t.Context(), status, from)
+			c.followStoreReader(status, from)
 		}
 		time.Sleep(100 * time.Millisecond)
 		follow(200 * time.Millisecond)
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -20,6 +20,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/readlag"
+	"github.com/hickorystage/hickorystage/internal/transfer"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
 
@@ -35,10 +36,12 @@
 const paramSince = "since"
 
 const (
-	// fetchTimeout limits the duration of a fetch, without the time by which this process is
-	// behind its sockets. Except at their start, gateways fetch only from peers in their own
-	// region.
-	fetchTimeout = 700 * time.Millisecond
+	// fetchSilence is the longest time of a fetch without a byte of the response, without the
+	// time by which this process is behind its sockets. Except at their start, gateways fetch
+	// only from peers in their own region.
+	fetchSilence = 700 * time.Millisecond
+	// minBytesPerSecond is the least rate of a response. Links carry five times that or more.
+	minBytesPerSecond = 256 << 10
 	// maxResponseBytes limits the size of a response; a configuration has at
 	// most 1 MB.
 	maxResponseBytes = 4 << 20
@@ -195,23 +198,24 @@
 }
 
 func (c *Client) fetch(ctx context.Context, address, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.readLag.Extend(fetchTimeout))
-	defer cancel()
+	limit := transfer.Limit{Silence: func() time.Duration { return c.readLag.Extend(fetchSilence) }, BytesPerSecond: minBytesPerSecond}
+	ctx, call := limit.Start(ctx, 0)
+	defer call.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "create request to peer")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, errors.WithStack(call.Err(err))
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.WithStack(&StatusError{Status: resp.StatusCode})
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(call.Reader(resp.Body), maxResponseBytes+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "read response of peer")
+		return nil, errors.Wrap(call.Err(err), "read response of peer")
 	}
 	if len(body) > maxResponseBytes {
 		return nil, errors.WithStack(&ResponseTooLongError{Address: address})
--- a/internal/peerfetch/peerfetch_test.go
+++ b/internal/peerfetch/peerfetch_test.go
@@ -68,7 +68,7 @@
 func TestFetchAwaitsWhatThisProcessReadsLate(t *testing.T) {
 	const (
 		lag  = 600 * time.Millisecond
-		late = fetchTimeout + lag
+		late = fetchSilence + lag
 	)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
