--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -104,12 +104,17 @@
 		// A write error means that the peer closed the connection.
 		_, _ = w.Write(body)
 	})
-	mux.HandleFunc(pat.Get(pathRoutes), func(w http.ResponseWriter, _ *http.Request) {
+	var compressed compressedRoutes
+	mux.HandleFunc(pat.Get(pathRoutes), func(w http.ResponseWriter, r *http.Request) {
 		body := s.Routes()
 		if body == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
+		if r.Header.Get("Accept-Encoding") == encodingGzip {
+			w.Header().Set("Content-Encoding", encodingGzip)
+			body = compressed.of(body)
+		}
 		_, _ = w.Write(body)
 	})
 	mux.HandleFunc(pat.Get(pathStatus), func(w http.ResponseWriter, _ *http.Request) {
@@ -142,7 +147,7 @@
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), readLag readlag.Func) *Client {
 	return &Client{readLag: readLag, http: &http.Client{
 		Transport: &http.Transport{
-			DialContext: transport.LimitHeaderLines(dial), IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+			DialContext: transport.LimitHeaderLines(dial), IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
 		},
 	}}
 }
