Streams go on only at the software version that began them

Cause: the version in an endpoint's entry was dropped, so any endpoint of the service could resume any stream; and nothing was kept of streams for callers that come to another gateway.

Change: the session keeps the version of the endpoint that begins its stream; placement, coordinators and forwards consider that version only. While a service has several versions, a gateway tells three others of its streams. A caller's Resumes is looked up here, at other gateways, or follows from the only version that the service has had for a minute; otherwise the request is refused as not run (503, stream_version_unknown).

--- a/internal/controller/grants/grants.go
+++ b/internal/controller/grants/grants.go
@@ -11,6 +11,8 @@
 // The gateways of all regions ask the coordinators of client accounts for credit. These
 // asks go out ahead of the requests, so nobody waits for a response.
 //
+// Gateways tell each other which software versions began streams, and ask for it.
+//
 // Where the settings ask for strict revocation, they also ask each other how old the proof
 // is that their configuration is current.
 package grants
@@ -78,6 +80,8 @@
 	// creditKeeper is nil if this gateway deals with no credit.
 	creditKeeper CreditKeeper
 	prover       Prover
+	// streamKeeper is nil if this gateway deals with no streams.
+	streamKeeper StreamKeeper
 	recordPace   func(PaceReport, time.Time)
 	logger       *log.Logger
 
@@ -139,6 +143,7 @@
 	case m.Release != nil:
 		c.coordinator.Release(*m.Release, time.Now())
 	case c.handleCredit(m, from):
+	case c.handleStream(m, from):
 	case m.isResponse() && c.deliver(m):
 	default:
 		malformed.Inc()
--- a/internal/controller/grants/message.go
+++ b/internal/controller/grants/message.go
@@ -7,6 +7,7 @@
 	"github.com/hickorystage/hickorystage/internal/endpointload"
 	"github.com/hickorystage/hickorystage/internal/lenient"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
+	"github.com/hickorystage/hickorystage/internal/streamversion"
 )
 
 // Request asks a coordinator to admit a request to one of its endpoints. A
@@ -57,6 +58,8 @@
 	OnlyEndpoint string `json:"i,omitempty" lenient:"required"`
 	// ExcludedEndpoints are endpoints that must not be granted.
 	ExcludedEndpoints []string `json:"x,omitempty" lenient:"required"`
+	// SoftwareVersion is the only version whose endpoints may be granted; empty for any.
+	SoftwareVersion string `json:"sw,omitempty" lenient:"required"`
 }
 
 // Response grants a request or gives the reason for refusing it.
@@ -128,6 +131,10 @@
 	CreditGrant    *CreditGrant    `json:"ca,omitempty" lenient:"parts"`
 	Release        *Release        `json:"r,omitempty" lenient:"parts"`
 	PaceReport     *PaceReport     `json:"pr,omitempty" lenient:"parts"`
+
+	StreamRequest  *StreamRequest         `json:"sq,omitempty" lenient:"parts"`
+	StreamResponse *StreamResponse        `json:"sa,omitempty" lenient:"parts"`
+	StreamRecords  []streamversion.Record `json:"sr,omitempty"`
 	// Unreadable tells which parts of the request can't be read. Without a response the
 	// request is not decided.
 	Unreadable *lenient.Report `json:"bad,omitempty"`
@@ -137,7 +144,7 @@
 
 // isResponse reports whether the message is the response to a request.
 func (m message) isResponse() bool {
-	return m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil || m.Unreadable != nil || m.isDamaged
+	return m.Response != nil || m.PermitResponse != nil || m.ProofResponse != nil || m.StreamResponse != nil || m.Unreadable != nil || m.isDamaged
 }
 
 // Admits reports whether the request may be granted at the endpoint.
--- a/internal/controller/heartbeat/endpoints_test.go
+++ b/internal/controller/heartbeat/endpoints_test.go
@@ -14,7 +14,7 @@
 func TestAllGatewaysLearnOfLeavingEndpoint(t *testing.T) {
 	forEachFleetSize(t, func(f *testFleet) {
 		for _, n := range f.nodes {
-			n.Registry.SetRegions(map[string]string{"dc": "north"})
+			n.Registry.SetRegions(map[string]string{"dc": "north"}, time.Now())
 			n.Registry.Apply([]fleet.Entry{{ID: "e", Endpoint: &fleet.Endpoint{ID: "e", Incarnation: 7, Service: "s", DataCentre: "dc"}}}, time.Now())
 		}
 		before := f.nodes[0].Registry.Fingerprint()
@@ -42,7 +42,7 @@
 func TestAllGatewaysOfRegionLearnOfRefusedConnection(t *testing.T) {
 	forEachFleetSize(t, func(f *testFleet) {
 		for _, n := range f.nodes {
-			n.Registry.SetRegions(map[string]string{"dc": "north"})
+			n.Registry.SetRegions(map[string]string{"dc": "north"}, time.Now())
 			n.Registry.Apply([]fleet.Entry{{ID: "e", Endpoint: &fleet.Endpoint{ID: "e", Incarnation: 7, Service: "s", DataCentre: "dc"}}}, time.Now())
 		}
 		f.nodes[1].Registry.MarkRefused("e", 7, time.Now())
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -48,6 +48,11 @@
 		s.tried[view.ID] = true
 		return outcome{mayRetry: true, refusal: notSentRefusal("the endpoint is leaving")}
 	}
+	if !isVersion(view, s.stream.version) {
+		// It restarted with other software after the decision.
+		s.tried[view.ID] = true
+		return outcome{mayRetry: true, refusal: notSentRefusal("the endpoint has another software version")}
+	}
 	a := &attempt{session: s, endpoint: view}
 	if d.Candidate.Remote {
 		g, ok := s.edge.remoteGateway(view.Region, now)
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -82,7 +82,7 @@
 	var out []placement.Candidate
 	best := -1
 	for _, view := range e.Registry.Usable(req.Service, e.heartbeatInterval(), now) {
-		if view.Region != local || !req.Admits(view.ID) || coords.coordinatorOf(view.ID) != coords.selfID || !usable(view) {
+		if view.Region != local || !req.Admits(view.ID) || !isVersion(view, req.SoftwareVersion) || coords.coordinatorOf(view.ID) != coords.selfID || !usable(view) {
 			continue
 		}
 		c, ok := e.Loads.Candidate(endpointload.Query{
@@ -232,7 +232,7 @@
 		Outputs: req.Outputs, LongTokens: req.LongOutputTokens,
 		Priority: req.Priority, HasAccountPriority: req.HasAccountPriority, RoutePriority: req.RoutePriority, TimeToObjectiveMillis: req.TimeToObjective.Milliseconds(), EstimateLimitMillis: limit.Milliseconds(),
 		HardLimitMillis: placement.FinalGrantLimit(req).Milliseconds(), TimeToDeadlineMillis: req.TimeToDeadline.Milliseconds(), GrantID: s.newGrantID(),
-		ResponseStarted: req.ResponseStarted, Segments: s.segments,
+		ResponseStarted: req.ResponseStarted, Segments: s.segments, SoftwareVersion: s.stream.version,
 	}
 	grantReq.ExcludedEndpoints = slices.Clone(s.heldBack)
 	for id := range s.tried {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"github.com/hickorystage/hickorystage/internal/readlag"
 	"github.com/hickorystage/hickorystage/internal/requestlimit"
 	"github.com/hickorystage/hickorystage/internal/route"
+	"github.com/hickorystage/hickorystage/internal/streamversion"
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 	"github.com/hickorystage/hickorystage/internal/transport"
 )
@@ -97,6 +98,10 @@
 	// pace is off. PaceReporter tells other gateways of them; it may be nil.
 	Pace         *pace.Tracker
 	PaceReporter PaceReporter
+	// Streams holds which software versions began streams; nil for an empty one. StreamPeers
+	// tells other gateways and asks them; it may be nil if this gateway is the only one.
+	Streams     *streamversion.Records
+	StreamPeers StreamPeers
 	// ReadLag is how far this process is behind its sockets; nil means not at all.
 	ReadLag readlag.Func
 	Logger  *log.Logger
@@ -105,7 +110,7 @@
 // Configs brings newer configurations into force.
 type Configs interface {
 	// Fetch fetches the configuration of another gateway that has the given version, and
-	// reports whether it could be fetched and decoded.
+	// reports whether that version came into force before ctx ended.
 	Fetch(ctx context.Context, gateway string, version uint64) bool
 }
 
@@ -137,6 +142,9 @@
 	if e.Memory == nil {
 		e.Memory = memory.NewAccount(0)
 	}
+	if e.Streams == nil {
+		e.Streams = streamversion.NewRecords()
+	}
 	e.allowances = newAllowances(e)
 	c.GatewayTransport.OnConnect(e.observeConnection)
 	return e
@@ -166,6 +174,10 @@
 	}
 	ctx, cancel := e.stopping.withInterrupt(r.Context())
 	defer cancel()
+	if refusal := s.resolveVersion(ctx); refusal != nil {
+		e.refuse(s, refusal)
+		return
+	}
 	s.run(ctx)
 	requestTime.Observe(time.Since(arrived))
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,6 +24,9 @@
 	// headerReachedEndpoint says whether an endpoint may have received a request that the
 	// gateway refuses: "true" or "false".
 	headerReachedEndpoint = "X-Gateway-Reached-Endpoint"
+	// headerSoftwareVersion is the software version of the endpoint whose stream a gateway
+	// relays to another one.
+	headerSoftwareVersion = "X-Gateway-Software-Version"
 )
 
 // NotRunHeader returns the header of responses to requests of other gateways that were
@@ -47,6 +50,8 @@
 	ObjectiveMillis int64 `json:"objective_ms"`
 	// LastEventID is the event after which a broken stream resumes; empty otherwise.
 	LastEventID string `json:"last_event,omitempty"`
+	// SoftwareVersion is the only version whose endpoints may run the request; empty for any.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Account is the name of the caller's account and KeyDigest the hex digest of its
 	// key. They are empty if the request has no account.
 	Account   string `json:"account,omitempty"`
@@ -63,6 +68,7 @@
 		RemainingMillis: a.deadline.Sub(now).Milliseconds(),
 		ObjectiveMillis: a.arrived.Add(a.route.Objective).Sub(now).Milliseconds(),
 		LastEventID:     a.resumeEventID(),
+		SoftwareVersion: a.stream.version,
 	}
 	if info.Account = a.accountName(); info.Account != "" {
 		info.KeyDigest = a.keyDigest.String()
@@ -208,6 +214,7 @@
 	if info.LastEventID != "" {
 		s.header.Set("Last-Event-Id", info.LastEventID)
 	}
+	s.stream.version = info.SoftwareVersion
 	if err := s.readBody(r); err != nil {
 		return s, err
 	}
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -84,7 +84,7 @@
 	c := newCluster(t, "north", "south", "west")
 	c.addRoute(route.Route{Prefix: "/q/", Kind: route.NonIdempotent, MaxAttempts: 3})
 	for _, r := range c.regions {
-		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"})
+		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"}, time.Now())
 	}
 	s, w := c.startEndpoint("s", "south-a"), c.startEndpoint("w", "west-a")
 	north := c.regions["north"].edge
@@ -109,7 +109,7 @@
 	c := newCluster(t, "north", "south", "west")
 	c.addRoute(route.Route{Prefix: "/q/", Kind: route.NonIdempotent, MaxAttempts: 1})
 	for _, r := range c.regions {
-		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"})
+		r.edge.Registry.SetRegions(map[string]string{"north-a": "north", "south-a": "south", "west-a": "west"}, time.Now())
 	}
 	south, west := c.startEndpoint("s", "south-a"), c.startEndpoint("w", "west-a")
 	north := c.regions["north"].edge
@@ -144,7 +144,7 @@
 	// The south takes the endpoint for one of the north, the north for one of the
 	// south.
 	e := c.startEndpoint("e1", "south-a")
-	c.regions["south"].edge.Registry.SetRegions(map[string]string{"south-a": "north"})
+	c.regions["south"].edge.Registry.SetRegions(map[string]string{"south-a": "north"}, time.Now())
 	require.Equal(t, http.StatusServiceUnavailable, c.regions["north"].call(http.MethodGet, "/q/", "", nil).status)
 	require.Zero(t, requestCount(e))
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -41,6 +41,7 @@
 	headerPrompt    = "X-Prompt-Tokens"
 	headerSegments  = "X-Prompt-Segments"
 	headerLastID    = "Last-Event-Id"
+	headerResumes   = "X-Resumes"
 	headerInstance  = "X-Instance"
 	headerCold      = "X-Cold-Ms"
 	headerKey       = "X-Key"
@@ -54,7 +55,7 @@
 
 func (testCodec) ReadRequest(h http.Header) httpmeta.Request {
 	ms, _ := strconv.Atoi(h.Get(headerTimeout))
-	r := httpmeta.Request{AttemptID: h.Get(headerID), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get(headerKey)}
+	r := httpmeta.Request{AttemptID: h.Get(headerID), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get(headerKey), LastEventID: h.Get(headerLastID), Resumes: h.Get(headerResumes)}
 	if n, err := strconv.Atoi(h.Get(headerPrompt)); err == nil {
 		r.Prompt = &httpmeta.PromptInfo{Model: "m", Tokens: n, MaxOutputTokens: 10, Segments: []httpmeta.PromptSegment{{ID: "a", Tokens: n / 2}, {ID: "b", Tokens: n / 2}}}
 		total := n + r.Prompt.MaxOutputTokens
--- a/internal/edge/place.go
+++ b/internal/edge/place.go
@@ -182,7 +182,7 @@
 	best := -1
 	s.heldBack, s.soonestReturn, s.paced = nil, 0, pacedEndpoints{}
 	for _, view := range e.Registry.Usable(s.service.Name, e.heartbeatInterval(), now) {
-		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.permits(view.Region) {
+		if s.tried[view.ID] || s.tried[regionKey(view.Region)] || !s.permits(view.Region) || !isVersion(view, s.stream.version) {
 			continue
 		}
 		remote := view.Region != local
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -34,6 +34,11 @@
 	started bool
 	// lastEventID is the id of the last event sent, 0 if none has been sent.
 	lastEventID int64
+	// version is the software version that began the stream, the only one at which it may go
+	// on; empty as long as any may begin it.
+	version string
+	// recordedAt is when the version was last recorded for callers that take the stream up.
+	recordedAt time.Time
 }
 
 // StreamError reports a stream that is not an unbroken series of events.
@@ -136,6 +141,7 @@
 		a.stream.lastEventID = id
 	}
 	a.startResponse(resp)
+	a.recordVersion(time.Now())
 	if a.out == nil {
 		a.out = newStreamWriter(a.writer, &a.edge.streamBacklog, a.edge.Memory)
 	}
@@ -249,6 +255,7 @@
 		return
 	}
 	a.stream.started = true
+	a.pinVersion(resp)
 	a.copyHeader(resp)
 	a.writer.WriteHeader(resp.StatusCode)
 }
@@ -263,6 +270,7 @@
 	// Only a gateway may set them, on a response that it makes itself.
 	header.Del(headerOutcome)
 	header.Del(headerReachedEndpoint)
+	header.Del(headerSoftwareVersion)
 	maps.Copy(h, header)
 	if _, ok := h["Content-Type"]; !ok {
 		// Keeps net/http from sniffing a content type.
--- a/internal/edgeserver/server.go
+++ b/internal/edgeserver/server.go
@@ -162,6 +162,7 @@
 		Freshness:         edge.Freshness{Tracker: proofs, Clock: clock},
 		Pace:              newPace(p.EndpointPace),
 		PaceReporter:      grantController,
+		StreamPeers:       grantController,
 		ReadLag:           lag.Lag,
 		ResponseForecast:  p.ResponseForecast,
 		RegionSpill:       p.RegionSpill,
@@ -169,6 +170,7 @@
 	})
 	grantController.SetCoordinator(s.edge)
 	grantController.SetCreditKeeper(s.edge)
+	grantController.SetStreamKeeper(s.edge)
 	grantController.SetPaceRecorder(s.edge.RecordPaceReport)
 	latestStatus := fleet.NewLatestStoreStatus()
 	peerClient := peerfetch.NewClient(transport.NewDialFunc(), lag.Lag)
@@ -193,6 +195,7 @@
 		lagprobe.New(probeConn, lag, logger),
 		grantController,
 		edge.Allowances{Edge: s.edge},
+		edge.StreamVersions{Edge: s.edge},
 		reload.New(s.board, p.Settings, p.SettingsChanged, logger),
 		heartbeat.New(heartbeat.Config{
 			Board: s.board, Gateways: s.gateways, Registry: s.registry, Loads: loads, StoreStatus: latestStatus, Quarantine: quarantined, RequestQuarantine: quarantinedRequests, Limits: limits, OwnStoreStatus: s.storeStatus,
@@ -347,7 +350,7 @@
 		site, changed := s.board.Settings.Watch()
 		s.edge.RetryBudget.Configure(retrySettings(site))
 		s.edge.ColdStarts.Configure(coldSettings(site))
-		s.registry.SetRegions(site.Regions)
+		s.registry.SetRegions(site.Regions, time.Now())
 		s.memory.SetLimit(memory.Limit(site.MemoryBytes))
 		s.pool.SetBounds(site.MaxOpenFiles, site.MemoryBytes)
 		select {
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -54,6 +54,7 @@
 	CodeIncompleteResponse    Code = "incomplete_answer"
 	CodePromptHeld            Code = "prompt_held"
 	CodeRequestHeld           Code = "request_held"
+	CodeStreamVersionUnknown  Code = "stream_version_unknown"
 	CodeInternal              Code = "internal"
 )
 
@@ -87,6 +88,7 @@
 	CodeIncompleteResponse:    http.StatusBadGateway,
 	CodePromptHeld:            http.StatusServiceUnavailable,
 	CodeRequestHeld:           http.StatusServiceUnavailable,
+	CodeStreamVersionUnknown:  http.StatusServiceUnavailable,
 	CodeInternal:              http.StatusInternalServerError,
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,9 @@
 	// Sequence increases with each entry that one incarnation writes.
 	Sequence int64  `json:"seq"`
 	Service  string `json:"service"`
+	// SoftwareVersion is the version of the endpoint's software; empty in entries that come
+	// from a gateway of an earlier build.
+	SoftwareVersion string `json:"sw,omitempty"`
 	// Address is host:port.
 	Address    string        `json:"addr"`
 	DataCentre string        `json:"dc"`
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -47,8 +47,11 @@
 	// gone holds the incarnations whose entries were deleted. An entry that was written
 	// before is no sign of them: a store that is restored from a copy has it again.
 	gone map[incarnationKey]goneMark
-	// currentAt is when the entries were last known to match the store.
-	currentAt time.Time
+	// currentAt is when the entries were last known to match the store; followedSince is since
+	// when they have been followed without a gap.
+	currentAt, followedSince time.Time
+	// versionsLeft holds when an endpoint of a software version was last removed.
+	versionsLeft map[serviceVersion]time.Time
 	// storeRecoveredAt is when the last store outage ended.
 	storeRecoveredAt time.Time
 	// evacuated holds the data centres that get no requests.
@@ -86,6 +89,7 @@
 		refused:         make(map[incarnationKey]time.Time),
 		cold:            make(map[incarnationKey]time.Time),
 		gone:            make(map[incarnationKey]goneMark),
+		versionsLeft:    make(map[serviceVersion]time.Time),
 		evacuated:       make(map[string]bool),
 		evacuationEnded: make(map[string]time.Time),
 		usable:          make(map[string]usableList),
@@ -100,7 +104,7 @@
 
 // SetRegions replaces the map of data centres to regions. Endpoints in data
 // centres that it lacks are removed.
-func (r *Registry) SetRegions(regions map[string]string) {
+func (r *Registry) SetRegions(regions map[string]string, now time.Time) {
 	r.lockForChange()
 	defer r.mu.Unlock()
 	r.regions = regions
@@ -108,6 +112,7 @@
 		region, known := regions[v.DataCentre]
 		if !known {
 			delete(r.views, id)
+			r.recordVersionLeft(&v.Endpoint, now)
 			continue
 		}
 		v.Region = region
@@ -171,9 +176,13 @@
 func (r *Registry) RecordCurrent(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.After(r.currentAt) {
-		r.currentAt = at
+	if !at.After(r.currentAt) {
+		return
+	}
+	if at.Sub(r.currentAt) > StoreOutageAfter {
+		r.followedSince = at
 	}
+	r.currentAt = at
 }
 
 // IsOutOfDate reports whether endpoints may have changed without this gateway having had a
@@ -197,7 +206,7 @@
 	case e.Deleted:
 		return r.remove(e.ID, now)
 	case e.Endpoint == nil:
-		return r.invalidate(e.ID)
+		return r.invalidate(e.ID, now)
 	default:
 		return r.update(*e.Endpoint, now)
 	}
@@ -218,6 +227,7 @@
 		return []Change{{ID: id, Kind: ChangeMissing}}
 	}
 	delete(r.views, id)
+	r.recordVersionLeft(&v.Endpoint, now)
 	r.gone[incarnationKey{v.ID, v.Incarnation}] = goneMark{sequence: v.Sequence, at: now}
 	return []Change{removal(v)}
 }
@@ -228,11 +238,13 @@
 
 // invalidate handles an entry with an invalid value: the endpoint is not used
 // until a valid entry comes.
-func (r *Registry) invalidate(id string) []Change {
-	if _, ok := r.views[id]; !ok {
+func (r *Registry) invalidate(id string, now time.Time) []Change {
+	v, ok := r.views[id]
+	if !ok {
 		return nil
 	}
 	delete(r.views, id)
+	r.recordVersionLeft(&v.Endpoint, now)
 	return []Change{{ID: id, Kind: ChangeInvalid}}
 }
 
@@ -249,6 +261,9 @@
 	if mark, isGone := r.gone[key]; !ok && isGone && e.Sequence <= mark.sequence {
 		return nil
 	}
+	if ok && old.Incarnation != e.Incarnation {
+		r.recordVersionLeft(&old.Endpoint, now)
+	}
 	next := EndpointView{Endpoint: e, Region: region, UpdatedAt: now}
 	if ok && isSameEntry(e, old.Endpoint) {
 		// What was observed since the entry was written still holds.
@@ -330,12 +345,14 @@
 	for id, v := range r.views {
 		if !v.MissingSince.IsZero() && now.Sub(v.MissingSince) >= ReregistrationGrace {
 			delete(r.views, id)
+			r.recordVersionLeft(&v.Endpoint, now)
 			r.gone[incarnationKey{v.ID, v.Incarnation}] = goneMark{sequence: v.Sequence, at: now}
 			r.changes++
 			out = append(out, removal(v))
 		}
 	}
 	r.removeExpiredMarks(now)
+	r.removeOldVersions(now)
 	return out
 }
 
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -251,10 +251,10 @@
 func TestSetRegions(t *testing.T) {
 	r := NewRegistry(regionOf)
 	r.Apply([]Entry{{ID: "a", Endpoint: ready("a", 1, 1)}}, start)
-	r.SetRegions(map[string]string{"north-a": "west"})
+	r.SetRegions(map[string]string{"north-a": "west"}, time.Now())
 	b, _ := r.Get("a")
 	require.Equal(t, "west", b.Region)
-	r.SetRegions(map[string]string{})
+	r.SetRegions(map[string]string{}, time.Now())
 	require.Empty(t, usable(r, start))
 }
 
--- a/internal/httpmeta/httpmeta.go
+++ b/internal/httpmeta/httpmeta.go
@@ -18,6 +18,9 @@
 	// LastEventID is the id of the last event that a caller received of a
 	// broken stream which it wants to continue; empty for other requests.
 	LastEventID string
+	// Resumes is the AttemptID of the attempt that brought the first event of that stream;
+	// empty if the caller doesn't say.
+	Resumes string
 	// Key is the key of the caller's account; empty if the request has none.
 	Key string
 	// TokenCount is the number of prompt tokens and of the output tokens at most, together;
