Streams that name no first attempt have no record in common

Found by reading afresh: callers who take up a stream without Resumes shared one record, that of the empty id, and a stream could go on at the version of another one. Such a stream now goes on at the only version that its service has had, or is refused. TestStreamsWithoutAFirstAttemptAreNotTakenForEachOther fails if that record is looked up.

--- a/internal/edge/streamversion.go
+++ b/internal/edge/streamversion.go
@@ -54,12 +54,13 @@
 	return version == "" || view.SoftwareVersion == version
 }
 
-// streamID returns the ID of the stream that the request begins or takes up.
-func (s *session) streamID() streamversion.ID {
+// firstAttemptID returns the id of the attempt that brings, or has brought, the first event of the
+// stream; empty for a stream that the caller takes up without saying so.
+func (s *session) firstAttemptID() string {
 	if s.req.LastEventID != "" {
-		return streamversion.IDOf(s.req.Resumes)
+		return s.req.Resumes
 	}
-	return streamversion.IDOf(s.req.AttemptID)
+	return s.req.AttemptID
 }
 
 // pinVersion keeps the stream at the software version of the endpoint whose response begins it.
@@ -91,11 +92,12 @@
 // recordVersion records which version began the stream, for the case that the caller takes it up
 // again. It is called with each event; the gateway that the caller is connected to records.
 func (a *attempt) recordVersion(now time.Time) {
-	if a.forwarded != nil || a.stream.version == "" || a.stream.lastEventID == 0 || now.Sub(a.stream.recordedAt) < recordInterval {
+	first := a.firstAttemptID()
+	if a.forwarded != nil || first == "" || a.stream.version == "" || a.stream.lastEventID == 0 || now.Sub(a.stream.recordedAt) < recordInterval {
 		return
 	}
 	a.stream.recordedAt = now
-	a.edge.Streams.Begin(streamversion.Record{ID: a.streamID(), Service: a.service.Name, Version: a.stream.version}, now)
+	a.edge.Streams.Begin(streamversion.Record{ID: streamversion.IDOf(first), Service: a.service.Name, Version: a.stream.version}, now)
 }
 
 // resolveVersion finds out which software version began the stream that a caller takes up, so
@@ -121,8 +123,11 @@
 // and whether all gateways that were asked have answered. What a record says goes before what
 // follows from the versions that the service has had: this gateway may learn of a new one late.
 func (s *session) lookUpVersion(ctx context.Context) (version string, allAnswered bool) {
-	e, now, id := s.edge, time.Now(), s.streamID()
+	e, now, id := s.edge, time.Now(), streamversion.IDOf(s.firstAttemptID())
 	version, sole := e.LookupStream(id, s.service.Name, now)
+	if s.firstAttemptID() == "" {
+		return sole, true
+	}
 	if version != "" {
 		return version, true
 	}
--- a/internal/edge/streamversion_test.go
+++ b/internal/edge/streamversion_test.go
@@ -292,6 +292,17 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.regions["gw-north-1"].takeUp("d", "another", 2).status, "v1 has just left")
 }
 
+// TestStreamsWithoutAFirstAttemptAreNotTakenForEachOther guards against callers who take up
+// streams without naming an attempt, and get the version of another such stream.
+func TestStreamsWithoutAFirstAttemptAreNotTakenForEachOther(t *testing.T) {
+	f := newStreamFleet(t, 1)
+	endpoints := f.startVersions("v1", "v2")
+	f.setVersions(endpoints, "v1", "v2")
+	north := f.regions["gw-north-0"]
+	north.edge.KeepStream(streamversion.Record{ID: streamversion.IDOf(""), Service: "s", Version: "v1"}, time.Now())
+	require.Equal(t, http.StatusServiceUnavailable, north.takeUp("b", "", 2).status)
+}
+
 func TestCollectStreamAnswers(t *testing.T) {
 	answer := func(version, sole string, isLocal bool) streamAnswer {
 		return streamAnswer{response: grants.StreamResponse{Version: version, SoleVersion: sole}, isLocal: isLocal}
