Refuse a share of the requests while a queue stands before a gateway

Cause: nothing bounded what a gateway takes on while it is behind. The first rule against it refused from one late probe on, for up to two seconds, also callers who come one at a time, and was taken back.

Change: refusals begin when the lag has exceeded 50 ms for 0.3 s without a break, follow the lag, and end half a second after it has fallen; the least urgent requests are refused first, two in each tenth of a second never, nor the rest of a stream. They are made before the body is read, as not run.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/hickorystage/hickorystage/internal/httpmeta"
 	"github.com/hickorystage/hickorystage/internal/inflight"
 	"github.com/hickorystage/hickorystage/internal/memory"
+	"github.com/hickorystage/hickorystage/internal/overload"
 	"github.com/hickorystage/hickorystage/internal/pace"
 	"github.com/hickorystage/hickorystage/internal/quarantine"
 	"github.com/hickorystage/hickorystage/internal/readlag"
@@ -129,6 +130,7 @@
 	health                                healthChecks
 	pacing                                *pacing
 	stopping                              *stopping
+	shedder                               overload.Shedder
 	spills                                spills
 	allowances                            *allowances
 	// streamBacklog is the number of bytes that callers have not taken yet of their streams.
@@ -202,6 +204,9 @@
 		return s, err
 	}
 	s.setDeadline()
+	if err := s.overloadRefusal(); err != nil {
+		return s, err
+	}
 	if err := s.readBody(r); err != nil {
 		return s, err
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -215,6 +215,9 @@
 		s.header.Set("Last-Event-Id", info.LastEventID)
 	}
 	s.stream.version = info.SoftwareVersion
+	if err := s.overloadRefusal(); err != nil {
+		return s, err
+	}
 	if err := s.readBody(r); err != nil {
 		return s, err
 	}
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -190,6 +190,16 @@
 	for _, name := range names {
 		c.regions[name] = c.startGateway(name)
 	}
+	c.introduceAt(1)
+	return c
+}
+
+// hearAgain makes the gateways hear each other once more, after which they are alive for
+// fleet.SilenceTimeout.
+func (c *cluster) hearAgain() { c.introduceAt(2) }
+
+// introduceAt makes the gateways hear each other with statuses of the given sequence number.
+func (c *cluster) introduceAt(seq uint64) {
 	for _, r := range c.regions {
 		for _, o := range c.regions {
 			if o != r {
@@ -199,12 +209,11 @@
 					Ready:   true,
 				}
 				r.edge.Gateways.ApplyStatus(status, time.Now().Add(-time.Minute))
-				status.Seq = 1
+				status.Seq = seq
 				r.edge.Gateways.ApplyStatus(status, time.Now())
 			}
 		}
 	}
-	return c
 }
 
 // startGateway starts the only gateway of a region, which has been running for a while.
--- a/internal/edge/lag_test.go
+++ b/internal/edge/lag_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hickorystage/hickorystage/internal/route"
+	"github.com/hickorystage/hickorystage/internal/streamversion"
 )
 
 func constantLag(lag time.Duration) func(time.Time) time.Duration {
@@ -56,3 +57,57 @@
 		require.Empty(t, e.requests())
 	}
 }
+
+// TestGatewayBehindItsSocketsRefusesAtOnce guards against requests that wait in a gateway which
+// is short of processor time until their callers give up. The most urgent are refused last.
+func TestGatewayBehindItsSocketsRefusesAtOnce(t *testing.T) {
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		t.Run(dataCentre, func(t *testing.T) {
+			c := newCluster(t, "north", "south")
+			c.addRoute(route.Route{Prefix: "/urgent/", Kind: route.Idempotent, MaxAttempts: 1, Timeout: time.Minute})
+			c.addRoute(route.Route{Prefix: "/q/", Kind: route.Idempotent, MaxAttempts: 1, Timeout: time.Minute, Priority: 5})
+			e := c.startEndpoint("e1", dataCentre)
+			north := c.regions["north"]
+			north.edge.ReadLag = constantLag(time.Second)
+			refused := map[string]int{}
+			sent := 0
+			for began := time.Now(); time.Since(began) < time.Second; {
+				for _, path := range []string{"/urgent/", "/q/"} {
+					sent++
+					resp := north.call(http.MethodGet, path, "", nil)
+					if resp.status == http.StatusOK {
+						continue
+					}
+					require.Equal(t, http.StatusServiceUnavailable, resp.status)
+					require.NotEmpty(t, resp.header.Get("Retry-After"))
+					refused[path]++
+				}
+			}
+			require.Positive(t, refused["/q/"])
+			require.Greater(t, refused["/q/"], refused["/urgent/"])
+			require.Equal(t, sent-refused["/q/"]-refused["/urgent/"], requestCount(e), "what was refused has not run")
+			north.edge.ReadLag = nil
+			c.hearAgain()
+			require.Eventually(t, func() bool { return north.call(http.MethodGet, "/q/", "", nil).status == http.StatusOK }, 5*time.Second, 10*time.Millisecond)
+		})
+	}
+}
+
+// TestRestOfAStreamIsServedByAGatewayThatIsBehind guards against streams that are lost because
+// the gateway that could go on with them refuses new requests.
+func TestRestOfAStreamIsServedByAGatewayThatIsBehind(t *testing.T) {
+	f := newStreamFleet(t, 1)
+	endpoints := f.startVersions("v1")
+	f.setVersions(endpoints, "v1")
+	north := f.regions["gw-north-0"]
+	north.edge.KeepStream(streamversion.Record{ID: streamversion.IDOf("a"), Service: "s", Version: "v1"}, time.Now())
+	north.edge.ReadLag = constantLag(100 * time.Millisecond)
+	refused := 0
+	for i, began := 0, time.Now(); time.Since(began) < time.Second; i++ {
+		if north.call(http.MethodPost, "/s/", "", map[string]string{headerID: "new-" + strconv.Itoa(i)}).status != http.StatusOK {
+			refused++
+		}
+		require.Equal(t, http.StatusOK, north.takeUp("b-"+strconv.Itoa(i), "a", 2).status)
+	}
+	require.Positive(t, refused)
+}
