A hold that turns out wrong leaves the evidence against other segments

Cause: each deadly request held a popular segment before the deadly one, which had one crash more. It was held first, rightly cleared by a sound response 0.15 s later, and with the hold had gone all crashes that it accounted for, six against the deadly segment.

Change: such crashes are set aside while the other segment is held, and count again when it is cleared. TestEvidenceOutlastsAWrongHold failed before.

Class: a decision that destroys what would show it to be wrong.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -99,6 +99,7 @@
 const (
 	maxSuspects      = 2048
 	maxCrashesPerKey = 16
+	maxSetAside      = 64
 )
 
 // Kind is the kind of a Change.
@@ -135,9 +136,9 @@
 	// requests. records holds the keys that are or were lately suspect.
 	completed recentTimes
 	records   map[Key]*record
-	// explained holds the crashes that a held key accounts for, by endpoint, and when they
-	// were learned of. They say nothing about other keys.
-	explained map[uint64]time.Time
+	// explained holds the crashes that a held key accounts for, by endpoint. They say nothing
+	// about other keys as long as that key isn't found to be sound.
+	explained map[uint64]*explanation
 	// held is the number of held keys.
 	held    atomic.Int64
 	changes []Change
@@ -157,6 +158,20 @@
 	onProbation bool
 }
 
+// explanation says which held key accounts for the crash of an endpoint.
+type explanation struct {
+	by        Key
+	learnedAt time.Time
+	// setAside holds the same crash as recorded for other keys.
+	setAside []suspicion
+}
+
+// suspicion is a crash as recorded for one key.
+type suspicion struct {
+	key   Key
+	crash crash
+}
+
 type crash struct {
 	// sentAt is when the endpoint was sent the request, at when it crashed.
 	sentAt, at, learnedAt time.Time
@@ -168,7 +183,7 @@
 
 // New returns a tracker of prompt segments that knows none.
 func New() *Tracker {
-	return &Tracker{completed: newRecentTimes(), records: make(map[Key]*record), explained: make(map[uint64]time.Time)}
+	return &Tracker{completed: newRecentTimes(), records: make(map[Key]*record), explained: make(map[uint64]*explanation)}
 }
 
 // NewOfRequests returns a tracker of whole requests that knows none.
@@ -230,14 +245,18 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	wasCleared := false
 	for _, k := range keys {
 		if !t.ofRequests {
 			t.completed.set(k, now)
 		}
 		if r, ok := t.records[k]; ok {
-			t.complete(k, r, now, now, false)
+			wasCleared = t.complete(k, r, now, now, false) || wasCleared
 		}
 	}
+	if wasCleared {
+		t.evaluate(false, now)
+	}
 }
 
 // isAnySuspect reports whether there is a record of one of the keys.
@@ -298,7 +317,11 @@
 
 // addCrash adds the crash of an endpoint, unless it is known or says nothing about the key.
 func (t *Tracker) addCrash(k Key, endpoint uint64, c crash) {
-	if c.learnedAt.Sub(c.at) > t.crashMemory() || t.isExplained(k, endpoint) {
+	if c.learnedAt.Sub(c.at) > t.crashMemory() {
+		return
+	}
+	if t.isExplained(k, endpoint) {
+		t.explained[endpoint].setCrashAside(k, c)
 		return
 	}
 	r := t.record(k, c.learnedAt)
@@ -326,10 +349,11 @@
 }
 
 // complete records a complete response at the given time, which clears the key of the
-// crashes before it.
-func (t *Tracker) complete(k Key, r *record, at, now time.Time, reported bool) {
+// crashes before it. It reports whether the key was held and is no longer; what it accounted for
+// then counts against other keys again.
+func (t *Tracker) complete(k Key, r *record, at, now time.Time, reported bool) (wasCleared bool) {
 	if !at.After(r.completedAt) {
-		return
+		return false
 	}
 	r.completedAt, r.completionLearnedAt, r.onProbation = at, now, false
 	for endpoint, c := range r.crashes {
@@ -337,8 +361,31 @@
 			delete(r.crashes, endpoint)
 		}
 	}
-	if !r.heldAt.IsZero() && at.After(r.heldAt) {
-		t.release(k, r, Cleared, reported)
+	if r.heldAt.IsZero() || !at.After(r.heldAt) {
+		return false
+	}
+	t.release(k, r, Cleared, reported)
+	t.withdrawExplanations(k, now)
+	return true
+}
+
+// withdrawExplanations counts the crashes that key k accounted for against the other keys of their
+// requests again, without those that were in complete responses since.
+func (t *Tracker) withdrawExplanations(k Key, now time.Time) {
+	for endpoint, e := range t.explained {
+		if e.by != k {
+			continue
+		}
+		delete(t.explained, endpoint)
+		for _, s := range e.setAside {
+			if s.key == k || now.Sub(s.crash.at) > t.crashMemory() {
+				continue
+			}
+			r := t.record(s.key, now)
+			if _, ok := r.crashes[endpoint]; !ok && s.crash.at.After(r.completedAt) && len(r.crashes) < maxCrashesPerKey {
+				r.crashes[endpoint], r.suspectedAt = s.crash, now
+			}
+		}
 	}
 }
 
@@ -362,14 +409,27 @@
 
 // explain records that key k, which is held, accounts for the crash of an endpoint.
 func (t *Tracker) explain(k Key, endpoint uint64, now time.Time) {
-	t.explained[endpoint] = now
+	e, ok := t.explained[endpoint]
+	if !ok || e.by != k {
+		e = &explanation{by: k}
+		t.explained[endpoint] = e
+	}
+	e.learnedAt = now
 	for other, r := range t.records {
-		if other != k && r.heldAt.IsZero() {
+		if c, ok := r.crashes[endpoint]; ok && other != k && r.heldAt.IsZero() {
+			e.setCrashAside(other, c)
 			delete(r.crashes, endpoint)
 		}
 	}
 }
 
+// setCrashAside keeps the crash as recorded for key k.
+func (e *explanation) setCrashAside(k Key, c crash) {
+	if len(e.setAside) < maxSetAside && !slices.ContainsFunc(e.setAside, func(s suspicion) bool { return s.key == k }) {
+		e.setAside = append(e.setAside, suspicion{key: k, crash: c})
+	}
+}
+
 // evaluate holds the keys that have become too suspect, the worst first, since each of
 // them may account for the crashes of others.
 func (t *Tracker) evaluate(reported bool, now time.Time) {
@@ -486,8 +546,8 @@
 			delete(t.records, k)
 		}
 	}
-	for endpoint, at := range t.explained {
-		if now.Sub(at) > crashMemory {
+	for endpoint, e := range t.explained {
+		if now.Sub(e.learnedAt) > crashMemory {
 			delete(t.explained, endpoint)
 		}
 	}
