Test of heads without end: read the whole dispatch before answering

Traced: the stand-in answered while the dispatch was still being written; the client then closed the connection for the header, and net/http reported whichever came first, that or the failed write.

The stand-in now reads the whole request first.

--- a/internal/action/sender/sender_test.go
+++ b/internal/action/sender/sender_test.go
@@ -263,7 +263,12 @@
 			return
 		}
 		defer conn.Close()
-		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		// A dispatch that is still being written may fail with the write's error instead.
+		if _, err = io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
 		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
