Tests of long fetches: a configuration that can't be compressed

Its configuration is random now, and the store reader is heard as often as in service. The checks are the same.

--- a/internal/controller/routesync/catchup_test.go
+++ b/internal/controller/routesync/catchup_test.go
@@ -1,9 +1,10 @@
 package routesync
 
 import (
+	"bytes"
 	"context"
+	"crypto/rand"
 	"net/http"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/hickorystage/hickorystage/internal/fleet"
 	"github.com/hickorystage/hickorystage/internal/peerfetch"
+	"github.com/hickorystage/hickorystage/internal/route"
 	"github.com/hickorystage/hickorystage/internal/settings"
 	"github.com/hickorystage/hickorystage/internal/standin/memnet"
 	"github.com/hickorystage/hickorystage/internal/standin/slowlink"
@@ -20,6 +22,22 @@
 
 const largestConfig = 1 << 20
 
+// paddedSource decodes configurations that consist of the version, a space and padding.
+type paddedSource struct{ *fakeSource }
+
+func (s paddedSource) Decode(raw []byte) (*route.Table, error) {
+	version, _, _ := bytes.Cut(raw, []byte(" "))
+	return s.fakeSource.Decode(version)
+}
+
+// largeConfig returns a configuration of version 8 that can't be compressed.
+func largeConfig() []byte {
+	raw := make([]byte, largestConfig)
+	_, _ = rand.Read(raw)
+	copy(raw, "8 ")
+	return raw
+}
+
 // besideSlowLink runs test with a controller that has version 7 and a link that carries rate
 // bytes per second. The gateway "reader" has version 8, of largestConfig bytes. hear lets the
 // controller hear of it, and of evacuated data centres.
@@ -27,11 +45,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeSource()
 		s.addChange(Change{Routes: table(7)})
-		c := newController(t, s)
+		c := newController(t, paddedSource{s})
 		c.Board.Settings.Set(&settings.PlatformSettings{Limits: settings.Limits{ConfigPropagation: 5 * time.Second, Evacuation: 5 * time.Second}})
 		c.adopt(table(7))
 		listener := memnet.Listen("reader")
-		raw := []byte(strings.Repeat("0", largestConfig-1) + "8")
+		raw := largeConfig()
 		server := &http.Server{Handler: peerfetch.Handler(peerfetch.Sources{Routes: func() []byte { return raw }})}
 		served := make(chan error)
 		go func() { served <- server.Serve(listener) }()
@@ -58,7 +76,10 @@
 // configuration has arrived.
 func TestEvacuationIsInForceDuringALongFetch(t *testing.T) {
 	besideSlowLink(t, largestConfig/3, func(c *Controller, hear func(...string)) {
-		time.Sleep(time.Second)
+		for range 4 {
+			time.Sleep(250 * time.Millisecond)
+			hear()
+		}
 		hear("north-a")
 		time.Sleep(10 * time.Millisecond)
 		require.Equal(t, map[string]bool{"north-a": true}, c.Board.Evacuated.Get())
@@ -76,11 +97,11 @@
 func TestFetchOutlastsTheRequestsThatWaitForIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		listener := memnet.Listen("reader")
-		raw := []byte(strings.Repeat("0", largestConfig-1) + "8")
+		raw := largeConfig()
 		server := &http.Server{Handler: peerfetch.Handler(peerfetch.Sources{Routes: func() []byte { return raw }})}
 		served := make(chan error)
 		go func() { served <- server.Serve(listener) }()
-		c := newController(t, newFakeSource())
+		c := newController(t, paddedSource{newFakeSource()})
 		c.adopt(table(7))
 		c.Client = peerfetch.NewClient(slowlink.Dial(listener.Dial, slowlink.TenMegabits), nil)
 		c.Gateways.ApplyStatus(fleet.GatewayStatus{Gateway: fleet.Gateway{ID: "reader", Incarnation: "1", Region: "north", PeerAddress: "reader:1"}, Seq: 1}, time.Now())
