--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -574,3 +574,72 @@
 	w.record.line("streams: %d whole, %d visibly broken off or refused, %d that looked complete and lacked their end", whole, brokenOff, early)
 	return early > 0, nil
 }
+
+// playRequestMoved: a request crashes the workers that run it, and comes again and again, until the
+// gateways hold it. Then the operator moves its route to another service, and back to a third.
+func playRequestMoved(w *world) (bool, error) {
+	desk := func(name string) map[string]any {
+		return map[string]any{"name": name, "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false, "cold-start-s": 0.0, "cold-per-s": 0.0}
+	}
+	services := []any{desk("desk-a"), desk("desk-b"), desk("desk-c")}
+	put := func(version int, service string) error {
+		r := statusRoute()
+		r["service"] = service
+		return w.putConfig(config(version, []any{r}, services...))
+	}
+	if err := put(7, "desk-a"); err != nil {
+		return false, err
+	}
+	load := workload{plain: 30 * time.Millisecond, deadlyPath: "/status/deadly", backAfter: 3 * time.Second}
+	for _, service := range []string{"desk-a", "desk-b", "desk-c"} {
+		for i := range 6 {
+			if _, err := w.addWorker(fmt.Sprintf("i-%s-%d", service, i+1), service, "selenge-a", "v1", 6, 24, load); err != nil {
+				return false, err
+			}
+		}
+	}
+	if err := w.addGateways("selenge-a", "selenge-a"); err != nil {
+		return false, err
+	}
+	if w.hasTrouble {
+		go func() {
+			for i, service := range []string{"desk-b", "desk-c"} {
+				w.at(30*time.Second + time.Duration(i)*12*time.Second)
+				if err := put(9+2*i, service); err != nil {
+					w.record.line("%v", err)
+				}
+			}
+		}()
+	}
+	w.at(8 * time.Second)
+	var wg sync.WaitGroup
+	for path, every := range map[string]time.Duration{"/status/deadly": 700 * time.Millisecond, "/status/x": 50 * time.Millisecond} {
+		wg.Go(func() {
+			w.sendEach(every, 55*time.Second, func(int) request { return request{method: "GET", path: path, deadline: 3 * time.Second} }, func(_ int, a *answer) {
+				if a.status != 200 {
+					w.record.line("client: %s %s to %s, sent at %.3f: status %d, retry after %v, err %v", path, a.id, a.gateway, a.sentAt.Sub(w.record.start).Seconds(), a.status, a.retryAfter, a.err)
+				}
+			})
+		})
+	}
+	wg.Wait()
+	var ran []run
+	for _, s := range w.workers {
+		for _, r := range s.allRuns() {
+			if r.path == "/status/deadly" {
+				ran = append(ran, r)
+			}
+		}
+	}
+	slices.SortFunc(ran, func(a, b run) int { return a.at.Compare(b.at) })
+	counted := 0
+	for i, r := range ran {
+		counts := i > 2 && r.at.After(ran[2].at.Add(contactTime))
+		if counts {
+			counted++
+		}
+		w.record.line("worker %s runs %s at %.3f and crashes; counts: %v", r.worker, r.attempt, r.at.Sub(w.record.start).Seconds(), counts)
+	}
+	w.record.line("%d runs in all; %d later than contact-ms after the third crash, where 3 are allowed", len(ran), counted)
+	return counted > 3, nil
+}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -26,6 +26,7 @@
 	"route-held":       playRouteHeld,
 	"cold-again":       playColdAgain,
 	"length-kept":      playLengthKept,
+	"request-moved":    playRequestMoved,
 }
 
 func main() { os.Exit(play()) }
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -19,6 +19,7 @@
 type run struct {
 	at                                time.Time
 	worker, version, attempt, outcome string
+	path                              string
 	parts                             []string
 }
 
@@ -32,6 +33,8 @@
 	// deadlyPart is the part of a prompt that crashes the worker when it begins to write an
 	// answer on it; empty for none. backAfter is the time from a crash to the next start.
 	deadlyPart string
+	// deadlyPath is the path of requests that crash the worker; empty for none.
+	deadlyPath string
 	backAfter  time.Duration
 	// coldCrash is the number of requests in a second above which a cold worker crashes; 0 for
 	// none.
@@ -219,7 +222,7 @@
 		return
 	}
 	parts := promptParts(r.Header.Get("Hickorystage-Prompt-Prefix"))
-	arrival := run{at: time.Now(), worker: s.id, version: version, attempt: id, parts: parts}
+	arrival := run{at: time.Now(), worker: s.id, version: version, attempt: id, path: r.URL.Path, parts: parts}
 	release, ok := s.place(r)
 	s.setLoad(w.Header())
 	if !ok {
@@ -263,6 +266,10 @@
 		s.fallOver(version, "part "+s.load.deadlyPart+" in request "+id)
 		panic(http.ErrAbortHandler)
 	}
+	if s.load.deadlyPath != "" && r.URL.Path == s.load.deadlyPath {
+		s.fallOver(version, "request "+id)
+		panic(http.ErrAbortHandler)
+	}
 	if strings.HasPrefix(r.URL.Path, "/status/") {
 		if sleep(ctx, s.load.plain) {
 			fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
