--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -13,6 +13,8 @@
 	"time"
 )
 
+// heartbeat is heartbeat-ms. The platform removes the entry of a worker that has been silent for
+// three of them.
 const heartbeat = 1200 * time.Millisecond
 
 // run is one request that reached a worker.
@@ -67,9 +69,12 @@
 	running              int
 	waiting              int
 	coldSince, coldUntil time.Time
-	places               chan struct{}
-	ended                chan struct{}
-	endOnce              sync.Once
+	// beatAt is when the entry was last written, hasEntry is set while the store has it.
+	beatAt   time.Time
+	hasEntry bool
+	places   chan struct{}
+	ended    chan struct{}
+	endOnce  sync.Once
 
 	runsMu sync.Mutex
 	runs   []run
@@ -86,14 +91,17 @@
 	}
 	w.workers = append(w.workers, s)
 	go func() {
-		ticker := time.NewTicker(heartbeat)
+		ticker, checks := time.NewTicker(heartbeat), time.NewTicker(50*time.Millisecond)
 		defer ticker.Stop()
+		defer checks.Stop()
 		for {
 			select {
 			case <-s.ended:
 				return
 			case <-ticker.C:
 				s.beat()
+			case <-checks.C:
+				s.expire()
 			}
 		}
 	}()
@@ -141,10 +149,23 @@
 		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": "ready",
 		"cold-remaining-ms": max(time.Until(s.coldUntil).Milliseconds(), 0), "sequence": s.sequence, "born": s.born,
 	})
+	s.beatAt, s.hasEntry = time.Now(), true
 	s.mu.Unlock()
 	s.world.store.Put("servers/"+s.id, value)
 }
 
+// expire removes the entry, as the platform does, once the worker has been silent for too long.
+func (s *worker) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.up || !s.hasEntry || time.Since(s.beatAt) < 3*heartbeat {
+		return
+	}
+	s.hasEntry = false
+	s.world.store.Delete("servers/" + s.id)
+	s.world.record.line("the entry of worker %s is removed", s.id)
+}
+
 // crash ends the worker at once: its listener is closed and all its channels are reset.
 func (s *worker) crash(why string) {
 	s.mu.Lock()
