--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -14,6 +14,9 @@
 	"most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 }
 
+// coldStart is how long a model worker is cold after its start.
+const coldStart = 3 * time.Second
+
 // coldPerSecond is what a cold model worker tolerates at the small sites.
 const coldPerSecond = 2.4
 
@@ -52,7 +55,7 @@
 	if err := w.putConfig(config(7, []any{careRoute("llm")}, modelService("llm", coldPerSecond))); err != nil {
 		return false, err
 	}
-	load := workload{events: 20, gap: 300 * time.Millisecond}
+	load := workload{events: 20, gap: 300 * time.Millisecond, coldStart: coldStart}
 	var canary *worker
 	for i := range 6 {
 		version := "v1"
@@ -203,10 +206,11 @@
 	return out
 }
 
-// judgePart applies the rule: of the requests with the part, no more than three reach workers,
-// sent by machines in touch, later than contact-ms after the fifth crash. inTouch reports whether
+// judgePart returns how often requests with the part reached workers, sent by machines in touch,
+// later than contact-ms after the fifth crash, and the number of these requests. inTouch reports whether
 // the gateways were in touch at a time.
-func (w *world) judgePart(inTouch func(time.Time) bool) (counted int, fifth time.Time) {
+func (w *world) judgePart(inTouch func(time.Time) bool) (counted, requests int, fifth time.Time) {
+	ids := make(map[string]bool)
 	for i, r := range w.arrivals() {
 		if i == 4 {
 			fifth = r.at
@@ -214,17 +218,18 @@
 		counts := !fifth.IsZero() && r.at.After(fifth.Add(contactTime)) && inTouch(r.at)
 		if counts {
 			counted++
+			ids[r.attempt] = true
 		}
 		w.record.line("worker %s runs %s with the part at %.3f and crashes; counts: %v", r.worker, r.attempt, r.at.Sub(w.record.start).Seconds(), counts)
 	}
-	return counted, fifth
+	return counted, len(ids), fifth
 }
 
 func isAlwaysInTouch(time.Time) bool { return true }
 
 // addPool adds n workers of a service, which the deadly part crashes.
 func (w *world) addPool(service string, n int) error {
-	load := workload{events: 10, gap: 150 * time.Millisecond, deadlyPart: deadlyPart, backAfter: 3 * time.Second}
+	load := workload{events: 10, gap: 150 * time.Millisecond, deadlyPart: deadlyPart, backAfter: 3 * time.Second, coldStart: coldStart}
 	for i := range n {
 		if _, err := w.addWorker(fmt.Sprintf("i-%s-%d", service, i+1), service, "selenge-a", "v1", 64, 64, load); err != nil {
 			return err
@@ -259,13 +264,13 @@
 		}()
 	}
 	served, lost := w.partTraffic(65*time.Second, phase{from: 6200 * time.Millisecond, until: 65 * time.Second, every: 700 * time.Millisecond, atOnce: 1})
-	counted, fifth := w.judgePart(isAlwaysInTouch)
+	counted, requests, fifth := w.judgePart(isAlwaysInTouch)
 	w.record.line("sound requests: %d served, %d broken off or refused", served, lost)
 	if fifth.IsZero() {
 		return false, fmt.Errorf("fewer than five workers crashed")
 	}
-	w.record.line("the fifth crash was at %.3f; %d requests with the part reached workers later than contact-ms after it, where 3 are allowed", fifth.Sub(w.record.start).Seconds(), counted)
-	return counted > 3, nil
+	w.record.line("the fifth crash was at %.3f; %d arrivals of %d requests with the part later than contact-ms after it, where 3 are allowed", fifth.Sub(w.record.start).Seconds(), counted, requests)
+	return requests > 3, nil
 }
 
 // playPartForgotten: a part of prompts crashes workers until the gateways hold it. Then all
@@ -298,14 +303,14 @@
 	served, lost := w.partTraffic(50*time.Second,
 		phase{from: 6200 * time.Millisecond, until: 16 * time.Second, every: 500 * time.Millisecond, atOnce: 1},
 		phase{from: 16 * time.Second, until: 50 * time.Second, every: 9 * time.Second, atOnce: 3})
-	counted, fifth := w.judgePart(func(at time.Time) bool {
+	counted, requests, fifth := w.judgePart(func(at time.Time) bool {
 		return !slices.ContainsFunc(w.gateways, func(g *gateway) bool { return at.Before(g.startedAt.Add(contactTime)) })
 	})
 	w.record.line("sound requests: %d served, %d broken off or refused", served, lost)
 	if fifth.IsZero() {
 		return false, fmt.Errorf("fewer than five workers crashed")
 	}
-	w.record.line("the fifth crash was at %.3f; %d requests with the part reached workers later than contact-ms after it, sent by gateways in touch, where 3 are allowed", fifth.Sub(w.record.start).Seconds(), counted)
+	w.record.line("the fifth crash was at %.3f; %d arrivals of %d requests with the part later than contact-ms after it, sent by gateways in touch, where 3 are allowed", fifth.Sub(w.record.start).Seconds(), counted, requests)
 	return counted > 3, nil
 }
 
@@ -331,7 +336,7 @@
 	if err := w.putConfig(config(7, []any{careRoute("llm"), statusRoute()}, services...)); err != nil {
 		return false, err
 	}
-	load := workload{events: 6, gap: 150 * time.Millisecond, plain: 15 * time.Millisecond}
+	load := workload{events: 6, gap: 150 * time.Millisecond, plain: 15 * time.Millisecond, coldStart: coldStart}
 	var inKherlen []*worker
 	for zone, n := range map[string]int{"selenge-a": 4, "tuul-a": 4, "kherlen-a": 4} {
 		for i := range n {
@@ -363,7 +368,6 @@
 			}
 			w.at(back)
 			for _, s := range inKherlen {
-				s.setCold(3 * time.Second)
 				if err := s.start("v1"); err != nil {
 					w.record.line("%v", err)
 				}
@@ -441,7 +445,7 @@
 	if err := w.putConfig(config(7, []any{queryRoute()}, modelService("llm", coldPerSecond))); err != nil {
 		return false, err
 	}
-	load := workload{events: 3, gap: 20 * time.Millisecond, coldCrash: 10, backAfter: 3 * time.Second}
+	load := workload{events: 3, gap: 20 * time.Millisecond, coldCrash: 10, backAfter: 3 * time.Second, coldStart: coldStart}
 	var s *worker
 	for i := range 4 {
 		var err error
@@ -510,71 +514,6 @@
 	return w.hasTrouble && float64(worst) > coldLimit, nil
 }
 
-// playLengthKept: streams come with their length. Workers crash one after the other, and the
-// streams that they ran go on at others, which choose other words. No stream may look complete
-// that isn't.
-func playLengthKept(w *world) (bool, error) {
-	if err := w.putConfig(config(7, []any{careRoute("llm")}, modelService("llm", coldPerSecond))); err != nil {
-		return false, err
-	}
-	load := workload{events: 20, gap: 200 * time.Millisecond, hasLength: true}
-	var workers []*worker
-	for i := range 6 {
-		s, err := w.addWorker(fmt.Sprintf("i-%d", i+1), "llm", "selenge-a", "v1", 64, 192, load)
-		if err != nil {
-			return false, err
-		}
-		workers = append(workers, s)
-	}
-	if err := w.addGateways("selenge-a", "selenge-a"); err != nil {
-		return false, err
-	}
-	const end = 90 * time.Second
-	w.at(6 * time.Second)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if !w.hasTrouble {
-			return
-		}
-		for i := range 13 {
-			at, s := 11*time.Second+time.Duration(i)*6*time.Second, workers[i%len(workers)]
-			w.at(at)
-			s.crash("")
-			w.at(at + 2*time.Second)
-			if err := s.start("v1"); err != nil {
-				w.record.line("%v", err)
-			}
-		}
-	}()
-	var mu sync.Mutex
-	whole, brokenOff, early := 0, 0, 0
-	w.sendEach(16*time.Millisecond, end, func(n int) request {
-		return request{method: "POST", path: "/care/x", body: fmt.Sprintf("prompt %d", n), parts: fmt.Sprintf("aa01:512,bb%02x:4000,cc%06x:900", n%24, n), tokens: "5412,160", deadline: 12 * time.Second}
-	}, func(_ int, a *answer) {
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case a.status == 200 && a.complete && len(a.events) == load.events:
-			whole++
-			return
-		case a.status == 200 && a.complete:
-			early++
-		default:
-			brokenOff++
-		}
-		w.record.line("client: %s to %s, sent at %.3f: status %d, %d of %d events, looks complete: %v, err %v: %s", a.id, a.gateway, a.sentAt.Sub(w.record.start).Seconds(), a.status, len(a.events), load.events, a.complete, a.err, strings.Join(a.events, " "))
-	})
-	<-done
-	for _, s := range workers {
-		for _, r := range s.allRuns() {
-			w.record.line("worker %s %s %s at %.3f", r.worker, r.outcome, r.attempt, r.at.Sub(w.record.start).Seconds())
-		}
-	}
-	w.record.line("streams: %d whole, %d visibly broken off or refused, %d that looked complete and lacked their end", whole, brokenOff, early)
-	return early > 0, nil
-}
-
 // playRequestMoved: a request crashes the workers that run it, and comes again and again, until the
 // gateways hold it. Then the operator moves its route to another service, and back to a third.
 func playRequestMoved(w *world) (bool, error) {
--- a/review/_rig2/client.go
+++ b/review/_rig2/client.go
@@ -44,6 +44,10 @@
 // send sends a request to a gateway on a new channel.
 func (w *world) send(g *gateway, r request) *answer {
 	a := &answer{id: fmt.Sprintf("a%06x", attemptCounter.Add(1)), gateway: g.name, sentAt: time.Now()}
+	w.record.line("client: sends %s %s %s to %s, parts %q", a.id, r.method, r.path, g.name, r.parts)
+	defer func() {
+		w.record.line("client: %s is answered: status %d, stamp %q, %d events, complete %v, retry after %v, err %v", a.id, a.status, a.stamp, len(a.events), a.complete, a.retryAfter, a.err)
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), r.deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+g.address(portFront)+r.path, strings.NewReader(r.body))
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -25,7 +25,6 @@
 	"part-forgotten":   playPartForgotten,
 	"route-held":       playRouteHeld,
 	"cold-again":       playColdAgain,
-	"length-kept":      playLengthKept,
 	"request-moved":    playRequestMoved,
 }
 
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,9 +40,8 @@
 	// coldCrash is the number of requests in a second above which a cold worker crashes; 0 for
 	// none.
 	coldCrash int
-	// hasLength is set if streams come with their length. Their texts are then words drawn anew
-	// for each run.
-	hasLength bool
+	// coldStart is cold-start-s: how long the worker is cold after a start during traffic.
+	coldStart time.Duration
 }
 
 // worker plays one worker. It registers in the store and can crash and start again.
@@ -116,6 +114,9 @@
 	}
 	s.mu.Lock()
 	s.version, s.born, s.sequence, s.up = version, time.Now().UnixMilli(), 0, true
+	if s.crashes > 0 {
+		s.coldSince, s.coldUntil = time.Now(), time.Now().Add(s.load.coldStart)
+	}
 	s.listener, s.conns = l, make(map[net.Conn]struct{})
 	s.server = &http.Server{Handler: s, ConnState: s.track}
 	server := s.server
@@ -200,6 +201,7 @@
 }
 
 func (s *worker) add(r run) {
+	s.world.record.line("worker %s (%s): %s %s, %s", r.worker, r.version, r.attempt, r.path, r.outcome)
 	s.runsMu.Lock()
 	defer s.runsMu.Unlock()
 	s.runs = append(s.runs, r)
@@ -352,23 +354,11 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	id := r.Header.Get("Hickorystage-Attempt-Id")
 	w.Header().Set("Content-Type", "text/event-stream")
-	events := make([]string, s.load.events+1)
-	size := 0
-	for n := last + 1; n <= s.load.events; n++ {
-		events[n] = fmt.Sprintf("id: %d\ndata: %s %s event %d of %s\n\n", n, s.id, version, n, id)
-		if s.load.hasLength {
-			events[n] = fmt.Sprintf("id: %d\ndata: %s\n\n", n, words[rand.IntN(len(words))])
-		}
-		size += len(events[n])
-	}
-	if s.load.hasLength {
-		w.Header().Set("Content-Length", strconv.Itoa(size))
-	}
 	for n := last + 1; n <= s.load.events; n++ {
 		if !sleep(r.Context(), s.load.gap) {
 			return
 		}
-		if _, err := io.WriteString(w, events[n]); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s event %d of %s\n\n", n, s.id, version, n, id); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
@@ -377,9 +367,6 @@
 	}
 }
 
-// words are the texts of events.
-var words = strings.Fields("a in to at rug moth silk wool down dust clean water gently season blanket drying feather cupboard lavender stitching")
-
 // place waits for a slot. It returns false if the queue is full or the caller has left.
 func (s *worker) place(r *http.Request) (release func(), ok bool) {
 	s.mu.Lock()
