transport: take the rest of an upload for no new request

Callers: a response whose header arrives while the upload is still being written, and whose body has more than 256 lines, was reported as lost by every client but the one of routed requests. Cause: the connections of these clients took each write after a header for the next request and counted the lines of the body as header lines. A check of the header would have read body bytes. Change: CheckedTransport learns from net/http that a connection was chosen for a request. A connection expects a response from its start, so that one that arrives before the request is checked too. Evidence: TestLinesAfterAnEarlyHeaderAreNoHeaderLines fails on ("header of a response ... has more than 256 lines") and passes now, in plain text and over TLS.

--- a/internal/action/sender/sender.go
+++ b/internal/action/sender/sender.go
@@ -98,7 +98,7 @@
 type Sender struct {
 	picker    Picker
 	limits    Limits
-	transport *http.Transport
+	transport transport.CheckedTransport
 	// onSignals, if not nil, is called for responses that say something of their
 	// endpoints.
 	onSignals SignalsFunc
@@ -143,14 +143,14 @@
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	httpTransport := &http.Transport{
-		DialContext:            transport.LimitHeaderLines(transport.DialFunc(dial)),
+	checked := transport.NewCheckedTransport(&http.Transport{
+		DialContext:            dial,
 		Protocols:              &protocols,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}
-	return &Sender{picker: picker, limits: limits, transport: httpTransport}
+	})
+	return &Sender{picker: picker, limits: limits, transport: checked}
 }
 
 // Dispatch sends r to the first endpoint that accepts a connection. Once a
--- a/internal/controller/loadpoll/loadpoll.go
+++ b/internal/controller/loadpoll/loadpoll.go
@@ -68,7 +68,7 @@
 		board:     board,
 		view:      membership.New(board),
 		interval:  interval,
-		client:    &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: transport.LimitHeaderLines(transport.DialFunc(dial)), MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes}},
+		client:    &http.Client{Timeout: pollTimeout, Transport: transport.NewCheckedTransport(&http.Transport{DialContext: dial, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes})},
 		onLeaving: onLeaving,
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -77,20 +77,19 @@
 		defer cancel()
 		return dial(ctx, network, address)
 	}
-	limited := transport.LimitHeaderLines(dialWithTimeout)
-	pooled := &http.Transport{
-		DialContext:         limited,
+	pooled := transport.NewCheckedTransport(&http.Transport{
+		DialContext:         dialWithTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}
-	unpooled := &http.Transport{
-		DialContext:       limited,
+	})
+	unpooled := transport.NewCheckedTransport(&http.Transport{
+		DialContext:       dialWithTimeout,
 		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}
+	})
 	return &Client{
 		signer:   signer,
 		pooled:   &http.Client{Transport: pooled},
--- a/internal/peerfetch/peerfetch.go
+++ b/internal/peerfetch/peerfetch.go
@@ -146,9 +146,9 @@
 // NewClient returns a client that opens connections with dial. readLag may be nil.
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), readLag readlag.Func) *Client {
 	return &Client{readLag: readLag, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext: transport.LimitHeaderLines(dial), IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-		},
+		Transport: transport.NewCheckedTransport(&http.Transport{
+			DialContext: dial, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+		}),
 	}}
 }
 
--- a/internal/platform/httpclient.go
+++ b/internal/platform/httpclient.go
@@ -71,7 +71,7 @@
 type client struct {
 	baseURL   string
 	opts      Options
-	transport *http.Transport
+	transport transport.CheckedTransport
 	// eras holds the eras that the service's responses name.
 	eras eraTracker
 }
@@ -81,13 +81,13 @@
 	return &client{
 		baseURL: strings.TrimSuffix(baseURL, "/"),
 		opts:    o,
-		transport: &http.Transport{
-			DialContext:            transport.LimitHeaderLines(transport.DialFunc(o.dial)),
+		transport: transport.NewCheckedTransport(&http.Transport{
+			DialContext:            o.dial,
 			MaxIdleConnsPerHost:    o.MaxIdleConns,
 			IdleConnTimeout:        o.IdleTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true,
-		},
+		}),
 	}
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -39,8 +39,8 @@
 // connections; singleUse opens a new one for each request and closes it after
 // the response.
 type connPool struct {
-	keepAlive *http.Transport
-	singleUse *http.Transport
+	keepAlive transport.CheckedTransport
+	singleUse transport.CheckedTransport
 	// silent is set by an attempt that timed out on a silent connection, and
 	// cleared by the next complete response.
 	silent atomic.Bool
@@ -104,25 +104,25 @@
 
 // newTransport returns a transport for HTTP/1.1 only, so that each stream has a
 // connection of its own.
-func newTransport(s *Settings) *http.Transport {
+func newTransport(s *Settings) transport.CheckedTransport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext: transport.LimitHeaderLines(func(ctx context.Context, network, address string) (net.Conn, error) {
+	return transport.NewCheckedTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
 			defer cancel()
 			return s.Dial(ctx, network, address)
-		}),
+		},
 		DisableCompression: true,
 		ReadBufferSize:     readBufferBytes,
 		WriteBufferSize:    writeBufferBytes,
 		Protocols:          &protocols,
 
 		MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}
+	})
 }
 
-func (c *connPool) transport(singleUse bool) *http.Transport {
+func (c *connPool) transport(singleUse bool) transport.CheckedTransport {
 	if singleUse {
 		return c.singleUse
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -70,6 +70,7 @@
 
 func newPooledConn(conn net.Conn) *pooledConn {
 	c := &pooledConn{Conn: conn}
+	c.head.begin()
 	if sc, ok := conn.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			c.raw = raw
@@ -145,8 +146,6 @@
 		c.current.written = true
 		c.sending = false
 		c.current = nil
-	}
-	if !c.sending {
 		c.head.begin()
 	}
 	return true
--- a/internal/transport/responsehead_test.go
+++ b/internal/transport/responsehead_test.go
@@ -79,7 +79,7 @@
 		}
 		_, _ = w.Write([]byte(strings.Repeat("\n", 2*MaxResponseHeaderLines)))
 	})
-	client := &http.Client{Transport: &http.Transport{DialContext: LimitHeaderLines(NewDialFunc())}}
+	client := &http.Client{Transport: NewCheckedTransport(&http.Transport{DialContext: NewDialFunc()})}
 	defer client.CloseIdleConnections()
 	get := func(path string) error {
 		resp, err := client.Get("http://" + address + path)
