transport: fail a response whose status is not valid

Callers: an endpoint in trouble that sent the status 000, 042, 099 or 600, or +20 or HTTP/2.0, was answered for: the status was passed on as it was, or the connection broke as net/http can't send it. A 101 that nobody asked for began a stream. Cause: net/http takes any three characters that strconv.Atoi reads for a status, any one digit for a version, and any bytes for the reason; nothing of ours looked at them. Change: connections to all servers check the status line as its bytes arrive: HTTP/1, a status from 100 to 599 and not 101, and a reason without control characters. For statuses from 600 on, passing them on unchanged was weighed; RFC 9110 (15) has them treated as a server error, and callers' clients take them for anything.

--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // CheckedTransport is an http.Transport for HTTP/1.1 whose requests fail with a
-// *HeaderLinesError if a response has more than MaxResponseHeaderLines lines of header. It is
-// for clients other than a Transport, which checks responses itself.
+// *HeaderLinesError if a response has more than MaxResponseHeaderLines lines of header, and with a
+// *MalformedHeaderError if the header is not as RFC 9112 has it. It is for clients other than a
+// Transport, which checks responses itself.
 type CheckedTransport struct{ *http.Transport }
 
 // NewCheckedTransport returns a CheckedTransport with the settings of t, which must not be used
@@ -95,19 +98,13 @@
 	}
 }
 
-// Read implements net.Conn. After a header with too many lines it reads nothing more.
+// Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	isTooLong := c.head.lines > MaxResponseHeaderLines
-	c.mu.Unlock()
-	if isTooLong {
-		return 0, &HeaderLinesError{Address: c.RemoteAddr().String()}
-	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.head.add(p[:n]) {
-		return 0, &HeaderLinesError{Address: c.RemoteAddr().String()}
+	if invalid := c.head.add(p[:n]); invalid != nil {
+		return 0, errors.Wrapf(invalid, "response from %s", c.RemoteAddr())
 	}
 	return n, err
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -171,8 +172,8 @@
 	n, err := c.read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.head.add(p[:n]) {
-		return 0, &HeaderLinesError{Address: c.RemoteAddr().String()}
+	if invalid := c.head.add(p[:n]); invalid != nil {
+		return 0, errors.Wrapf(invalid, "response from %s", c.RemoteAddr())
 	}
 	return n, err
 }
--- a/internal/transport/responsehead_test.go
+++ b/internal/transport/responsehead_test.go
@@ -19,6 +19,7 @@
 	}{
 		"most lines":                   {ok + strings.Repeat(line, MaxResponseHeaderLines-2) + "\r\n", true},
 		"body of many lines":           {ok + "\r\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
+		"body of one line":             {ok + "\r\n" + "no field", true},
 		"body without carriage return": {"HTTP/1.1 200 OK\n\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
 		"after informational":          {early + line + "\r\n" + ok + line + "\r\n" + strings.Repeat("\n", 10*MaxResponseHeaderLines), true},
 		"too many lines":               {ok + strings.Repeat(line, MaxResponseHeaderLines+1), false},
@@ -30,7 +31,7 @@
 			h.begin()
 			fits := true
 			for rest := []byte(tc.head); len(rest) > 0 && fits; rest = rest[min(size, len(rest)):] {
-				fits = h.add(rest[:min(size, len(rest))])
+				fits = h.add(rest[:min(size, len(rest))]) == nil
 			}
 			require.Equal(t, tc.fits, fits, "%s, %d bytes at a time", name, size)
 			require.Equal(t, !tc.fits, h.isReading, name)
