transport: fail a response with a malformed field name

Callers: an endpoint in trouble that sent "Content-Length : 1" or "Transfer-Encoding : chunked" was answered for with 200 and a body that was not the endpoint's, since the framing that it meant isn't the one that was read; "X Y: 1" was passed on or dropped. A folded line hid a field in the value of the one before. The same in informational responses, near and from another region. Cause: net/http accepts blanks in the names of fields and unfolds lines. Change: connections check the names of fields as the bytes of a header arrive, by httpguts (golang.org/x/net, used indirectly so far). RFC 9112 lets a gateway discard a folded response. Fields of trailers are not passed on, and the chunks before them show a whole body, so they stay as they are.

--- a/internal/transport/responsehead.go
+++ b/internal/transport/responsehead.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/hickorystage/hickorystage/internal/telemetry"
 )
 
@@ -30,8 +32,10 @@
 func (e *MalformedHeaderError) Error() string { return "malformed header: " + e.Reason }
 
 // responseHead checks the header of a response as its bytes arrive. net/http accepts some that
-// mean something else than it reads: any three characters that make a number as the status, and
-// protocols other than HTTP/1.
+// mean something else than it reads: any three characters that make a number as the status,
+// protocols other than HTTP/1, names of fields with blanks, which it doesn't take for the framing
+// that they name, and folded lines, which hide a field in the value of the one before. net/http
+// checks the values.
 type responseHead struct {
 	// isReading is set from the time a response is expected to the end of its header.
 	isReading bool
@@ -42,7 +46,7 @@
 	part headPart
 	// statusLine is the start of the status line, up to statusLineStart bytes.
 	statusLine []byte
-	// lineBytes is the number of bytes of the current line without its end.
+	// lineBytes is the number of bytes of the current line without its line feed.
 	lineBytes int
 	// endsWithCR is set after a carriage return, which only a line feed may follow.
 	endsWithCR bool
@@ -53,7 +57,8 @@
 
 const (
 	inStatusLine headPart = iota
-	inField
+	inFieldName
+	inFieldValue
 )
 
 // statusLineStart is the length of the part of a status line that has the protocol and the status.
@@ -70,8 +75,11 @@
 		case inStatusLine:
 			h.addToStatusLine(p[0])
 			p = p[1:]
-		case inField:
-			p = h.addToField(p)
+		case inFieldName:
+			h.addToFieldName(p[0])
+			p = p[1:]
+		case inFieldValue:
+			p = h.skipFieldValue(p)
 		}
 	}
 	return h.err
@@ -103,7 +111,6 @@
 		return
 	}
 	h.endLine()
-	h.part = inField
 }
 
 // isFinalOrInformational reports whether status is one of RFC 9110, from 100 to 599, and not 101.
@@ -116,21 +123,32 @@
 	return status[0] >= '1' && status[0] <= '5' && string(status) != "101"
 }
 
-// addToField takes in the next bytes of a field line, or of the empty line that ends the header,
-// and returns the rest of p.
-func (h *responseHead) addToField(p []byte) []byte {
-	line, rest, isWhole := bytes.Cut(p, []byte("\n"))
-	if len(line) > 0 {
-		h.lineBytes += len(line)
-		h.endsWithCR = line[len(line)-1] == '\r'
-	}
-	if !isWhole {
-		return nil
-	}
-	isEmpty := h.lineBytes == 0 || h.lineBytes == 1 && h.endsWithCR
-	h.endLine()
-	if isEmpty {
+// addToFieldName checks the next byte of a field's name, or of the empty line that ends the
+// header.
+func (h *responseHead) addToFieldName(b byte) {
+	isEmpty := h.lineBytes == 0 || h.endsWithCR
+	switch {
+	case b == '\n' && isEmpty:
+		h.endLine()
 		h.endHeader()
+		return
+	case b == '\n':
+		h.fail("line without a colon")
+	case b == '\r' && h.lineBytes == 0:
+		h.endsWithCR = true
+	case b == ':' && !isEmpty:
+		h.part = inFieldValue
+	case h.endsWithCR || !httpguts.IsTokenRune(rune(b)):
+		h.fail(fmt.Sprintf("%q in the name of a field", b))
+	}
+	h.lineBytes++
+}
+
+// skipFieldValue returns what follows the value in p.
+func (h *responseHead) skipFieldValue(p []byte) []byte {
+	_, rest, isWhole := bytes.Cut(p, []byte("\n"))
+	if isWhole {
+		h.endLine()
 	}
 	return rest
 }
@@ -138,7 +156,7 @@
 // endLine notes the end of a line.
 func (h *responseHead) endLine() {
 	h.lines++
-	h.lineBytes, h.endsWithCR = 0, false
+	h.part, h.lineBytes, h.endsWithCR = inFieldName, 0, false
 	if h.lines > MaxResponseHeaderLines {
 		h.err = &HeaderLinesError{}
 	}
--- a/internal/transport/responsehead_test.go
+++ b/internal/transport/responsehead_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -98,3 +99,39 @@
 	var lines *HeaderLinesError
 	require.ErrorAs(t, get("/many"), &lines)
 }
+
+// TestMalformedHeadersAreFound feeds headers in pieces of each size, each followed by bytes of a
+// body that would be malformed in a header.
+func TestMalformedHeadersAreFound(t *testing.T) {
+	for head, isMalformed := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nA: 1\r\nB:2\r\n\r\n":                 false,
+		"HTTP/1.1 200\n\n":                                       false,
+		"HTTP/1.0 599 \r\nA: \x00\r\n\r\n":                       false, // net/http checks values.
+		"HTTP/1.1 103 x\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":  false,
+		"HTTP/1.1 000 OK\r\n\r\n":                                true,
+		"HTTP/1.1 2000\r\n\r\n":                                  true,
+		"HTTP/1.1 20\r\n\r\n":                                    true,
+		"HTTP/1.1 200\r\rOK\r\n\r\n":                             true,
+		"HTTP/1.1 200 OK\r\nA : 1\r\n\r\n":                       true,
+		"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n":               true,
+		"HTTP/1.1 200 OK\r\nA\r: 1\r\n\r\n":                      true,
+		"HTTP/1.1 200 OK\r\n\rA: 1\r\n\r\n":                      true,
+		"HTTP/1.1 200 OK\r\n\r\r\n":                              true,
+		"HTTP/1.1 200 OK\r\nA\r\n\r\n":                           true,
+		"HTTP/1.1 200 OK\r\n: 1\r\n\r\n":                         true,
+		"HTTP/1.1 103 x\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nA B: ": true,
+		"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 600 OK\r\n":              true,
+	} {
+		for size := 1; size <= 9; size++ {
+			var h responseHead
+			h.begin()
+			var err error
+			for rest := []byte(head + "a body: \x00\r\r\n"); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+				err = h.add(rest[:min(size, len(rest))])
+			}
+			var malformed *MalformedHeaderError
+			require.Equal(t, isMalformed, errors.As(err, &malformed), "%q, %d bytes at a time: %v", head, size, err)
+			require.Equal(t, isMalformed, h.isReading, "%q", head)
+		}
+	}
+}
