transport: fail a response without a length whose connection was reset

Callers: an endpoint that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written, was answered for: the caller got the part as a complete answer, and a stream a part of its events as all of them. Cause: the kernel reports a reset once. If the write of the upload is told, the read that follows finds the end of the stream. endWrite discarded the error so that an early refusal is read, and other clients' reads may overtake the close that net/http does after a failed write. Change: the writer of a connection, to any server, keeps the error; at the end of the stream a read returns it. If the socket is closed both ways the read first waits for the write in flight, which then returns at once. After an orderly end followed by a reset the kernel reports EPIPE, so that such a response stays whole, as those with a length or chunks do. Ruled out: failing each response whose upload failed, which loses the early refusals for which endWrite was written.

--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
 
 // CheckedTransport is an http.Transport for HTTP/1.1 whose requests fail with a
 // *HeaderLinesError if a response has more than MaxResponseHeaderLines lines of header, and with a
-// *MalformedHeaderError if the header is not as RFC 9112 has it. It is for clients other than a
-// Transport, which checks responses itself.
+// *MalformedHeaderError if the header is not as RFC 9112 has it. A response without a length whose
+// connection was reset fails too, while its request is still being sent. It is for clients other
+// than a Transport, which checks responses itself.
 type CheckedTransport struct{ *http.Transport }
 
 // NewCheckedTransport returns a CheckedTransport with the settings of t, which must not be used
@@ -77,13 +80,17 @@
 // checkedConn checks each response that it reads.
 type checkedConn struct {
 	net.Conn
+	// raw is nil if the connection is no socket.
+	raw    syscall.RawConn
+	writer abortableWriter
+
 	mu   sync.Mutex
 	head responseHead
 }
 
 // newCheckedConn returns a connection that expects a response.
 func newCheckedConn(conn net.Conn) *checkedConn {
-	c := &checkedConn{Conn: conn}
+	c := &checkedConn{Conn: conn, raw: rawConn(conn)}
 	c.head.begin()
 	return c
 }
@@ -98,9 +105,15 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) { return c.writer.write(c.Conn, p) }
+
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.writer.endOfStream(c.raw)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if invalid := c.head.add(p[:n]); invalid != nil {
--- a/internal/transport/checked_test.go
+++ b/internal/transport/checked_test.go
@@ -3,9 +3,12 @@
 import (
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,3 +52,29 @@
 		client.CloseIdleConnections()
 	}
 }
+
+// TestResetDuringAnUploadIsNoEnd guards against a part of a response that looks whole since the
+// reset was reported to the write of the upload, at many requests at once.
+func TestResetDuringAnUploadIsNoEnd(t *testing.T) {
+	const sideBySide = 48
+	address := startServerThatEnds(t, "HTTP/1.1 200 OK\r\n\r\npart", func(conn *net.TCPConn) { _ = conn.SetLinger(0) })
+	for range 4 {
+		var wg sync.WaitGroup
+		var whole atomic.Int64
+		for range sideBySide {
+			wg.Go(func() {
+				client := &http.Client{Transport: NewCheckedTransport(&http.Transport{DisableKeepAlives: true})}
+				resp, err := client.Post("http://"+address, "text/plain", strings.NewReader(strings.Repeat("x", 4<<20)))
+				if err != nil {
+					return
+				}
+				defer resp.Body.Close()
+				if _, err := io.ReadAll(resp.Body); err == nil {
+					whole.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		require.Zero(t, whole.Load(), "of %d", sideBySide)
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"runtime"
@@ -42,7 +41,8 @@
 type pooledConn struct {
 	net.Conn
 	// raw is nil if the connection is no socket.
-	raw syscall.RawConn
+	raw    syscall.RawConn
+	writer abortableWriter
 
 	mu sync.Mutex
 	// waiting is set while a read waits for bytes that have not arrived.
@@ -72,11 +72,7 @@
 func newPooledConn(conn net.Conn) *pooledConn {
 	c := &pooledConn{Conn: conn}
 	c.head.begin()
-	if sc, ok := conn.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.raw = raw
-		}
-	}
+	c.raw = rawConn(conn)
 	return c
 }
 
@@ -128,7 +124,7 @@
 		c.awaitRead()
 		return 0, &UnsolicitedBytesError{Address: c.RemoteAddr().String()}
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.writer.write(c.Conn, p)
 	return c.endWrite(p, n, err)
 }
 
@@ -202,7 +198,7 @@
 	case readErr != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
 	case n == 0 && len(p) > 0:
-		return 0, io.EOF
+		return 0, c.writer.endOfStream(c.raw)
 	}
 	return n, nil
 }
--- a/internal/transport/early.go
+++ b/internal/transport/early.go
@@ -9,8 +9,9 @@
 // endWrite returns the result of a write. A server that refuses a request before it has read
 // the body may close the connection, which resets it while the body is being written. Its
 // response has arrived by then or never will: the rest of the body is discarded, so that
-// net/http reads the response rather than report the failed write. Without a response, the read
-// fails for the same reason, and the request may have run.
+// net/http reads the response rather than report the failed write. At the end of what has arrived
+// the read fails for the same reason, so that a response is whole only if its length or its chunks
+// show it; without one, the request may have run.
 //
 // This covers small services that turn away requests with long bodies in a peak. As a failed
 // write, a share of their refusals would end as responses lost.
--- a/internal/transport/early_test.go
+++ b/internal/transport/early_test.go
@@ -15,6 +15,11 @@
 // startHasty starts a server that reads no more than the header of a request, sends response
 // and closes the connection, which resets it while a long body is being sent.
 func startHasty(t *testing.T, response string) (address string) {
+	return startServerThatEnds(t, response, func(*net.TCPConn) {})
+}
+
+// startServerThatEnds is startHasty with a function that is called before a connection is closed.
+func startServerThatEnds(t *testing.T, response string, beforeClose func(conn *net.TCPConn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -37,6 +42,7 @@
 					}
 				}
 				_, _ = io.WriteString(conn, response)
+				beforeClose(conn.(*net.TCPConn))
 			}()
 		}
 	}()
