edge: let streams go on at a sole version only if another gateway agrees

Callers: during a release, a stream that a new version had begun through other gateways broke, was taken up at a gateway that was cut off from the others or had stood still, and went on at the old version. Cause: a gateway that is out of step takes the old version for the only one, for up to 2.5 s. collectStreamAnswers took that view when no gateway answered in time, at once when this gateway heard nobody or the caller named no attempt, and even against answers of gateways that know of several versions, since these named none. Another gateway asked the one out of step, and took over its view. Change: streamversion.Agreement decides. The only version counts if one gateway has followed it for a minute, another one sees no other now, and none contradicts; alone is a gateway that remembers no other. Answers say the current version and whether there were several. One that hears nobody asks those that it remembers.

--- a/internal/controller/grants/streams.go
+++ b/internal/controller/grants/streams.go
@@ -34,15 +34,15 @@
 	Nonce uint64 `json:"r" lenient:"required"`
 	// Version is the one that began the stream, empty if the gateway doesn't know.
 	Version string `json:"v,omitempty" lenient:"required"`
-	// SoleVersion is the only version that the service has had for streamversion.Retention,
-	// empty if it had several or the gateway doesn't know.
-	SoleVersion string `json:"o,omitempty" lenient:"required"`
+	streamversion.ServiceVersions
 }
 
 // StreamKeeper keeps what other gateways tell of streams, and answers them.
 type StreamKeeper interface {
 	KeepStream(record streamversion.Record, now time.Time)
-	LookupStream(id streamversion.ID, service string, now time.Time) (version, soleVersion string)
+	// LookupStream returns the version that began a stream, empty if it isn't known, and the
+	// versions of its service.
+	LookupStream(id streamversion.ID, service string, now time.Time) (version string, versions streamversion.ServiceVersions)
 }
 
 // SetStreamKeeper sets the StreamKeeper. It must be called before Run. Without one, requests for
@@ -64,7 +64,7 @@
 	}
 	if req := m.StreamRequest; req != nil {
 		response := StreamResponse{Nonce: req.Nonce}
-		response.Version, response.SoleVersion = c.streamKeeper.LookupStream(req.ID, req.Service, now)
+		response.Version, response.ServiceVersions = c.streamKeeper.LookupStream(req.ID, req.Service, now)
 		streamsAnswered.Inc()
 		c.respond(message{RequestID: m.RequestID, StreamResponse: &response}, from)
 	}
--- a/internal/controller/grants/streams_test.go
+++ b/internal/controller/grants/streams_test.go
@@ -28,15 +28,15 @@
 	k.records = append(k.records, r)
 }
 
-func (k *fakeStreamKeeper) LookupStream(id streamversion.ID, service string, _ time.Time) (version, soleVersion string) {
+func (k *fakeStreamKeeper) LookupStream(id streamversion.ID, service string, _ time.Time) (string, streamversion.ServiceVersions) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range k.records {
 		if r.ID == id && r.Service == service {
-			return r.Version, "sole"
+			return r.Version, streamversion.ServiceVersions{Sole: "sole"}
 		}
 	}
-	return "", "sole"
+	return "", streamversion.ServiceVersions{Sole: "sole", Current: "current", HasSeveral: true}
 }
 
 func TestStreamsAreToldAndAskedFor(t *testing.T) {
@@ -73,7 +73,7 @@
 	got, err := requester.AskStream(ctx, "g2", address, 77, records[0].Service)
 	require.NoError(t, err)
 	require.Empty(t, got.Version)
-	require.Equal(t, "sole", got.SoleVersion)
+	require.Equal(t, streamversion.ServiceVersions{Sole: "sole", Current: "current", HasSeveral: true}, got.ServiceVersions)
 	require.Empty(t, requester.pending)
 }
 
--- a/internal/edge/streamversion.go
+++ b/internal/edge/streamversion.go
@@ -39,7 +39,10 @@
 	streamRetryDelay = 500 * time.Millisecond
 )
 
-var streamsUnknown = telemetry.NewCounter("route_stream_versions_unknown", "requests", "streams that callers take up, refused since no gateway knows which software version began them")
+var (
+	streamsTakenUp = telemetry.NewCounter("route_streams_taken_up", "requests", "streams that callers take up again")
+	streamsUnknown = telemetry.NewCounter("route_stream_versions_unknown", "requests", "streams that callers take up, refused since no gateway knows which software version began them")
+)
 
 // StreamPeers tells other gateways which software versions began streams, and asks them.
 type StreamPeers interface {
@@ -106,6 +109,7 @@
 	if s.route.Kind != route.Streaming || s.req.LastEventID == "" {
 		return nil
 	}
+	streamsTakenUp.Inc()
 	version, allAnswered := s.lookUpVersion(ctx)
 	if version == "" {
 		streamsUnknown.Inc()
@@ -120,30 +124,32 @@
 }
 
 // lookUpVersion returns the software version that began the stream, empty if it can't be known,
-// and whether all gateways that were asked have answered. What a record says goes before what
-// follows from the versions that the service has had: this gateway may learn of a new one late.
+// and whether all gateways that may know have answered. What a record says goes before what
+// follows from the versions that the service has had: gateways may learn of a new one late.
 func (s *session) lookUpVersion(ctx context.Context) (version string, allAnswered bool) {
 	e, now, id := s.edge, time.Now(), streamversion.IDOf(s.firstAttemptID())
-	version, sole := e.LookupStream(id, s.service.Name, now)
-	if s.firstAttemptID() == "" {
-		return sole, true
-	}
-	if version != "" {
+	version, own := e.LookupStream(id, s.service.Name, now)
+	hasRecords := s.firstAttemptID() != ""
+	if version != "" && hasRecords {
 		return version, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, remoteStreamWait)
 	defer cancel()
 	local, remote := e.keepersAsked(id, now)
+	isAlone := e.Gateways.CountRemembered() == 1
 	answers := make(chan streamAnswer, len(local)+len(remote))
 	if e.StreamPeers != nil {
 		for i, g := range append(local, remote...) {
 			go func() {
 				response, err := e.StreamPeers.AskStream(ctx, g.ID, g.GrantAddress, id, s.service.Name)
+				if !hasRecords {
+					response.Version = ""
+				}
 				answers <- streamAnswer{response: response, err: err, isLocal: i < len(local)}
 			}()
 		}
 	}
-	return collectStreamAnswers(answers, len(local), len(remote), sole)
+	return collectStreamAnswers(ctx, answers, len(local), len(remote), own, isAlone)
 }
 
 // streamAnswer is the response of another gateway.
@@ -154,18 +160,24 @@
 }
 
 // collectStreamAnswers returns the version that the answers of so many gateways of this region
-// and of others lead to. sole is the only version that the service has had, by this gateway.
-func collectStreamAnswers(answers <-chan streamAnswer, local, remote int, sole string) (version string, allAnswered bool) {
+// and of others lead to. own is what this gateway knows of the service's versions, and isAlone says
+// that no other gateway may be running.
+func collectStreamAnswers(ctx context.Context, answers <-chan streamAnswer, local, remote int, own streamversion.ServiceVersions, isAlone bool) (version string, allAnswered bool) {
 	localTimer := time.NewTimer(localStreamWait)
 	defer localTimer.Stop()
-	allAnswered = true
-	contradicted := false
-	for local+remote > 0 && (local > 0 || sole == "" || contradicted) {
+	var agreement streamversion.Agreement
+	agreement.Add(own)
+	allAnswered = local+remote > 0 || isAlone
+	isLocalWaitOver := false
+	for local+remote > 0 {
+		if sole, ok := agreement.Sole(isAlone); ok && (local == 0 || isLocalWaitOver) {
+			return sole, local == 0 && allAnswered
+		}
 		select {
+		case <-ctx.Done():
+			local, remote, allAnswered = 0, 0, false
 		case <-localTimer.C:
-			if sole != "" && !contradicted {
-				return sole, false
-			}
+			isLocalWaitOver = true
 		case a := <-answers:
 			if a.isLocal {
 				local--
@@ -179,35 +191,41 @@
 			if a.response.Version != "" {
 				return a.response.Version, true
 			}
-			if other := a.response.SoleVersion; other != "" {
-				contradicted = contradicted || sole != "" && sole != other
-				sole = other
-			}
+			agreement.Add(a.response.ServiceVersions)
 		}
 	}
-	if contradicted {
-		return "", allAnswered
-	}
+	sole, _ := agreement.Sole(isAlone)
 	return sole, allAnswered
 }
 
 // keepersAsked returns the gateways of this region and of others that are asked for a stream.
 func (e *Edge) keepersAsked(id streamversion.ID, now time.Time) (local, remote []fleet.GatewayStatus) {
+	local, remote = e.keepersAmong(id, e.Gateways.Alive, now)
+	if len(local)+len(remote) == 0 {
+		// This gateway hears nobody. The others may hear it, or it may have stood still.
+		return e.keepersAmong(id, e.Gateways.Remembered, now)
+	}
+	return local, remote
+}
+
+// keepersAmong returns the gateways of this region and of others, of those that list returns for a
+// region, that are asked for a stream.
+func (e *Edge) keepersAmong(id streamversion.ID, list func(region string, now time.Time) []fleet.GatewayStatus, now time.Time) (local, remote []fleet.GatewayStatus) {
 	self := e.Gateways.Self().Region
-	local = e.topKeepers(id, self, streamKeepersAsked, now)
+	local = e.topKeepers(id, list(self, now), streamKeepersAsked)
 	for _, region := range e.Gateways.Regions() {
 		if region != self {
-			remote = append(remote, e.topKeepers(id, region, remoteKeepersAsked, now)...)
+			remote = append(remote, e.topKeepers(id, list(region, now), remoteKeepersAsked)...)
 		}
 	}
 	return local, remote
 }
 
-// topKeepers returns the n gateways of a region that keep the record of a stream, without this one.
-func (e *Edge) topKeepers(id streamversion.ID, region string, n int, now time.Time) []fleet.GatewayStatus {
+// topKeepers returns the n of the gateways that keep the record of a stream, without this one.
+func (e *Edge) topKeepers(id streamversion.ID, gateways []fleet.GatewayStatus, n int) []fleet.GatewayStatus {
 	byID := make(map[string]fleet.GatewayStatus)
 	var ids []string
-	for _, g := range e.Gateways.Alive(region, now) {
+	for _, g := range gateways {
 		if g.GrantAddress != "" && g.ID != e.Gateways.Self().ID {
 			byID[g.ID] = g
 			ids = append(ids, g.ID)
@@ -224,12 +242,12 @@
 // are too few, one of each other region.
 func (e *Edge) keepersTold(id streamversion.ID, now time.Time) []fleet.GatewayStatus {
 	self := e.Gateways.Self().Region
-	out := e.topKeepers(id, self, streamKeepers, now)
+	out := e.topKeepers(id, e.Gateways.Alive(self, now), streamKeepers)
 	regions := e.Gateways.Regions()
 	slices.Sort(regions)
 	for _, region := range regions {
 		if len(out) < streamKeepers && region != self {
-			out = append(out, e.topKeepers(id, region, 1, now)...)
+			out = append(out, e.topKeepers(id, e.Gateways.Alive(region, now), 1)...)
 		}
 	}
 	return out
@@ -239,10 +257,9 @@
 func (e *Edge) KeepStream(record streamversion.Record, now time.Time) { e.Streams.Keep(record, now) }
 
 // LookupStream implements grants.StreamKeeper.
-func (e *Edge) LookupStream(id streamversion.ID, service string, now time.Time) (version, soleVersion string) {
+func (e *Edge) LookupStream(id streamversion.ID, service string, now time.Time) (version string, versions streamversion.ServiceVersions) {
 	version, _ = e.Streams.Lookup(id, service, now)
-	soleVersion, _ = e.Registry.SoleVersion(service, streamversion.Retention, now)
-	return version, soleVersion
+	return version, e.Registry.Versions(service, streamversion.Retention, now)
 }
 
 // StreamVersions is the controller that tells other gateways which software versions began the
@@ -270,8 +287,7 @@
 // services have had one version only.
 func (e *Edge) tellStreams(now time.Time) {
 	unsent := e.Streams.TakeUnsent(func(service string) bool {
-		_, isSole := e.Registry.SoleVersion(service, streamversion.Retention, now)
-		return !isSole
+		return e.Registry.Versions(service, streamversion.Retention, now).Sole == ""
 	}, now)
 	byAddress := make(map[string][]streamversion.Record)
 	for _, record := range unsent {
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorystage/hickorystage/internal/streamversion"
+)
 
 // versionRetention is how long the versions of endpoints that have left are remembered.
 const versionRetention = 5 * time.Minute
@@ -23,32 +27,40 @@
 	}
 }
 
-// SoleVersion returns the software version of a service if its endpoints have had no other one
-// within the given time, of at most versionRetention, before now. ok is false if there was another
-// one, or if this gateway hasn't followed the entries for so long.
-func (r *Registry) SoleVersion(service string, within time.Duration, now time.Time) (version string, ok bool) {
+// Versions returns what this gateway knows of the software versions that the endpoints of a service
+// have had within the given time, of at most versionRetention, before now.
+func (r *Registry) Versions(service string, within time.Duration, now time.Time) streamversion.ServiceVersions {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if r.followedSince.IsZero() || now.Sub(r.followedSince) < within || now.Sub(r.currentAt) > StoreOutageAfter {
-		return "", false
-	}
+	current, all := make(map[string]bool), make(map[string]bool)
 	for _, v := range r.views {
-		if v.Service != service {
-			continue
-		}
-		if version != "" && version != v.SoftwareVersion {
-			return "", false
+		if v.Service == service {
+			current[v.SoftwareVersion], all[v.SoftwareVersion] = true, true
 		}
-		version = v.SoftwareVersion
 	}
 	for left, at := range r.versionsLeft {
-		if left.service != service || now.Sub(at) > within {
-			continue
+		if left.service == service && now.Sub(at) <= within {
+			all[left.version] = true
 		}
-		if version != "" && version != left.version {
-			return "", false
-		}
-		version = left.version
 	}
-	return version, version != ""
+	out := streamversion.ServiceVersions{HasSeveral: len(all) > 1}
+	if now.Sub(r.currentAt) > StoreOutageAfter {
+		return out
+	}
+	out.Current = onlyKey(current)
+	if !r.followedSince.IsZero() && now.Sub(r.followedSince) >= within {
+		out.Sole = onlyKey(all)
+	}
+	return out
+}
+
+// onlyKey returns the key of a set that has one, otherwise an empty string.
+func onlyKey(set map[string]bool) string {
+	if len(set) != 1 {
+		return ""
+	}
+	for key := range set {
+		return key
+	}
+	return ""
 }
--- a/internal/fleet/versions_test.go
+++ b/internal/fleet/versions_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hickorystage/hickorystage/internal/streamversion"
 )
 
 // versionRegistry is a registry that is current each second.
@@ -31,8 +33,7 @@
 }
 
 func (r *versionRegistry) sole() string {
-	version, _ := r.SoleVersion("s", time.Minute, r.now)
-	return version
+	return r.Versions("s", time.Minute, r.now).Sole
 }
 
 func TestSoleVersion(t *testing.T) {
@@ -56,6 +57,27 @@
 	require.Empty(t, r.sole())
 }
 
+// TestCurrentVersion checks what a gateway knows that hasn't followed the entries for long, and one
+// that was cut off.
+func TestCurrentVersion(t *testing.T) {
+	r := versionRegistry{NewRegistry(map[string]string{"north-a": "north"}), time.Now()}
+	versions := func() streamversion.ServiceVersions { return r.Versions("s", time.Minute, r.now) }
+	r.set("v1")
+	require.Equal(t, streamversion.ServiceVersions{}, versions(), "the entries may be out of date")
+	r.pass(time.Second)
+	require.Equal(t, streamversion.ServiceVersions{Current: "v1"}, versions())
+	r.set("v1", "v2")
+	require.Equal(t, streamversion.ServiceVersions{HasSeveral: true}, versions())
+	r.set("v2")
+	require.Equal(t, streamversion.ServiceVersions{Current: "v2", HasSeveral: true}, versions())
+	r.pass(time.Minute + time.Second)
+	require.Equal(t, streamversion.ServiceVersions{Sole: "v2", Current: "v2"}, versions())
+	r.now = r.now.Add(StoreOutageAfter + time.Second)
+	require.Equal(t, streamversion.ServiceVersions{}, versions())
+	r.set("v2", "v3")
+	require.Equal(t, streamversion.ServiceVersions{HasSeveral: true}, versions(), "several were there, whatever came since")
+}
+
 // TestSoleVersionNeedsEntriesWithoutAGap guards against a version that came and left while the
 // store was away.
 func TestSoleVersionNeedsEntriesWithoutAGap(t *testing.T) {
