transport: fail an HTTP/1.0 response with a transfer coding

Callers: an endpoint that answered as HTTP/1.0 with Transfer-Encoding: chunked was answered for with 200, and the caller got the framing of the chunks as the body, or a body of another length. Cause: net/http drops the field in HTTP/1.0 and reads by the length or up to the end of the connection. Change: the check of headers, which found the other framings, fails it; RFC 9112 (6.1) has such a message treated as faulty. Found while all places that read answers were checked, not reported.

--- a/internal/edge/malformed_response_test.go
+++ b/internal/edge/malformed_response_test.go
@@ -139,3 +139,11 @@
 		}
 	}
 }
+
+// TestChunksOfHTTP10Fail guards against the framing of chunks that callers get as the body.
+func TestChunksOfHTTP10Fail(t *testing.T) {
+	forEachPath(t, []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK\r\nX: 1\r\nTRANSFER-ENCODING:chunked\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\ntransfer-encoding: identity\r\n",
+	}, requireFailure)
+}
--- a/internal/transport/responsehead.go
+++ b/internal/transport/responsehead.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -34,8 +35,8 @@
 // responseHead checks the header of a response as its bytes arrive. net/http accepts some that
 // mean something else than it reads: any three characters that make a number as the status,
 // protocols other than HTTP/1, names of fields with blanks, which it doesn't take for the framing
-// that they name, and folded lines, which hide a field in the value of the one before. net/http
-// checks the values.
+// that they name, folded lines, which hide a field in the value of the one before, and transfer
+// codings in HTTP/1.0, which it ignores. net/http checks the values.
 type responseHead struct {
 	// isReading is set from the time a response is expected to the end of its header.
 	isReading bool
@@ -48,6 +49,8 @@
 	statusLine []byte
 	// lineBytes is the number of bytes of the current line without its line feed.
 	lineBytes int
+	// fieldName is the start of the current field's name in HTTP/1.0, up to fieldNameStart bytes.
+	fieldName []byte
 	// endsWithCR is set after a carriage return, which only a line feed may follow.
 	endsWithCR bool
 }
@@ -64,6 +67,12 @@
 // statusLineStart is the length of the part of a status line that has the protocol and the status.
 const statusLineStart = len("HTTP/1.1 200")
 
+// fieldNameStart is the length of the part of a field's name that is kept, one byte more than the
+// name that is looked for.
+const fieldNameStart = len(transferEncoding) + 1
+
+const transferEncoding = "Transfer-Encoding"
+
 // begin notes that a response is expected.
 func (h *responseHead) begin() { *h = responseHead{isReading: true} }
 
@@ -136,10 +145,15 @@
 		h.fail("line without a colon")
 	case b == '\r' && h.lineBytes == 0:
 		h.endsWithCR = true
+	case b == ':' && !isEmpty && strings.EqualFold(string(h.fieldName), transferEncoding):
+		// net/http ignores the field and takes the framing of the chunks for the body.
+		h.fail("transfer coding in HTTP/1.0")
 	case b == ':' && !isEmpty:
 		h.part = inFieldValue
 	case h.endsWithCR || !httpguts.IsTokenRune(rune(b)):
 		h.fail(fmt.Sprintf("%q in the name of a field", b))
+	case h.statusLine[len("HTTP/1.")] == '0' && len(h.fieldName) < fieldNameStart:
+		h.fieldName = append(h.fieldName, b)
 	}
 	h.lineBytes++
 }
@@ -156,7 +170,7 @@
 // endLine notes the end of a line.
 func (h *responseHead) endLine() {
 	h.lines++
-	h.part, h.lineBytes, h.endsWithCR = inFieldName, 0, false
+	h.part, h.lineBytes, h.fieldName, h.endsWithCR = inFieldName, 0, h.fieldName[:0], false
 	if h.lines > MaxResponseHeaderLines {
 		h.err = &HeaderLinesError{}
 	}
