--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -15,8 +15,8 @@
 
 // CheckedTransport is an http.Transport for HTTP/1.1 whose requests fail with a
 // *HeaderLinesError if a response has more than MaxResponseHeaderLines lines of header, and with a
-// *MalformedHeaderError if the header is not as RFC 9112 has it. A response without a length whose
-// connection was reset fails too, while its request is still being sent. It is for clients other
+// *MalformedHeaderError if the header is not as RFC 9112 has it. A response without a length also
+// fails if its connection is reset while the request is still being sent. It is for clients other
 // than a Transport, which checks responses itself.
 type CheckedTransport struct{ *http.Transport }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -70,9 +70,8 @@
 }
 
 func newPooledConn(conn net.Conn) *pooledConn {
-	c := &pooledConn{Conn: conn}
+	c := &pooledConn{Conn: conn, raw: rawConn(conn)}
 	c.head.begin()
-	c.raw = rawConn(conn)
 	return c
 }
 
--- a/internal/transport/early.go
+++ b/internal/transport/early.go
@@ -10,8 +10,9 @@
 // the body may close the connection, which resets it while the body is being written. Its
 // response has arrived by then or never will: the rest of the body is discarded, so that
 // net/http reads the response rather than report the failed write. At the end of what has arrived
-// the read fails for the same reason, so that a response is whole only if its length or its chunks
-// show it; without one, the request may have run.
+// the read fails for the same reason, unless the server ended the stream before the reset. So a
+// response is whole only if its length, its chunks or that end show it. Without a response, the
+// request may have run.
 //
 // This covers small services that turn away requests with long bodies in a peak. As a failed
 // write, a share of their refusals would end as responses lost.
