transport: read nothing more after an invalid header

Callers: none saw it; a server whose response had failed could make a gateway read one more buffer. Cause: the check of status lines dropped the look at the header's state before a read, and net/http reads once more before it closes the connection. TestClientsRefuseMalformedResponses no longer counts the cancel request that the service calls' client sends after a failure as the request.

--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -108,16 +108,27 @@
 // Write implements net.Conn.
 func (c *checkedConn) Write(p []byte) (int, error) { return c.writer.write(c.Conn, p) }
 
-// Read implements net.Conn.
+// Read implements net.Conn. After an invalid header it reads nothing more.
 func (c *checkedConn) Read(p []byte) (int, error) {
+	if err := c.checkHead(nil); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.writer.endOfStream(c.raw)
 	}
+	if invalid := c.checkHead(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// checkHead takes in bytes of a response, and returns an error if its header is invalid.
+func (c *checkedConn) checkHead(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if invalid := c.head.add(p[:n]); invalid != nil {
-		return 0, errors.Wrapf(invalid, "response from %s", c.RemoteAddr())
+	if err := c.head.add(p); err != nil {
+		return errors.Wrapf(err, "response from %s", c.RemoteAddr())
 	}
-	return n, err
+	return nil
 }
--- a/internal/transport/checked_test.go
+++ b/internal/transport/checked_test.go
@@ -78,3 +78,43 @@
 		require.Zero(t, whole.Load(), "of %d", sideBySide)
 	}
 }
+
+// countingConn counts its reads.
+type countingConn struct {
+	net.Conn
+	reads atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	c.reads.Add(1)
+	return c.Conn.Read(p)
+}
+
+// TestNothingIsReadAfterAnInvalidHeader guards against a server that goes on to send, and is read
+// from, though its response has failed already.
+func TestNothingIsReadAfterAnInvalidHeader(t *testing.T) {
+	for name, wrap := range map[string]func(conn net.Conn) net.Conn{
+		"checked": func(conn net.Conn) net.Conn { return newCheckedConn(conn) },
+		"pooled":  func(conn net.Conn) net.Conn { return newPooledConn(conn) },
+	} {
+		for _, header := range []string{"HTTP/1.1 000 x\r\n", "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", MaxResponseHeaderLines)} {
+			server, client := net.Pipe()
+			go func() { _, _ = io.WriteString(server, header+strings.Repeat("a:\r\n", 1000)) }()
+			counted := &countingConn{Conn: client}
+			conn := wrap(counted)
+			var first error
+			for first == nil {
+				_, first = conn.Read(make([]byte, 512))
+			}
+			reads := counted.reads.Load()
+			for range 3 {
+				n, err := conn.Read(make([]byte, 512))
+				require.Zero(t, n)
+				require.Equal(t, first.Error(), err.Error(), name)
+			}
+			require.Equal(t, reads, counted.reads.Load(), name)
+			require.NoError(t, client.Close())
+			require.NoError(t, server.Close())
+		}
+	}
+}
--- a/internal/transport/clients_test.go
+++ b/internal/transport/clients_test.go
@@ -62,7 +62,10 @@
 	if err != nil {
 		return
 	}
-	s.received.Add(1)
+	if !strings.HasPrefix(r.URL.Path, relay.CancelPath) {
+		// The service calls' client cancels a request that failed.
+		s.received.Add(1)
+	}
 	if !isReset {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
